--- /dev/null
+++ b/include/rpc/ControlSession.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "base/BootClock.h"
+#include "control.pb.h"
+#include "loop/EventLoop.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace bergamotweir::rpc {
+
+/** Counts the sessions of one agent process; a message of an older session means nothing. */
+using SessionId = std::uint64_t;
+
+/** What the owner of a ControlSession is told; all on the loop's thread. */
+struct ControlSessionEvents {
+    /** Makes the first message of a new session. */
+    std::function<wire::Hello()> hello;
+    /** A session with a replica that has not redirected has begun and said something. */
+    std::function<void(SessionId)> opened;
+    /** A message of the open session; redirects are not passed on. */
+    std::function<void(SessionId, wire::ControlMessage)> message;
+    /** The open session ended; another one is already being sought. */
+    std::function<void(SessionId)> closed;
+};
+
+/** How patient a ControlSession is. */
+struct ControlSessionPatience {
+    /** A replica that says nothing for so long is left: it may be frozen or behind a silent partition. */
+    std::chrono::milliseconds silence{200};
+    /** Pause before the next replica is tried. */
+    std::chrono::milliseconds pause{25};
+    /** A replica that fell silent is not returned to for so long, even when another one names it the leader. */
+    std::chrono::milliseconds avoidance{500};
+};
+
+/**
+ * An agent's stream to the leader of the control group: finds it, keeps the stream, finds the next one.
+ * Owned by the agent process; used on the loop's thread.
+ */
+class ControlSession
+{
+public:
+    /**
+     * Starts to look for the leader.
+     * @param loop outlives the session
+     * @param addresses IP:port of the control replicas, at least one
+     * @param events what to call
+     * @param patience how long to wait for what
+     */
+    ControlSession(loop::EventLoop &loop,
+                   std::vector<std::string> addresses,
+                   ControlSessionEvents events,
+                   ControlSessionPatience patience = {});
+
+    /** Ends the stream without calling closed(). */
+    ~ControlSession();
+    ControlSession(const ControlSession &) = delete;
+    ControlSession &operator=(const ControlSession &) = delete;
+
+    /**
+     * Sends on the present stream, in order; dropped when there is none, so state must be sent again on opened().
+     * @param message anything but a Hello
+     */
+    void send(const wire::AgentMessage &message);
+
+    /** @return whether a replica that takes sessions has answered on the present stream */
+    bool isOpen() const;
+
+private:
+    class Stream;
+    void connect(const std::string &address);
+    void connectNext();
+    void received(SessionId session, wire::ControlMessage message);
+    void ended(SessionId session);
+    void leave();
+    void checkSilence();
+    bool isAvoided(const std::string &address) const;
+
+    loop::EventLoop &loop;
+    std::vector<std::string> addresses;
+    ControlSessionEvents events;
+    ControlSessionPatience patience;
+    std::shared_ptr<Stream> stream;
+    /** Cancelled streams that gRPC has not finished with. */
+    std::vector<std::shared_ptr<Stream>> leaving;
+    SessionId session = 0;
+    bool opened = false;
+    std::size_t nextAddress = 0;
+    std::string currentAddress;
+    std::string avoidedAddress;
+    BootTime avoidedUntil{};
+    BootTime lastHeard{};
+    loop::TimerId silenceTimer = 0;
+    loop::TimerId pauseTimer = 0;
+    std::shared_ptr<bool> alive;
+};
+
+} // namespace bergamotweir::rpc
--- /dev/null
+++ b/src/rpc/ClaimClient.cpp
@@ -0,0 +1,175 @@
+#include "rpc/ClaimClient.h"
+
+#include "base/BootClock.h"
+#include "control.grpc.pb.h"
+#include "rpc/Channel.h"
+
+#include <grpcpp/channel.h>
+
+#include <algorithm>
+#include <map>
+
+namespace bergamotweir::rpc {
+
+namespace {
+
+// One replica may be frozen: it gets this much of the timeout before the next one is asked.
+constexpr std::chrono::milliseconds LongestTry{250};
+constexpr std::chrono::milliseconds PauseBetweenTries{20};
+
+bool isAnswer(const wire::ClaimReply &reply)
+{
+    return reply.verdict() != wire::CLAIM_VERDICT_UNAVAILABLE;
+}
+
+bool isAnswer(const wire::OutcomeReply &reply)
+{
+    return reply.recorded();
+}
+
+/** One call on its way, kept alive by its own callback. */
+template<typename Request, typename Reply>
+struct Call {
+    Request request;
+    Reply reply;
+    std::unique_ptr<grpc::ClientContext> context;
+    BootTime deadline;
+    std::function<void(Reply)> done;
+};
+
+void start(wire::Control::Stub &stub,
+           const std::shared_ptr<Call<wire::ClaimRequest, wire::ClaimReply>> &call,
+           std::function<void(grpc::Status)> ended)
+{
+    stub.async()->Claim(call->context.get(), &call->request, &call->reply, std::move(ended));
+}
+
+void start(wire::Control::Stub &stub,
+           const std::shared_ptr<Call<wire::ClaimOutcome, wire::OutcomeReply>> &call,
+           std::function<void(grpc::Status)> ended)
+{
+    stub.async()->RecordOutcome(call->context.get(), &call->request, &call->reply, std::move(ended));
+}
+
+void setUnavailable(wire::ClaimReply &reply)
+{
+    reply.set_verdict(wire::CLAIM_VERDICT_UNAVAILABLE);
+}
+
+void setUnavailable(wire::OutcomeReply &reply)
+{
+    reply.set_recorded(false);
+}
+
+} // namespace
+
+struct ClaimClient::Parts : std::enable_shared_from_this<ClaimClient::Parts> {
+    Parts(loop::EventLoop &loop, std::vector<std::string> addresses)
+        : loop(loop)
+        , addresses(std::move(addresses))
+        , target(this->addresses.front())
+    {
+    }
+
+    wire::Control::Stub &stub(const std::string &address)
+    {
+        std::unique_ptr<wire::Control::Stub> &known = this->stubs[address];
+        if (!known) {
+            known = wire::Control::NewStub(openChannel(address));
+        }
+        return *known;
+    }
+
+    void chooseNext(const std::string &leader)
+    {
+        if (!leader.empty() && leader != this->target) {
+            this->target = leader;
+            return;
+        }
+        this->target = this->addresses[this->nextAddress++ % this->addresses.size()];
+    }
+
+    template<typename Request, typename Reply>
+    void attempt(const std::shared_ptr<Call<Request, Reply>> &call)
+    {
+        const auto left = call->deadline - BootClock::now();
+        if (left <= std::chrono::nanoseconds(0)) {
+            setUnavailable(call->reply);
+            call->done(call->reply);
+            return;
+        }
+        call->context = std::make_unique<grpc::ClientContext>();
+        call->context->set_deadline(std::chrono::system_clock::now()
+                                    + std::chrono::duration_cast<std::chrono::microseconds>(
+                                        std::min<std::chrono::nanoseconds>(left, LongestTry)));
+        call->reply.Clear();
+        const std::weak_ptr<Parts> self = this->weak_from_this();
+        start(this->stub(this->target), call, [self, call](const grpc::Status &status) {
+            const std::shared_ptr<Parts> parts = self.lock();
+            if (!parts) {
+                return;
+            }
+            parts->loop.post([self, call, ok = status.ok()] {
+                const std::shared_ptr<Parts> still = self.lock();
+                if (still) {
+                    still->ended(call, ok);
+                }
+            });
+        });
+    }
+
+    template<typename Request, typename Reply>
+    void ended(const std::shared_ptr<Call<Request, Reply>> &call, bool ok)
+    {
+        if (ok && isAnswer(call->reply)) {
+            call->done(call->reply);
+            return;
+        }
+        this->chooseNext(ok ? call->reply.leader_address() : std::string());
+        this->loop.after(PauseBetweenTries, [self = this->weak_from_this(), call] {
+            const std::shared_ptr<Parts> still = self.lock();
+            if (still) {
+                still->attempt(call);
+            }
+        });
+    }
+
+    template<typename Request, typename Reply>
+    void begin(const Request &request, std::chrono::milliseconds timeout, std::function<void(Reply)> done)
+    {
+        auto call = std::make_shared<Call<Request, Reply>>();
+        call->request = request;
+        call->deadline = BootClock::now() + timeout;
+        call->done = std::move(done);
+        this->attempt(call);
+    }
+
+    loop::EventLoop &loop;
+    std::vector<std::string> addresses;
+    std::string target;
+    std::size_t nextAddress = 1;
+    std::map<std::string, std::unique_ptr<wire::Control::Stub>> stubs;
+};
+
+ClaimClient::ClaimClient(loop::EventLoop &loop, std::vector<std::string> addresses)
+    : parts(std::make_shared<Parts>(loop, std::move(addresses)))
+{
+}
+
+ClaimClient::~ClaimClient() = default;
+
+void ClaimClient::claim(const wire::ClaimRequest &request,
+                        std::chrono::milliseconds timeout,
+                        std::function<void(wire::ClaimReply)> done)
+{
+    this->parts->begin<wire::ClaimRequest, wire::ClaimReply>(request, timeout, std::move(done));
+}
+
+void ClaimClient::recordOutcome(const wire::ClaimOutcome &outcome,
+                                std::chrono::milliseconds timeout,
+                                std::function<void(wire::OutcomeReply)> done)
+{
+    this->parts->begin<wire::ClaimOutcome, wire::OutcomeReply>(outcome, timeout, std::move(done));
+}
+
+} // namespace bergamotweir::rpc
--- /dev/null
+++ b/src/rpc/ControlSession.cpp
@@ -0,0 +1,297 @@
+#include "rpc/ControlSession.h"
+
+#include "control.grpc.pb.h"
+#include "rpc/Channel.h"
+
+#include <grpcpp/channel.h>
+
+#include <algorithm>
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+
+namespace bergamotweir::rpc {
+
+namespace {
+
+// An agent that cannot get rid of its messages starts a new session rather than growing.
+constexpr std::size_t MaxQueuedMessages = 4096;
+
+} // namespace
+
+/**
+ * One gRPC stream. gRPC calls it on its own threads; what it hears is posted to the loop.
+ * Kept alive by itself until gRPC is done with it.
+ */
+class ControlSession::Stream : public grpc::ClientBidiReactor<wire::AgentMessage, wire::ControlMessage>
+{
+public:
+    Stream(const std::string &address, std::function<void(wire::ControlMessage)> received, std::function<void()> ended)
+        : stub(wire::Control::NewStub(openChannel(address)))
+        , received(std::move(received))
+        , ended(std::move(ended))
+    {
+    }
+
+    void start(std::shared_ptr<Stream> itself, const wire::AgentMessage &first)
+    {
+        this->self = std::move(itself);
+        this->stub->async()->Session(&this->context, this);
+        this->AddHold();
+        this->send(first);
+        this->StartRead(&this->incoming);
+        this->StartCall();
+    }
+
+    void send(const wire::AgentMessage &message)
+    {
+        const std::lock_guard guard(this->mutex);
+        if (this->closing) {
+            return;
+        }
+        this->outgoing.push_back(message);
+        if (this->outgoing.size() > MaxQueuedMessages) {
+            this->context.TryCancel();
+        }
+        this->writeNext();
+    }
+
+    void cancel()
+    {
+        {
+            const std::lock_guard guard(this->mutex);
+            if (this->closing) {
+                return;
+            }
+            this->closing = true;
+        }
+        this->context.TryCancel();
+        this->RemoveHold();
+    }
+
+    bool hasEnded()
+    {
+        const std::lock_guard guard(this->mutex);
+        return this->isDone;
+    }
+
+    /** Waits until gRPC is done; only after cancel(). */
+    void waitDone()
+    {
+        std::unique_lock guard(this->mutex);
+        this->doneCondition.wait(guard, [this] {
+            return this->isDone;
+        });
+    }
+
+private:
+    void OnReadDone(bool ok) override
+    {
+        if (!ok) {
+            this->cancel();
+            return;
+        }
+        this->received(std::move(this->incoming));
+        this->incoming.Clear();
+        this->StartRead(&this->incoming);
+    }
+
+    void OnWriteDone(bool ok) override
+    {
+        {
+            const std::lock_guard guard(this->mutex);
+            this->writing = false;
+            this->outgoing.pop_front();
+            if (ok) {
+                this->writeNext();
+            }
+        }
+        if (!ok) {
+            this->cancel();
+        }
+    }
+
+    void OnDone(const grpc::Status &) override
+    {
+        const std::shared_ptr<Stream> last = std::move(this->self);
+        this->ended();
+        const std::lock_guard guard(this->mutex);
+        this->isDone = true;
+        this->doneCondition.notify_all();
+    }
+
+    void writeNext()
+    {
+        if (this->writing || this->closing || this->outgoing.empty()) {
+            return;
+        }
+        this->writing = true;
+        this->StartWrite(&this->outgoing.front());
+    }
+
+    std::unique_ptr<wire::Control::Stub> stub;
+    grpc::ClientContext context;
+    std::function<void(wire::ControlMessage)> received;
+    std::function<void()> ended;
+    wire::ControlMessage incoming;
+    std::mutex mutex;
+    std::condition_variable doneCondition;
+    std::deque<wire::AgentMessage> outgoing;
+    bool writing = false;
+    bool closing = false;
+    bool isDone = false;
+    std::shared_ptr<Stream> self;
+};
+
+ControlSession::ControlSession(loop::EventLoop &loop,
+                               std::vector<std::string> addresses,
+                               ControlSessionEvents events,
+                               ControlSessionPatience patience)
+    : loop(loop)
+    , addresses(std::move(addresses))
+    , events(std::move(events))
+    , patience(patience)
+    , alive(std::make_shared<bool>(true))
+{
+    this->silenceTimer = this->loop.every(this->patience.silence / 4, [this] {
+        this->checkSilence();
+    });
+    this->loop.post([this, life = std::weak_ptr<bool>(this->alive)] {
+        if (!life.expired()) {
+            this->connectNext();
+        }
+    });
+}
+
+ControlSession::~ControlSession()
+{
+    this->alive.reset();
+    this->loop.cancel(this->silenceTimer);
+    this->loop.cancel(this->pauseTimer);
+    if (this->stream) {
+        this->stream->cancel();
+        this->leaving.push_back(std::move(this->stream));
+    }
+    for (const std::shared_ptr<Stream> &left : this->leaving) {
+        left->waitDone();
+    }
+}
+
+void ControlSession::send(const wire::AgentMessage &message)
+{
+    if (this->stream) {
+        this->stream->send(message);
+    }
+}
+
+bool ControlSession::isOpen() const
+{
+    return this->opened;
+}
+
+bool ControlSession::isAvoided(const std::string &address) const
+{
+    return address == this->avoidedAddress && BootClock::now() < this->avoidedUntil;
+}
+
+void ControlSession::connectNext()
+{
+    const std::size_t first = this->nextAddress++ % this->addresses.size();
+    const bool skip = this->isAvoided(this->addresses[first]) && this->addresses.size() > 1;
+    const std::size_t chosen = skip ? this->nextAddress++ % this->addresses.size() : first;
+    this->connect(this->addresses[chosen]);
+}
+
+void ControlSession::connect(const std::string &address)
+{
+    this->leave();
+    const SessionId name = ++this->session;
+    this->currentAddress = address;
+    this->lastHeard = BootClock::now();
+    const std::weak_ptr<bool> life = this->alive;
+    this->stream = std::make_shared<Stream>(
+        address,
+        [this, life, name, &target = this->loop](wire::ControlMessage message) {
+            target.post([this, life, name, message = std::move(message)]() mutable {
+                if (!life.expired()) {
+                    this->received(name, std::move(message));
+                }
+            });
+        },
+        [this, life, name, &target = this->loop] {
+            target.post([this, life, name] {
+                if (!life.expired()) {
+                    this->ended(name);
+                }
+            });
+        });
+    wire::AgentMessage first;
+    *first.mutable_hello() = this->events.hello();
+    this->stream->start(this->stream, first);
+}
+
+void ControlSession::leave()
+{
+    if (!this->stream) {
+        return;
+    }
+    this->stream->cancel();
+    std::erase_if(this->leaving, [](const std::shared_ptr<Stream> &left) {
+        return left->hasEnded();
+    });
+    this->leaving.push_back(std::move(this->stream));
+    this->stream.reset();
+    if (this->opened) {
+        this->opened = false;
+        this->events.closed(this->session);
+    }
+}
+
+void ControlSession::received(SessionId name, wire::ControlMessage message)
+{
+    if (name != this->session || !this->stream) {
+        return;
+    }
+    this->lastHeard = BootClock::now();
+    if (message.has_redirect()) {
+        const std::string leader = message.redirect().leader_address();
+        if (leader.empty() || leader == this->currentAddress || this->isAvoided(leader)) {
+            this->ended(name);
+            return;
+        }
+        this->connect(leader);
+        return;
+    }
+    if (!this->opened) {
+        this->opened = true;
+        this->events.opened(name);
+    }
+    this->events.message(name, std::move(message));
+}
+
+void ControlSession::ended(SessionId name)
+{
+    if (name != this->session) {
+        return;
+    }
+    this->leave();
+    this->loop.cancel(this->pauseTimer);
+    this->pauseTimer = this->loop.after(this->patience.pause, [this] {
+        this->connectNext();
+    });
+}
+
+// Guards against a leader that is frozen or behind a silent partition: its TCP connection stays up and nothing
+// arrives, so the agent's lease would end although another leader was elected long ago. Every renewal is answered,
+// hence silence longer than two renewals means that this replica cannot confirm itself.
+void ControlSession::checkSilence()
+{
+    if (!this->stream || BootClock::now() - this->lastHeard < this->patience.silence) {
+        return;
+    }
+    this->avoidedAddress = this->currentAddress;
+    this->avoidedUntil = BootClock::now() + this->patience.avoidance;
+    this->ended(this->session);
+}
+
+} // namespace bergamotweir::rpc
