Session, claim and operator clients tested against replicas that redirect, freeze, hang up and lose answers

Cause: the clients landed untested. Change: a fake replica (a gRPC service told how to behave) and five tests. Shown able to fail: without the avoidance of a silent replica 'an agent leaves a replica that fell silent' ends red at frozen.sessions == 1; without the silence check it ends red at opened.

--- /dev/null
+++ b/tests/ControlSessionTest.cpp
@@ -0,0 +1,228 @@
+#include "rpc/ControlSession.h"
+#include "control.grpc.pb.h"
+#include "rpc/ClaimClient.h"
+#include "rpc/OperatorClient.h"
+
+#include <catch2/catch.hpp>
+#include <grpcpp/server_builder.h>
+
+#include <atomic>
+#include <memory>
+#include <thread>
+
+using namespace bergamotweir;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** A control replica that behaves as told. */
+class FakeReplica : public wire::Control::Service
+{
+public:
+    FakeReplica()
+    {
+        grpc::ServerBuilder builder;
+        builder.AddListeningPort("127.0.0.1:0", grpc::InsecureServerCredentials(), &this->port);
+        builder.RegisterService(this);
+        this->server = builder.BuildAndStart();
+    }
+
+    ~FakeReplica() override
+    {
+        this->server->Shutdown(std::chrono::system_clock::now());
+    }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(this->port);
+    }
+
+    grpc::Status Session(grpc::ServerContext *context,
+                         grpc::ServerReaderWriter<wire::ControlMessage, wire::AgentMessage> *stream) override
+    {
+        ++this->sessions;
+        wire::AgentMessage message;
+        while (stream->Read(&message)) {
+            wire::ControlMessage answer;
+            if (this->silent) {
+                continue;
+            }
+            if (!this->leader.empty()) {
+                answer.mutable_redirect()->set_leader_address(this->leader);
+            } else {
+                answer.mutable_renewed()->set_sequence(message.has_renew() ? message.renew().sequence() : 0);
+            }
+            stream->Write(answer);
+            if (this->hangUp) {
+                return grpc::Status::OK;
+            }
+        }
+        return context->IsCancelled() ? grpc::Status::CANCELLED : grpc::Status::OK;
+    }
+
+    grpc::Status Claim(grpc::ServerContext *, const wire::ClaimRequest *, wire::ClaimReply *reply) override
+    {
+        ++this->claims;
+        reply->set_verdict(this->leader.empty() ? wire::CLAIM_VERDICT_GRANTED : wire::CLAIM_VERDICT_UNAVAILABLE);
+        reply->set_leader_address(this->leader);
+        return grpc::Status::OK;
+    }
+
+    grpc::Status Operate(grpc::ServerContext *, const wire::OperatorRequest *, wire::OperatorReply *reply) override
+    {
+        if (this->silent) {
+            return {grpc::StatusCode::INTERNAL, "lost on the way"};
+        }
+        reply->set_status(this->leader.empty() ? wire::OPERATOR_STATUS_DONE : wire::OPERATOR_STATUS_NOT_LEADER);
+        reply->set_leader_address(this->leader);
+        return grpc::Status::OK;
+    }
+
+    std::string leader;
+    std::atomic<bool> silent{false};
+    std::atomic<bool> hangUp{false};
+    std::atomic<int> sessions{0};
+    std::atomic<int> claims{0};
+
+private:
+    int port = 0;
+    std::unique_ptr<grpc::Server> server;
+};
+
+wire::Hello someHello()
+{
+    wire::Hello hello;
+    hello.set_agent("agent-1");
+    return hello;
+}
+
+/** Ends a loop that a fault would keep running for ever. */
+void stopAfter(loop::EventLoop &loop, std::chrono::seconds limit)
+{
+    loop.after(limit, [&loop] {
+        loop.stop();
+    });
+}
+
+} // namespace
+
+TEST_CASE("an agent is led from a follower to the leader and renews there")
+{
+    FakeReplica leader;
+    FakeReplica follower;
+    follower.leader = leader.address();
+    auto loop = loop::EventLoop::create().value();
+    std::uint64_t renewed = 0;
+    std::unique_ptr<rpc::ControlSession> session;
+    rpc::ControlSessionEvents events;
+    events.hello = someHello;
+    events.opened = [&](rpc::SessionId) {
+        wire::AgentMessage renew;
+        renew.mutable_renew()->set_sequence(7);
+        session->send(renew);
+    };
+    events.message = [&](rpc::SessionId, const wire::ControlMessage &message) {
+        renewed = message.renewed().sequence();
+        if (renewed == 7) {
+            loop->stop();
+        }
+    };
+    events.closed = [](rpc::SessionId) {};
+    session = std::make_unique<rpc::ControlSession>(*loop, std::vector{follower.address()}, events);
+    stopAfter(*loop, 10s);
+    loop->run();
+    REQUIRE(renewed == 7);
+    REQUIRE(leader.sessions == 1);
+}
+
+// A user sees keys of one agent unserved although the control group has a working leader.
+// Order: the old leader freezes (its TCP connection stays up), another one is elected, the agent keeps waiting.
+// Cause: without the silence check the agent notices nothing until the connection breaks.
+TEST_CASE("an agent leaves a replica that fell silent and does not follow a redirect back to it")
+{
+    FakeReplica frozen;
+    frozen.silent = true;
+    FakeReplica follower;
+    follower.leader = frozen.address();
+    FakeReplica leader;
+    auto loop = loop::EventLoop::create().value();
+    bool opened = false;
+    rpc::ControlSessionEvents events;
+    events.hello = someHello;
+    events.opened = [&](rpc::SessionId) {
+        opened = true;
+        loop->stop();
+    };
+    events.message = [](rpc::SessionId, const wire::ControlMessage &) {};
+    events.closed = [](rpc::SessionId) {};
+    const std::vector<std::string> addresses{frozen.address(), follower.address(), leader.address()};
+    const rpc::ControlSession session(*loop, addresses, events);
+    stopAfter(*loop, 10s);
+    loop->run();
+    REQUIRE(opened);
+    REQUIRE(frozen.sessions == 1);
+}
+
+TEST_CASE("a closed session is told once and sought anew")
+{
+    FakeReplica leader;
+    leader.hangUp = true;
+    auto loop = loop::EventLoop::create().value();
+    std::vector<rpc::SessionId> opened;
+    std::vector<rpc::SessionId> closed;
+    rpc::ControlSessionEvents events;
+    events.hello = someHello;
+    events.opened = [&](rpc::SessionId session) {
+        opened.push_back(session);
+    };
+    events.message = [](rpc::SessionId, const wire::ControlMessage &) {};
+    events.closed = [&](rpc::SessionId session) {
+        closed.push_back(session);
+        if (closed.size() == 3) {
+            loop->stop();
+        }
+    };
+    const rpc::ControlSession session(*loop, {leader.address()}, events);
+    stopAfter(*loop, 10s);
+    loop->run();
+    REQUIRE(closed.size() == 3);
+    REQUIRE(closed == opened);
+}
+
+TEST_CASE("a claim finds the leader, and is unavailable at its timeout when there is none")
+{
+    FakeReplica leader;
+    FakeReplica follower;
+    follower.leader = leader.address();
+    auto loop = loop::EventLoop::create().value();
+    rpc::ClaimClient client(*loop, {follower.address(), leader.address()});
+    wire::ClaimVerdict first = wire::CLAIM_VERDICT_UNKNOWN;
+    wire::ClaimVerdict second = wire::CLAIM_VERDICT_UNKNOWN;
+    client.claim({}, 5000ms, [&](const wire::ClaimReply &reply) {
+        first = reply.verdict();
+        leader.leader = follower.address();
+        client.claim({}, 100ms, [&](const wire::ClaimReply &later) {
+            second = later.verdict();
+            loop->stop();
+        });
+    });
+    stopAfter(*loop, 10s);
+    loop->run();
+    REQUIRE(first == wire::CLAIM_VERDICT_GRANTED);
+    REQUIRE(second == wire::CLAIM_VERDICT_UNAVAILABLE);
+    REQUIRE(follower.claims >= 2);
+}
+
+// An operator resends a change after losing the answer and must know whether the first one may have counted.
+// Order: the request reaches a replica, the answer is lost, nobody else answers until the timeout.
+// Cause: a plain "failed" would make the operator send a second, different change.
+TEST_CASE("an operator call tells an unknown outcome from one that never left")
+{
+    FakeReplica leader;
+    FakeReplica follower;
+    follower.leader = leader.address();
+    REQUIRE(rpc::callOperator({follower.address()}, {}, 5000ms).status() == wire::OPERATOR_STATUS_DONE);
+    leader.silent = true;
+    REQUIRE(rpc::callOperator({leader.address()}, {}, 300ms).status() == wire::OPERATOR_STATUS_UNKNOWN);
+    REQUIRE(rpc::callOperator({"127.0.0.1:1"}, {}, 300ms).status() == wire::OPERATOR_STATUS_REFUSED);
+}
