--- /dev/null
+++ b/include/table/Table.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "base/Result.h"
+#include "table/Policy.h"
+#include "table/Row.h"
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bergamotweir::table {
+
+/** Bounds of a table: what a replica must be able to hold, send and check within one turn of its loop. */
+inline constexpr std::size_t MaxTableBytes = 2 * 1024 * 1024;
+inline constexpr std::size_t MaxRows = 20000;
+inline constexpr std::size_t MaxNameLength = 64;
+inline constexpr std::size_t MaxFindings = 50;
+
+/**
+ * The shared table: weights, limits, deadlines and objectives by service, failure domain and upstream.
+ * An immutable value; copies share the rows. Owned by whoever acts on it.
+ *
+ * Which row wins is decided for each column on its own, among the rows that match and set the column: one that names
+ * the upstream beats one that doesn't; then one that names the failure domain; then one that names the service.
+ * Two rows with the same three names must not set the same column.
+ */
+class Table
+{
+public:
+    /** A table without rows: no service is known. */
+    Table();
+
+    /**
+     * Reads a table.
+     * @param csv header and rows, UTF-8, at most MaxTableBytes
+     * @return the table, or every finding with its "row N, column C" place (the first MaxFindings)
+     */
+    static Result<Table> parse(std::string_view csv);
+
+    /** @return true when a row names this service */
+    bool hasService(std::string_view service) const;
+
+    /** @return the services that rows name, sorted */
+    std::vector<std::string> services() const;
+
+    /** @return what holds for a service; the defaults where no row sets a column */
+    ServicePolicy service(std::string_view service) const;
+
+    /** @return what holds for an upstream; the defaults where no row sets a column */
+    UpstreamPolicy upstream(std::string_view service, std::string_view failureDomain, std::string_view upstream) const;
+
+    /** @return the rows in the order of the file */
+    const std::vector<Row> &rows() const;
+
+    /** @return the table as CSV with all columns and without comments; parse() of it gives equal rows */
+    std::string toCsv() const;
+
+private:
+    struct Index;
+    explicit Table(std::shared_ptr<const Index> index);
+
+    std::shared_ptr<const Index> index;
+};
+
+} // namespace bergamotweir::table
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 2;
+}
--- /dev/null
+++ b/src/table/Table.cpp
@@ -0,0 +1,155 @@
+#include "table/Table.h"
+
+#include "Column.h"
+#include "CsvLine.h"
+#include "TableReader.h"
+
+#include <array>
+#include <set>
+#include <unordered_map>
+
+namespace bergamotweir::table {
+
+namespace {
+
+std::string key(std::string_view service, std::string_view failureDomain, std::string_view upstream)
+{
+    std::string joined;
+    joined.reserve(service.size() + failureDomain.size() + upstream.size() + 2);
+    // Names hold no comma, so that the joined key is unique.
+    joined.append(service).append(1, ',').append(failureDomain).append(1, ',').append(upstream);
+    return joined;
+}
+
+void fillAll(Row &row, const Row &from)
+{
+    for (const Column &column : valueColumns()) {
+        column.fill(row, from);
+    }
+}
+
+} // namespace
+
+struct Table::Index {
+    std::vector<Row> rows;
+    /** Rows with the same three names, laid together. */
+    std::unordered_map<std::string, Row> byNames;
+    std::set<std::string, std::less<>> services;
+
+    Row lookUp(std::string_view service, std::string_view failureDomain, std::string_view upstream) const;
+};
+
+Row Table::Index::lookUp(std::string_view service, std::string_view failureDomain, std::string_view upstream) const
+{
+    Row result;
+    const auto lay = [&](std::string_view aService, std::string_view aDomain, std::string_view anUpstream) {
+        const auto found = this->byNames.find(key(aService, aDomain, anUpstream));
+        if (found != this->byNames.end()) {
+            fillAll(result, found->second);
+        }
+    };
+    // Most specific first: the first row that sets a column wins it.
+    lay(service, failureDomain, upstream);
+    lay(Any, failureDomain, upstream);
+    lay(service, Any, upstream);
+    lay(Any, Any, upstream);
+    lay(service, failureDomain, Any);
+    lay(Any, failureDomain, Any);
+    lay(service, Any, Any);
+    lay(Any, Any, Any);
+    return result;
+}
+
+Table::Table()
+    : index(std::make_shared<const Index>())
+{
+}
+
+Table::Table(std::shared_ptr<const Index> index)
+    : index(std::move(index))
+{
+}
+
+Result<Table> Table::parse(std::string_view csv)
+{
+    Result<std::vector<Row>> rows = readRows(csv);
+    if (!rows) {
+        return std::move(rows).error();
+    }
+    auto index = std::make_shared<Index>();
+    index->rows = std::move(rows).value();
+    for (const Row &row : index->rows) {
+        const auto [entry, inserted] =
+            index->byNames.try_emplace(key(row.service, row.failureDomain, row.upstream), row);
+        if (!inserted) {
+            fillAll(entry->second, row);
+        }
+        if (row.service != Any) {
+            index->services.insert(row.service);
+        }
+    }
+    return Table(std::move(index));
+}
+
+bool Table::hasService(std::string_view service) const
+{
+    return this->index->services.contains(service);
+}
+
+std::vector<std::string> Table::services() const
+{
+    return {this->index->services.begin(), this->index->services.end()};
+}
+
+ServicePolicy Table::service(std::string_view service) const
+{
+    const Row row = this->index->lookUp(service, Any, Any);
+    const ServicePolicy defaults;
+    return {
+        .keyed = row.keyed.value_or(defaults.keyed),
+        .timeout = row.timeout.value_or(defaults.timeout),
+        .sloAvailability = row.sloAvailability.value_or(defaults.sloAvailability),
+        .sloLatency = row.sloLatency.value_or(defaults.sloLatency),
+        .sloPercentile = row.sloPercentile.value_or(defaults.sloPercentile),
+    };
+}
+
+UpstreamPolicy
+Table::upstream(std::string_view service, std::string_view failureDomain, std::string_view upstream) const
+{
+    const Row row = this->index->lookUp(service, failureDomain, upstream);
+    const UpstreamPolicy defaults;
+    return {
+        .weight = row.weight.value_or(defaults.weight),
+        .limit = row.limit.value_or(defaults.limit),
+        .inService = row.inService.value_or(defaults.inService),
+    };
+}
+
+const std::vector<Row> &Table::rows() const
+{
+    return this->index->rows;
+}
+
+std::string Table::toCsv() const
+{
+    std::vector<std::string> cells;
+    for (const std::span<const Column> columns : {nameColumns(), valueColumns()}) {
+        for (const Column &column : columns) {
+            cells.emplace_back(column.name);
+        }
+    }
+    std::string csv = writeCsvLine(cells);
+    for (const Row &row : this->index->rows) {
+        cells.clear();
+        for (const std::span<const Column> columns : {nameColumns(), valueColumns()}) {
+            for (const Column &column : columns) {
+                cells.push_back(column.write(row));
+            }
+        }
+        csv += writeCsvLine(cells);
+    }
+    return csv;
+}
+
+} // namespace bergamotweir::table
