--- a/include/table/Table.h
+++ b/include/table/Table.h
@@ -12,7 +12,7 @@
 namespace bergamotweir::table {
 
 /** Bounds of a table: what a replica must be able to hold, send and check within one turn of its loop. */
-inline constexpr std::size_t MaxTableBytes = 2 * 1024 * 1024;
+inline constexpr std::size_t MaxTableBytes = std::size_t{2} << 20U;
 inline constexpr std::size_t MaxRows = 20000;
 inline constexpr std::size_t MaxNameLength = 64;
 inline constexpr std::size_t MaxFindings = 50;
--- a/src/table/Column.cpp
+++ b/src/table/Column.cpp
@@ -63,11 +63,11 @@
     }
 }
 
-template<auto Member, auto Least, auto Most>
+template<auto Member, typename Bounds>
 bool read(std::string_view cell, Row &row)
 {
-    decltype(Least) number{};
-    if (!readNumber(cell, Least, Most, number)) {
+    auto number = Bounds::Least;
+    if (!readNumber(cell, Bounds::Least, Bounds::Most, number)) {
         return false;
     }
     row.*Member = typename std::remove_cvref_t<decltype(row.*Member)>::value_type(number);
@@ -102,11 +102,25 @@
     return *(row.*Member) ? "yes" : "no";
 }
 
-constexpr double MostWeight = 1000;
-constexpr unsigned MostLimit = 10000;
-constexpr long LongestTimeMs = 600000;
-constexpr double LeastPercent = 1;
-constexpr double MostPercent = 99.9999;
+struct WeightBounds {
+    static constexpr double Least = 0;
+    static constexpr double Most = 1000;
+};
+
+struct LimitBounds {
+    static constexpr unsigned Least = 0;
+    static constexpr unsigned Most = 10000;
+};
+
+struct TimeMsBounds {
+    static constexpr long Least = 1;
+    static constexpr long Most = 600000;
+};
+
+struct PercentBounds {
+    static constexpr double Least = 1;
+    static constexpr double Most = 99.9999;
+};
 
 constexpr std::string_view NameRule = "a name of at most 64 letters, digits, '.', '_' and '-', nor *";
 constexpr std::string_view TimeRule = "a whole number of milliseconds from 1 to 600000";
@@ -130,14 +144,14 @@
            "a number from 0 to 1000",
            "1",
            false,
-           read<&Row::weight, 0.0, MostWeight>,
+           read<&Row::weight, WeightBounds>,
            write<&Row::weight>,
            fill<&Row::weight>},
     Column{"limit",
            "a whole number from 0 to 10000",
            "12",
            false,
-           read<&Row::limit, 0U, MostLimit>,
+           read<&Row::limit, LimitBounds>,
            write<&Row::limit>,
            fill<&Row::limit>},
     Column{"keyed", YesNoRule, "yes", true, readYesNo<&Row::keyed>, writeYesNo<&Row::keyed>, fill<&Row::keyed>},
@@ -145,28 +159,28 @@
            TimeRule,
            "1000",
            true,
-           read<&Row::timeout, 1L, LongestTimeMs>,
+           read<&Row::timeout, TimeMsBounds>,
            writeTime<&Row::timeout>,
            fill<&Row::timeout>},
     Column{"slo_availability",
            PercentRule,
            "99.9",
            true,
-           read<&Row::sloAvailability, LeastPercent, MostPercent>,
+           read<&Row::sloAvailability, PercentBounds>,
            write<&Row::sloAvailability>,
            fill<&Row::sloAvailability>},
     Column{"slo_latency_ms",
            TimeRule,
            "14",
            true,
-           read<&Row::sloLatency, 1L, LongestTimeMs>,
+           read<&Row::sloLatency, TimeMsBounds>,
            writeTime<&Row::sloLatency>,
            fill<&Row::sloLatency>},
     Column{"slo_percentile",
            PercentRule,
            "99",
            true,
-           read<&Row::sloPercentile, LeastPercent, MostPercent>,
+           read<&Row::sloPercentile, PercentBounds>,
            write<&Row::sloPercentile>,
            fill<&Row::sloPercentile>},
     Column{"in_service",
