--- /dev/null
+++ b/include/net/HttpAnswer.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "net/Header.h"
+
+namespace bergamotweir::net {
+
+/** A whole answer. */
+struct HttpAnswer {
+    int status = 0;
+    std::vector<Header> headers;
+    std::string body;
+};
+
+} // namespace bergamotweir::net
--- /dev/null
+++ b/include/net/HttpCall.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "net/Header.h"
+
+#include <chrono>
+#include <cstddef>
+
+namespace bergamotweir::net {
+
+/** A request to be sent by HttpClient. */
+struct HttpCall {
+    /** IP:port. */
+    std::string address;
+    std::string method = "GET";
+    /** Path and query, sent as they are. */
+    std::string target = "/";
+    std::vector<Header> headers;
+    std::string body;
+    /** From send() to the last byte of the answer; at least a millisecond. */
+    std::chrono::nanoseconds timeout = std::chrono::seconds(1);
+    /** From send() to the open connection; at least a millisecond. */
+    std::chrono::nanoseconds connectTimeout = std::chrono::milliseconds(300);
+    /** Bytes of the answer's body; more ends the call as TooLarge. */
+    std::size_t maxAnswer = 1024 * 1024;
+    /** Never reuse an open connection. */
+    bool freshConnection = false;
+};
+
+} // namespace bergamotweir::net
