Agent: lease, route map and ownership of slices

A lease runs from the send time of a renewal confirmed on its own session after that session's full state. The route map keeps the highest version. Work is counted by key hash, so that a split doesn't hide it from a release.

--- /dev/null
+++ b/include/agent/Ownership.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "agent/RouteMap.h"
+
+#include <compare>
+
+namespace bergamotweir::agent {
+
+struct Lease;
+
+/** A slice under one epoch. */
+struct SliceKey {
+    std::string service;
+    std::uint64_t begin = 0;
+    std::uint64_t epoch = 0;
+
+    auto operator<=>(const SliceKey &other) const = default;
+};
+
+/**
+ * The slices of the agent's own upstreams: which are being given up, and what work is in progress on them.
+ * Owned by the agent process.
+ */
+struct Ownership {
+    /** Ids that control gave to this agent's upstreams. */
+    std::set<std::uint32_t> ownUpstreams;
+    /** Revoked on this session; no new work is taken, Released follows when the work in progress has ended. */
+    std::set<SliceKey> revoked;
+    /** Released was sent; never served again under that epoch, whatever a later leader knows of it. */
+    std::set<SliceKey> released;
+    /** Hashes of the keys on which work is in progress at an upstream, per service. */
+    std::map<std::string, std::multiset<std::uint64_t>, std::less<>> work;
+};
+
+/** Why a keyed request may not be dispatched here. */
+enum class Refusal {
+    None,
+    /** Another upstream owns the slice, or nobody does. */
+    NotOwner,
+    NoLease,
+    /** The slice is being moved away. */
+    Moving
+};
+
+/**
+ * Decides at the moment of a dispatch whether this agent may serve a key.
+ * @param now the time of the dispatch
+ * @param slice receives the slice when the answer is None
+ */
+Refusal checkOwnership(const Ownership &ownership,
+                       const RouteMap &map,
+                       const Lease &lease,
+                       std::string_view service,
+                       std::uint64_t hash,
+                       BootTime now,
+                       Slice *slice);
+
+/** @return checkOwnership() == None */
+bool ownsLocally(const Ownership &ownership,
+                 const RouteMap &map,
+                 const Lease &lease,
+                 std::string_view service,
+                 std::uint64_t hash,
+                 BootTime now);
+
+/** Counts work on a key from its dispatch until it has surely ended; endWork() is called with the same key. */
+void beginWork(Ownership &ownership, const std::string &service, std::uint64_t hash);
+void endWork(Ownership &ownership, const std::string &service, std::uint64_t hash);
+
+/** Stops new work on the slices; ones that this agent doesn't own under that epoch count as revoked as well. */
+void revoke(Ownership &ownership, const wire::Revoke &order);
+
+/**
+ * Takes out the revoked slices on which no work is left, to be told to control.
+ * Work is counted by key hash, not by slice: a split or a merge while it runs doesn't hide it.
+ * @return empty when there is nothing to tell
+ */
+wire::Released takeReleased(Ownership &ownership, const RouteMap &map);
+
+/**
+ * After the first full state of a session: forgets revocations of the session before (its leader never heard
+ * Released, so it granted nothing), and finds released slices that the state still gives to this agent.
+ * @return what has to be told again, since the leader that heard it may have lost it
+ */
+wire::Released resumeReleased(Ownership &ownership, const RouteMap &map);
+
+/** Forgets revoked and released slices that the map has since given a newer epoch. */
+void forgetOldEpochs(Ownership &ownership, const RouteMap &map);
+
+} // namespace bergamotweir::agent
--- /dev/null
+++ b/tests/LeaseTest.cpp
@@ -0,0 +1,71 @@
+#include "agent/Lease.h"
+
+#include <catch2/catch.hpp>
+#include <control.pb.h>
+
+using namespace bergamotweir;
+using namespace std::chrono_literals;
+
+namespace {
+
+wire::Renewed renewedFor(std::uint64_t sequence)
+{
+    wire::Renewed renewed;
+    renewed.set_sequence(sequence);
+    renewed.set_lease_ms(500);
+    return renewed;
+}
+
+agent::Lease openLease()
+{
+    agent::Lease lease;
+    agent::beginSession(lease, 1);
+    agent::fullStateApplied(lease, 1);
+    return lease;
+}
+
+} // namespace
+
+// A key is answered by two upstreams: an agent was frozen right after it sent a heartbeat, came back after control had
+// granted its keys to another, and read the old confirmation. Counted from its arrival, the lease would hold again.
+TEST_CASE("a lease runs from the moment its renewal was sent")
+{
+    agent::Lease lease = openLease();
+    const BootTime sent{10s};
+    const std::uint64_t sequence = agent::noteRenewal(lease, sent);
+    REQUIRE_FALSE(agent::holds(lease, sent));
+    REQUIRE(agent::confirmRenewal(lease, 1, renewedFor(sequence)));
+    REQUIRE(agent::holds(lease, sent + 499ms));
+    REQUIRE_FALSE(agent::holds(lease, sent + 500ms));
+}
+
+// An agent serves by an old map: its session broke, a new leader took over, and a delayed confirmation of the session
+// before was counted as the new leader's.
+TEST_CASE("a renewal counts only on its own session and after that session's full state")
+{
+    agent::Lease lease = openLease();
+    const std::uint64_t old = agent::noteRenewal(lease, BootTime(10s));
+    agent::endSession(lease);
+    REQUIRE_FALSE(agent::confirmRenewal(lease, 1, renewedFor(old)));
+    agent::beginSession(lease, 2);
+    const std::uint64_t early = agent::noteRenewal(lease, BootTime(11s));
+    REQUIRE_FALSE(agent::confirmRenewal(lease, 2, renewedFor(early)));
+    agent::fullStateApplied(lease, 1);
+    REQUIRE_FALSE(agent::confirmRenewal(lease, 2, renewedFor(early)));
+    agent::fullStateApplied(lease, 2);
+    REQUIRE_FALSE(agent::confirmRenewal(lease, 2, renewedFor(old)));
+    REQUIRE_FALSE(agent::confirmRenewal(lease, 1, renewedFor(early)));
+    REQUIRE(agent::confirmRenewal(lease, 2, renewedFor(early)));
+    REQUIRE(agent::holds(lease, BootTime(11s)));
+}
+
+TEST_CASE("confirmations out of order or doubled never shorten or lengthen the lease")
+{
+    agent::Lease lease = openLease();
+    const std::uint64_t first = agent::noteRenewal(lease, BootTime(10s));
+    const std::uint64_t second = agent::noteRenewal(lease, BootTime(10s + 100ms));
+    REQUIRE(agent::confirmRenewal(lease, 1, renewedFor(second)));
+    REQUIRE_FALSE(agent::confirmRenewal(lease, 1, renewedFor(first)));
+    REQUIRE_FALSE(agent::confirmRenewal(lease, 1, renewedFor(second)));
+    REQUIRE(lease.validUntil == BootTime(10s + 600ms));
+}
--- /dev/null
+++ b/tests/OwnershipTest.cpp
@@ -0,0 +1,146 @@
+#include "agent/Ownership.h"
+#include "agent/Lease.h"
+
+#include <catch2/catch.hpp>
+
+using namespace bergamotweir;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t Half = 1ULL << 63U;
+constexpr BootTime Now{10s};
+
+wire::StateUpdate update(std::uint64_t index, bool full)
+{
+    wire::StateUpdate change;
+    change.mutable_version()->set_term(3);
+    change.mutable_version()->set_index(index);
+    change.set_full(full);
+    return change;
+}
+
+void give(wire::StateUpdate &change, std::uint64_t begin, std::uint32_t owner, std::uint64_t epoch)
+{
+    if (change.services().empty()) {
+        change.add_services()->set_service("catalogue");
+    }
+    wire::SliceOwner *slice = change.mutable_services(0)->add_slices();
+    slice->set_begin(begin);
+    slice->set_owner(owner);
+    slice->set_epoch(epoch);
+}
+
+/** An agent of upstream 7, which owns the lower half under epoch 1. */
+struct Agent {
+    agent::RouteMap map;
+    agent::Ownership ownership;
+    agent::Lease lease;
+
+    Agent()
+    {
+        wire::StateUpdate state = update(1, true);
+        give(state, 0, 7, 1);
+        give(state, Half, 8, 1);
+        agent::apply(this->map, state);
+        this->ownership.ownUpstreams = {7};
+        this->lease.validUntil = Now + 500ms;
+    }
+
+    agent::Refusal check(std::uint64_t hash, BootTime now = Now) const
+    {
+        agent::Slice slice;
+        return agent::checkOwnership(this->ownership, this->map, this->lease, "catalogue", hash, now, &slice);
+    }
+
+    void revoke(std::uint64_t begin, std::uint64_t epoch)
+    {
+        wire::Revoke order;
+        wire::SliceRef *slice = order.add_slices();
+        slice->set_service("catalogue");
+        slice->set_begin(begin);
+        slice->set_epoch(epoch);
+        agent::revoke(this->ownership, order);
+    }
+};
+
+} // namespace
+
+TEST_CASE("an agent serves only what it owns, under a lease, and not what is being moved")
+{
+    Agent agent;
+    REQUIRE(agent.check(5) == agent::Refusal::None);
+    REQUIRE(agent.check(Half) == agent::Refusal::NotOwner);
+    REQUIRE(agent.check(5, Now + 500ms) == agent::Refusal::NoLease);
+    agent.revoke(0, 1);
+    REQUIRE(agent.check(5) == agent::Refusal::Moving);
+    REQUIRE(agent::checkOwnership(agent.ownership, agent.map, agent.lease, "enrolments", 5, Now, nullptr)
+            == agent::Refusal::NotOwner);
+}
+
+// An operator's change is undone: an agent reconnected to a replica on the far side of a partition, which sent it the
+// state from before the change.
+TEST_CASE("an older state is left out, whether full or not")
+{
+    Agent agent;
+    wire::StateUpdate change = update(5, false);
+    change.mutable_table()->set_table_version(2);
+    REQUIRE(agent::apply(agent.map, change) == agent::UpdateEnd::Applied);
+    wire::StateUpdate old = update(4, true);
+    old.mutable_table()->set_table_version(1);
+    REQUIRE(agent::apply(agent.map, old) == agent::UpdateEnd::Older);
+    REQUIRE(agent.map.tableVersion == 2);
+    REQUIRE(agent.check(5) == agent::Refusal::None);
+    wire::StateUpdate lowerTerm = update(9, true);
+    lowerTerm.mutable_version()->set_term(2);
+    REQUIRE(agent::apply(agent.map, lowerTerm) == agent::UpdateEnd::Older);
+}
+
+// A payment runs on two upstreams' state at once: the slice was split while a request ran on it, then its upper part
+// was revoked and told released, since the work was looked up under the new slice only.
+TEST_CASE("a slice is released only when no work is left on any of its keys, also after a split")
+{
+    Agent agent;
+    agent::beginWork(agent.ownership, "catalogue", 100);
+    wire::StateUpdate split = update(2, false);
+    give(split, 50, 7, 2);
+    agent::apply(agent.map, split);
+    agent.revoke(50, 2);
+    REQUIRE(agent::takeReleased(agent.ownership, agent.map).slices().empty());
+    REQUIRE(agent.check(100) == agent::Refusal::Moving);
+    REQUIRE(agent.check(49) == agent::Refusal::None);
+    agent.revoke(0, 1);
+    REQUIRE(agent::takeReleased(agent.ownership, agent.map).slices_size() == 1);
+    agent::endWork(agent.ownership, "catalogue", 100);
+    REQUIRE(agent::takeReleased(agent.ownership, agent.map).slices(0).begin() == 50);
+    REQUIRE(agent.check(100) == agent::Refusal::Moving);
+}
+
+// A key has two owners: an agent released it, the leader granted it on and fell, and the new leader's first state,
+// one commit behind, still names the agent as the owner.
+TEST_CASE("a released epoch is never served again, and a new leader is told of it")
+{
+    Agent agent;
+    agent.revoke(0, 1);
+    agent::takeReleased(agent.ownership, agent.map);
+    REQUIRE(agent.check(5) == agent::Refusal::Moving);
+    REQUIRE(agent::resumeReleased(agent.ownership, agent.map).slices_size() == 1);
+    REQUIRE(agent.check(5) == agent::Refusal::Moving);
+    wire::StateUpdate regrant = update(3, false);
+    give(regrant, 0, 7, 2);
+    agent::apply(agent.map, regrant);
+    REQUIRE(agent.check(5) == agent::Refusal::None);
+    REQUIRE(agent::resumeReleased(agent.ownership, agent.map).slices().empty());
+}
+
+// Keys stay without an owner: the leader that revoked them fell before it heard Released, and its follower knows
+// nothing of the move, while the agent goes on refusing.
+TEST_CASE("a revocation that was not released ends with its session")
+{
+    Agent agent;
+    agent::beginWork(agent.ownership, "catalogue", 5);
+    agent.revoke(0, 1);
+    REQUIRE(agent::takeReleased(agent.ownership, agent.map).slices().empty());
+    REQUIRE(agent::resumeReleased(agent.ownership, agent.map).slices().empty());
+    REQUIRE(agent.check(5) == agent::Refusal::None);
+}
