--- a/include/loop/EventLoop.h
+++ b/include/loop/EventLoop.h
@@ -33,7 +33,7 @@
     EventLoop(const EventLoop &) = delete;
     EventLoop &operator=(const EventLoop &) = delete;
 
-    /** Handles events until stop(). */
+    /** Handles events until stop(); may be called again after that. */
     void run();
 
     /** Makes run() return soon. Any thread. */
--- a/src/loop/EventLoop.cpp
+++ b/src/loop/EventLoop.cpp
@@ -239,6 +239,7 @@
 
 void EventLoop::run()
 {
+    this->parts->reactor.reset_reactor_event_loop();
     while (this->parts->reactor.reactor_event_loop_done() == 0) {
         this->parts->reactor.handle_events();
         this->parts->endedWatches.clear();
--- /dev/null
+++ b/src/process/ReplicaNode.cpp
@@ -0,0 +1,395 @@
+#include "process/ReplicaNode.h"
+
+#include "base/BootClock.h"
+#include "disk/Storage.h"
+#include "loop/EventLoop.h"
+#include "raft/RaftCore.h"
+#include "rpc/RaftTransport.h"
+
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+
+#include <map>
+#include <optional>
+#include <utility>
+
+namespace bergamotweir::process {
+
+namespace {
+
+/** How often time passes for the core; a fifth of a heartbeat. */
+constexpr std::chrono::milliseconds TickInterval{10};
+
+/** A larger command is refused: with its envelope it must fit one message. */
+constexpr std::size_t MaxCommandBytes = rpc::RaftTransport::MaxMessageBytes / 2;
+
+log4cplus::Logger logger()
+{
+    return log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("replica"));
+}
+
+wire::Version versionOf(std::uint64_t term, std::uint64_t index)
+{
+    wire::Version version;
+    version.set_term(term);
+    version.set_index(index);
+    return version;
+}
+
+} // namespace
+
+struct ReplicaNode::Parts {
+    struct Proposal {
+        std::uint64_t term;
+        std::function<void(ProposeResult)> done;
+    };
+
+    Parts(loop::EventLoop &loop, ReplicaSettings settings, ReplicaHooks hooks)
+        : loop(loop)
+        , settings(std::move(settings))
+        , hooks(std::move(hooks))
+    {
+    }
+
+    Findings openParts();
+    void postIfAlive(std::function<void()> task);
+    void scheduleTurn();
+    void endTurn();
+    void endProposals();
+    void diskFailed(const Findings &findings);
+
+    void perform(raft::WriteDisk &action);
+    void perform(raft::SendMessage &action);
+    void perform(raft::ApplyEntry &action);
+    void perform(raft::RestoreSnapshot &action);
+    void perform(raft::TakeSnapshot &action);
+    void perform(raft::BecameLeader &action);
+    void perform(raft::LostLeadership &action);
+    void perform(raft::Confirmed &action);
+    void perform(raft::MemberChanged &action);
+    void perform(raft::HandOverEnded &action);
+
+    loop::EventLoop &loop;
+    const ReplicaSettings settings;
+    const ReplicaHooks hooks;
+    const std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+    std::unique_ptr<disk::Storage> storage;
+    std::unique_ptr<rpc::RaftTransport> transport;
+    std::optional<raft::RaftCore> core;
+    loop::TimerId tick = 0;
+    bool turnScheduled = false;
+    bool leading = false;
+    wire::Version applied;
+    raft::RequestId lastRequest = 0;
+    std::map<std::uint64_t, Proposal> proposals; ///< By index in the log.
+    std::map<raft::RequestId, std::function<void(bool)>> confirms;
+    std::map<raft::RequestId, std::function<void(ProposeResult)>> changes;
+    std::vector<std::function<void()>> handOvers;
+};
+
+Findings ReplicaNode::Parts::openParts()
+{
+    Result<std::unique_ptr<disk::Storage>> opened = disk::Storage::open(this->settings.dataFolder, this->settings.id);
+    if (!opened) {
+        return opened.error();
+    }
+    this->storage = std::move(opened.value());
+    const rpc::RaftTransportSettings listen{this->settings.address, this->settings.raftPort};
+    Result<std::unique_ptr<rpc::RaftTransport>> transport =
+        rpc::RaftTransport::open(this->loop, listen, [this](const wire::RaftMessage &message) {
+            this->core->receive(message, BootClock::now());
+            this->scheduleTurn();
+        });
+    if (!transport) {
+        return transport.error();
+    }
+    this->transport = std::move(transport.value());
+    raft::Self self;
+    self.id = this->settings.id;
+    self.address = this->settings.address + ":" + std::to_string(this->transport->port());
+    self.initial = this->settings.initial;
+    for (wire::Replica &replica : *self.initial.mutable_replicas()) {
+        replica.set_voter(true);
+        replica.clear_disk_id();
+    }
+    self.join = this->settings.join;
+    this->core.emplace(
+        std::move(self), this->settings.raft, this->storage->takeState(), this->settings.seed, BootClock::now());
+    this->storage->start({.synced =
+                              [this, &loop = this->loop, alive = this->alive](raft::Ticket ticket) {
+                                  loop.post([this, alive, ticket] {
+                                      if (*alive) {
+                                          this->core->diskSynced(ticket);
+                                          this->scheduleTurn();
+                                      }
+                                  });
+                              },
+                          .failed =
+                              [this, &loop = this->loop, alive = this->alive](const Findings &findings) {
+                                  loop.post([this, alive, findings] {
+                                      if (*alive) {
+                                          this->diskFailed(findings);
+                                      }
+                                  });
+                              }});
+    this->tick = this->loop.every(TickInterval, [this] {
+        this->core->tick(BootClock::now());
+        this->endTurn();
+    });
+    this->endTurn();
+    return {};
+}
+
+void ReplicaNode::Parts::postIfAlive(std::function<void()> task)
+{
+    this->loop.post([alive = this->alive, task = std::move(task)] {
+        if (*alive) {
+            task();
+        }
+    });
+}
+
+/** Everything posted before this turn's end shares one append and one sync. */
+void ReplicaNode::Parts::scheduleTurn()
+{
+    if (this->turnScheduled) {
+        return;
+    }
+    this->turnScheduled = true;
+    this->postIfAlive([this] {
+        this->turnScheduled = false;
+        this->endTurn();
+    });
+}
+
+void ReplicaNode::Parts::endTurn()
+{
+    for (raft::Action &action : this->core->takeActions()) {
+        std::visit(
+            [this](auto &one) {
+                this->perform(one);
+            },
+            action);
+    }
+}
+
+void ReplicaNode::Parts::diskFailed(const Findings &findings)
+{
+    LOG4CPLUS_ERROR(logger(), "stopped: the disk can't be written. " << toText(findings));
+    this->core->diskFailed();
+    this->endTurn();
+    if (this->hooks.stopped) {
+        this->hooks.stopped(findings);
+    }
+}
+
+void ReplicaNode::Parts::perform(raft::WriteDisk &action)
+{
+    this->storage->submit(std::move(action));
+}
+
+void ReplicaNode::Parts::perform(raft::SendMessage &action)
+{
+    this->transport->send(action.address, std::move(action.message));
+}
+
+void ReplicaNode::Parts::perform(raft::ApplyEntry &action)
+{
+    const wire::LogEntry &entry = action.entry;
+    this->applied = versionOf(entry.term(), entry.index());
+    if (entry.kind() != wire::ENTRY_KIND_COMMAND) {
+        return;
+    }
+    ProposeResult result;
+    result.kind = ProposeEnd::Applied;
+    result.version = this->applied;
+    result.result = this->hooks.apply(this->applied, entry.payload());
+    const auto found = this->proposals.find(entry.index());
+    if (found == this->proposals.end()) {
+        return;
+    }
+    const Proposal proposal = std::move(found->second);
+    this->proposals.erase(found);
+    if (proposal.term != entry.term()) {
+        result.kind = ProposeEnd::Unknown;
+        result.result.clear();
+    }
+    proposal.done(std::move(result));
+}
+
+void ReplicaNode::Parts::perform(raft::RestoreSnapshot &action)
+{
+    this->applied = versionOf(action.snapshot->lastTerm, action.snapshot->lastIndex);
+    LOG4CPLUS_INFO(logger(), "restored a snapshot at index " << action.snapshot->lastIndex);
+    this->hooks.restore(this->applied, action.snapshot->data);
+}
+
+void ReplicaNode::Parts::perform(raft::TakeSnapshot &action)
+{
+    this->core->snapshotTaken(action.index, this->hooks.snapshot());
+    this->scheduleTurn();
+}
+
+void ReplicaNode::Parts::perform(raft::BecameLeader &action)
+{
+    LOG4CPLUS_INFO(logger(), "leads in term " << action.term);
+    this->leading = true;
+    this->hooks.leadershipChanged(true, action.term);
+}
+
+void ReplicaNode::Parts::perform(raft::LostLeadership &action)
+{
+    LOG4CPLUS_INFO(logger(), "leads no more, term " << action.term);
+    this->leading = false;
+    this->endProposals();
+    this->hooks.leadershipChanged(false, action.term);
+}
+
+void ReplicaNode::Parts::endProposals()
+{
+    for (auto &[index, proposal] : std::exchange(this->proposals, {})) {
+        ProposeResult result;
+        result.kind = ProposeEnd::Unknown;
+        result.version = versionOf(proposal.term, index);
+        proposal.done(std::move(result));
+    }
+}
+
+void ReplicaNode::Parts::perform(raft::Confirmed &action)
+{
+    auto confirm = this->confirms.extract(action.request);
+    confirm.mapped()(action.leads);
+}
+
+void ReplicaNode::Parts::perform(raft::MemberChanged &action)
+{
+    ProposeResult result;
+    result.version = versionOf(action.term, action.index);
+    result.findings = std::move(action.findings);
+    switch (action.end) {
+    case raft::ChangeEnd::Committed:
+        result.kind = ProposeEnd::Applied;
+        break;
+    case raft::ChangeEnd::Refused:
+        result.kind = ProposeEnd::Refused;
+        break;
+    case raft::ChangeEnd::Unknown:
+        result.kind = ProposeEnd::Unknown;
+        break;
+    }
+    auto change = this->changes.extract(action.request);
+    change.mapped()(std::move(result));
+}
+
+void ReplicaNode::Parts::perform(raft::HandOverEnded &)
+{
+    for (const std::function<void()> &done : std::exchange(this->handOvers, {})) {
+        done();
+    }
+}
+
+Result<std::unique_ptr<ReplicaNode>>
+ReplicaNode::open(loop::EventLoop &loop, ReplicaSettings settings, ReplicaHooks hooks)
+{
+    auto parts = std::make_unique<Parts>(loop, std::move(settings), std::move(hooks));
+    Findings found = parts->openParts();
+    if (!found.empty()) {
+        return found;
+    }
+    return std::unique_ptr<ReplicaNode>(new ReplicaNode(std::move(parts)));
+}
+
+ReplicaNode::ReplicaNode(std::unique_ptr<Parts> parts)
+    : parts(std::move(parts))
+{
+}
+
+ReplicaNode::~ReplicaNode()
+{
+    *this->parts->alive = false;
+    this->parts->loop.cancel(this->parts->tick);
+    this->parts->transport.reset();
+    this->parts->storage.reset();
+}
+
+void ReplicaNode::propose(std::string command, std::function<void(ProposeResult)> done)
+{
+    ProposeResult refused;
+    if (command.size() > MaxCommandBytes) {
+        refused.kind = ProposeEnd::Refused;
+        refused.findings = oneFinding("command", "is larger than " + std::to_string(MaxCommandBytes) + " bytes");
+    } else if (const std::optional<wire::Version> version = this->parts->core->propose(std::move(command))) {
+        this->parts->proposals[version->index()] = {version->term(), std::move(done)};
+        this->parts->scheduleTurn();
+        return;
+    }
+    this->parts->loop.post([done = std::move(done), refused = std::move(refused)] {
+        done(refused);
+    });
+}
+
+void ReplicaNode::confirmLeadership(std::function<void(bool)> done)
+{
+    const raft::RequestId request = ++this->parts->lastRequest;
+    this->parts->confirms[request] = std::move(done);
+    this->parts->core->confirm(request);
+    this->parts->scheduleTurn();
+}
+
+bool ReplicaNode::isLeader() const
+{
+    return this->parts->leading;
+}
+
+std::uint64_t ReplicaNode::term() const
+{
+    return this->parts->core->term();
+}
+
+std::string ReplicaNode::leaderControlAddress() const
+{
+    const std::string leader = this->leaderId();
+    for (const wire::Replica &replica : this->parts->core->membership().replicas()) {
+        if (replica.id() == leader) {
+            return replica.control_address();
+        }
+    }
+    return {};
+}
+
+std::string ReplicaNode::leaderId() const
+{
+    return this->parts->core->leaderId();
+}
+
+wire::Version ReplicaNode::applied() const
+{
+    return this->parts->applied;
+}
+
+wire::Membership ReplicaNode::membership() const
+{
+    return this->parts->core->membership();
+}
+
+std::uint16_t ReplicaNode::raftPort() const
+{
+    return this->parts->transport->port();
+}
+
+void ReplicaNode::changeMembership(const wire::ChangeMember &change, std::function<void(ProposeResult)> done)
+{
+    const raft::RequestId request = ++this->parts->lastRequest;
+    this->parts->changes[request] = std::move(done);
+    this->parts->core->changeMember(request, change);
+    this->parts->scheduleTurn();
+}
+
+void ReplicaNode::handOver(std::function<void()> done)
+{
+    this->parts->handOvers.push_back(std::move(done));
+    this->parts->core->handOver();
+    this->parts->scheduleTurn();
+}
+
+} // namespace bergamotweir::process
--- /dev/null
+++ b/src/raft/Election.cpp
@@ -0,0 +1,250 @@
+#include "raft/RaftCore.h"
+
+#include <algorithm>
+
+namespace bergamotweir::raft {
+
+void RaftCore::resetElectionTimer()
+{
+    const std::chrono::milliseconds spread = this->settings.electionTimeoutMax - this->settings.electionTimeoutMin;
+    const std::chrono::milliseconds extra(this->random(static_cast<std::uint32_t>(spread.count()) + 1));
+    this->electionDeadline = this->now + this->settings.electionTimeoutMin + extra;
+}
+
+bool RaftCore::leaderIsAlive() const
+{
+    if (this->currentRole == Role::Leader) {
+        return true;
+    }
+    return !this->leader.empty() && this->now - this->lastLeaderContact < this->settings.electionTimeoutMin;
+}
+
+bool RaftCore::isUpToDate(const wire::VoteRequest &request) const
+{
+    if (request.last_log_term() != this->entries.lastTerm()) {
+        return request.last_log_term() > this->entries.lastTerm();
+    }
+    return request.last_log_index() >= this->entries.lastIndex();
+}
+
+/*
+ * Guards against a replica that comes back from a cut or a freeze with a higher term and unseats a leader that works:
+ * callers would see a pause without a fault. It first asks whether it could win; whoever hears a leader says no, and
+ * no term changes.
+ */
+void RaftCore::startPreVote()
+{
+    this->resetElectionTimer();
+    this->leader.clear();
+    if (!this->isVoter()) {
+        return;
+    }
+    this->currentRole = Role::PreCandidate;
+    this->votes.clear();
+    this->votes[this->self.id] = this->ownDisk;
+    this->requestVotes(true, false);
+    this->countVotes();
+}
+
+void RaftCore::startElection(bool handedOver)
+{
+    this->currentRole = Role::Candidate;
+    this->currentTerm++;
+    this->vote = this->self.id + "/" + this->ownDisk;
+    this->saveVote();
+    this->electionTicket = this->voteTicket;
+    this->votes.clear();
+    this->leader.clear();
+    this->resetElectionTimer();
+    this->requestVotes(false, handedOver);
+}
+
+void RaftCore::requestVotes(bool preVote, bool handedOver)
+{
+    for (const wire::Replica &replica : this->membership().replicas()) {
+        if (!replica.voter() || this->isSelf(replica)) {
+            continue;
+        }
+        const std::uint64_t term = preVote ? this->currentTerm + 1 : this->currentTerm;
+        wire::RaftMessage request = this->message(replica.id(), replica.disk_id(), term);
+        wire::VoteRequest *body = request.mutable_vote_request();
+        body->set_pre_vote(preVote);
+        body->set_handed_over(handedOver);
+        body->set_last_log_index(this->entries.lastIndex());
+        body->set_last_log_term(this->entries.lastTerm());
+        this->send(replica.address(), std::move(request), preVote ? 0 : this->electionTicket);
+    }
+}
+
+void RaftCore::countVotes()
+{
+    if (this->currentRole == Role::Candidate && this->electionTicket <= this->syncedTicket) {
+        this->votes[this->self.id] = this->ownDisk;
+    }
+    const bool won = this->hasQuorum([this](const wire::Replica &replica) {
+        return this->votes.contains(replica.id());
+    });
+    if (!won) {
+        return;
+    }
+    if (this->currentRole == Role::PreCandidate) {
+        this->startElection(false);
+    } else if (this->currentRole == Role::Candidate) {
+        this->becomeLeader();
+    }
+}
+
+void RaftCore::becomeLeader()
+{
+    this->currentRole = Role::Leader;
+    this->leader = this->self.id;
+    this->termStartApplied = false;
+    this->termStartIndex = 0;
+    this->progresses.clear();
+    if (!this->bound()) {
+        wire::Membership membership = this->membership();
+        for (wire::Replica &replica : *membership.mutable_replicas()) {
+            replica.set_disk_id(this->votes.at(replica.id()));
+        }
+        this->appendOwn(wire::ENTRY_KIND_MEMBERSHIP, membership.SerializeAsString());
+    }
+    this->rebuildProgress();
+    if (this->entries.lastIndex() > 1) {
+        this->appendTermStart();
+    }
+    this->advanceCommit();
+}
+
+void RaftCore::appendTermStart()
+{
+    this->termStartIndex = this->appendOwn(wire::ENTRY_KIND_NOOP, {});
+}
+
+void RaftCore::onPreVoteRequest(const wire::RaftMessage &message)
+{
+    const bool granted =
+        message.term() > this->currentTerm && !this->leaderIsAlive() && this->isUpToDate(message.vote_request());
+    wire::RaftMessage answer = this->answerTo(message);
+    answer.mutable_vote_reply()->set_pre_vote(true);
+    answer.mutable_vote_reply()->set_granted(granted);
+    if (granted) {
+        answer.set_term(message.term());
+    }
+    this->send(message.from_address(), std::move(answer), granted ? 0 : this->voteTicket);
+}
+
+void RaftCore::onVoteRequest(const wire::RaftMessage &message)
+{
+    const std::string candidate = message.from() + "/" + message.from_disk();
+    const bool free = this->vote.empty() || this->vote == candidate;
+    const bool granted = free && this->isUpToDate(message.vote_request());
+    if (granted) {
+        this->currentRole = Role::Follower;
+        if (this->vote.empty()) {
+            this->vote = candidate;
+            this->saveVote();
+        }
+        this->resetElectionTimer();
+    }
+    wire::RaftMessage answer = this->answerTo(message);
+    answer.mutable_vote_reply()->set_granted(granted);
+    this->send(message.from_address(), std::move(answer), this->voteTicket);
+}
+
+void RaftCore::onVoteReply(const wire::RaftMessage &message)
+{
+    const wire::VoteReply &reply = message.vote_reply();
+    if (!reply.granted()) {
+        return;
+    }
+    const bool preVote =
+        this->currentRole == Role::PreCandidate && reply.pre_vote() && message.term() == this->currentTerm + 1;
+    const bool realVote =
+        this->currentRole == Role::Candidate && !reply.pre_vote() && message.term() == this->currentTerm;
+    if (!preVote && !realVote) {
+        return;
+    }
+    this->votes[message.from()] = message.from_disk();
+    this->countVotes();
+}
+
+void RaftCore::onHandOver()
+{
+    if (this->currentRole == Role::Leader || !this->isVoter()) {
+        return;
+    }
+    this->startElection(true);
+}
+
+/*
+ * Guards against a leader on the far side of a silent partition: it would keep its callers waiting and believe that it
+ * leads. Without answers from a quorum for an election timeout it steps down.
+ */
+void RaftCore::checkQuorum()
+{
+    const bool reached = this->hasQuorum([this](const wire::Replica &replica) {
+        if (this->isSelf(replica)) {
+            return true;
+        }
+        const auto found = this->progresses.find(replica.id());
+        return found != this->progresses.end()
+               && this->now - found->second.lastAnswer <= this->settings.electionTimeoutMax;
+    });
+    if (!reached) {
+        this->becomeFollower(this->currentTerm, {});
+    }
+}
+
+const Progress *RaftCore::handOverTarget() const
+{
+    const Progress *best = nullptr;
+    for (const auto &[id, progress] : this->progresses) {
+        const bool recent = this->now - progress.lastAnswer <= this->settings.electionTimeoutMax;
+        if (progress.replica.voter() && recent && (best == nullptr || progress.match > best->match)) {
+            best = &progress;
+        }
+    }
+    return best;
+}
+
+void RaftCore::handOver()
+{
+    if (this->currentRole != Role::Leader) {
+        this->emit(HandOverEnded{});
+        return;
+    }
+    if (this->handingOver) {
+        return;
+    }
+    const Progress *target = this->handOverTarget();
+    if (target == nullptr) {
+        this->emit(HandOverEnded{});
+        return;
+    }
+    this->handingOver = PendingHandOver{target->replica.id(), this->now + this->settings.electionTimeoutMax, {}};
+    this->continueHandOver();
+}
+
+void RaftCore::continueHandOver()
+{
+    if (!this->handingOver) {
+        return;
+    }
+    const auto found = this->progresses.find(this->handingOver->target);
+    if (this->now >= this->handingOver->deadline || found == this->progresses.end()) {
+        this->handingOver.reset();
+        this->emit(HandOverEnded{});
+        return;
+    }
+    const Progress &target = found->second;
+    const bool caughtUp = target.match == this->entries.lastIndex();
+    if (!caughtUp || this->now - this->handingOver->sentAt < this->settings.heartbeat) {
+        return;
+    }
+    this->handingOver->sentAt = this->now;
+    wire::RaftMessage request = this->message(target.replica.id(), target.replica.disk_id(), this->currentTerm);
+    request.mutable_hand_over();
+    this->send(target.replica.address(), std::move(request), 0);
+}
+
+} // namespace bergamotweir::raft
--- /dev/null
+++ b/src/raft/Membership.cpp
@@ -0,0 +1,271 @@
+#include "raft/RaftCore.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace bergamotweir::raft {
+
+namespace {
+
+/** How long a replica that is to be added may take to tell its disk id. */
+constexpr std::chrono::seconds IdentifyTimeout{2};
+
+const char *const Place = "membership";
+
+int countVoters(const wire::Membership &membership)
+{
+    return static_cast<int>(
+        std::count_if(membership.replicas().begin(), membership.replicas().end(), [](const wire::Replica &replica) {
+            return replica.voter();
+        }));
+}
+
+wire::Replica *findIn(wire::Membership &membership, const std::string &id)
+{
+    for (wire::Replica &replica : *membership.mutable_replicas()) {
+        if (replica.id() == id) {
+            return &replica;
+        }
+    }
+    return nullptr;
+}
+
+wire::Membership without(const wire::Membership &membership, const std::string &id)
+{
+    wire::Membership rest;
+    for (const wire::Replica &replica : membership.replicas()) {
+        if (replica.id() != id) {
+            *rest.add_replicas() = replica;
+        }
+    }
+    return rest;
+}
+
+} // namespace
+
+bool RaftCore::bound() const
+{
+    return this->memberships.rbegin()->first > 0;
+}
+
+bool RaftCore::isVoter() const
+{
+    const wire::Replica *own = this->findMember(this->self.id);
+    return own != nullptr && own->voter() && this->isSelf(*own);
+}
+
+bool RaftCore::isSelf(const wire::Replica &replica) const
+{
+    return replica.id() == this->self.id && (replica.disk_id().empty() || replica.disk_id() == this->ownDisk);
+}
+
+const wire::Replica *RaftCore::findMember(const std::string &id) const
+{
+    for (const wire::Replica &replica : this->membership().replicas()) {
+        if (replica.id() == id) {
+            return &replica;
+        }
+    }
+    return nullptr;
+}
+
+bool RaftCore::hasQuorum(const std::function<bool(const wire::Replica &)> &counts) const
+{
+    int voters = 0;
+    int counted = 0;
+    for (const wire::Replica &replica : this->membership().replicas()) {
+        if (replica.voter()) {
+            voters++;
+            counted += counts(replica) ? 1 : 0;
+        }
+    }
+    if (!this->bound()) {
+        return voters > 0 && counted == voters;
+    }
+    return counted * 2 > voters;
+}
+
+void RaftCore::rebuildProgress()
+{
+    std::map<std::string, Progress> kept = std::exchange(this->progresses, {});
+    for (const wire::Replica &replica : this->membership().replicas()) {
+        if (this->isSelf(replica)) {
+            continue;
+        }
+        const auto found = kept.find(replica.id());
+        if (found != kept.end() && found->second.replica.disk_id() == replica.disk_id()) {
+            found->second.replica = replica;
+            this->progresses[replica.id()] = std::move(found->second);
+            continue;
+        }
+        Progress fresh;
+        fresh.replica = replica;
+        fresh.next = this->entries.lastIndex() + 1;
+        fresh.lastAnswer = this->now;
+        this->progresses[replica.id()] = std::move(fresh);
+    }
+}
+
+void RaftCore::refuseChange(RequestId request, std::string message)
+{
+    this->emit(MemberChanged{request, ChangeEnd::Refused, 0, 0, oneFinding(Place, std::move(message))});
+}
+
+/*
+ * Guards against a change after which the group can't commit: the voters of the next membership that answer now must
+ * be a quorum of it, or the change itself would take the group down.
+ */
+bool RaftCore::wouldKeepQuorum(const wire::Membership &next) const
+{
+    int answering = 0;
+    for (const wire::Replica &replica : next.replicas()) {
+        if (!replica.voter()) {
+            continue;
+        }
+        const auto found = this->progresses.find(replica.id());
+        const bool recent = found != this->progresses.end()
+                            && this->now - found->second.lastAnswer <= this->settings.electionTimeoutMax;
+        answering += this->isSelf(replica) || recent ? 1 : 0;
+    }
+    return answering * 2 > countVoters(next);
+}
+
+std::optional<wire::Membership> RaftCore::membershipAfter(const wire::ChangeMember &asked, std::string &refusal) const
+{
+    const std::string &id = asked.replica().id();
+    wire::Membership next = this->membership();
+    wire::Replica *replica = findIn(next, id);
+    if (replica == nullptr) {
+        refusal = id + " is not a member";
+        return std::nullopt;
+    }
+    if (asked.change() == wire::ChangeMember::CHANGE_REMOVE) {
+        next = without(next, id);
+    } else {
+        if (replica->voter()) {
+            refusal = id + " is a voter already";
+            return std::nullopt;
+        }
+        const std::uint64_t match = this->progresses.at(id).match;
+        // A learner that lags counts in the quorum but holds nothing: losing one more replica would then lose entries.
+        if (match + this->settings.promotionLag < this->commit || match == 0) {
+            refusal = id + " has not caught up: " + std::to_string(this->commit - match) + " entries behind";
+            return std::nullopt;
+        }
+        replica->set_voter(true);
+    }
+    if (!this->wouldKeepQuorum(next)) {
+        refusal = "too few of the voters that would remain answer";
+        return std::nullopt;
+    }
+    return next;
+}
+
+void RaftCore::changeMember(RequestId request, const wire::ChangeMember &asked)
+{
+    if (!this->leads() || this->handingOver) {
+        this->refuseChange(request, "this replica does not lead");
+        return;
+    }
+    // Two changes at once could have quorums that don't overlap.
+    if (this->change || this->memberships.rbegin()->first > this->commit) {
+        this->refuseChange(request, "another change is in progress");
+        return;
+    }
+    const BootTime deadline = this->now + IdentifyTimeout;
+    if (asked.change() == wire::ChangeMember::CHANGE_ADD) {
+        if (this->findMember(asked.replica().id()) != nullptr) {
+            this->refuseChange(request, asked.replica().id() + " is a member; remove it first");
+            return;
+        }
+        if (asked.replica().id().empty() || asked.replica().address().empty()) {
+            this->refuseChange(request, "a replica to add needs an id and an address");
+            return;
+        }
+        this->change = PendingChange{request, asked.replica(), 0, {}, deadline};
+        this->askIdentity();
+        return;
+    }
+    std::string refusal;
+    const std::optional<wire::Membership> next = this->membershipAfter(asked, refusal);
+    if (!next) {
+        this->refuseChange(request, std::move(refusal));
+        return;
+    }
+    this->change = PendingChange{request, asked.replica(), 0, {}, deadline};
+    this->appendChange(*next);
+}
+
+void RaftCore::appendChange(const wire::Membership &next)
+{
+    this->change->index = this->appendOwn(wire::ENTRY_KIND_MEMBERSHIP, next.SerializeAsString());
+    this->rebuildProgress();
+    this->advanceCommit();
+}
+
+void RaftCore::askIdentity()
+{
+    if (!this->change || this->change->index != 0) {
+        return;
+    }
+    if (this->now >= this->change->deadline) {
+        const RequestId request = this->change->request;
+        const std::string who = this->change->replica.id() + " at " + this->change->replica.address();
+        this->change.reset();
+        this->refuseChange(request, who + " does not answer");
+        return;
+    }
+    if (this->now - this->change->askedAt < this->settings.heartbeat) {
+        return;
+    }
+    this->change->askedAt = this->now;
+    wire::RaftMessage question = this->message(this->change->replica.id(), {}, this->currentTerm);
+    question.mutable_identify();
+    this->send(this->change->replica.address(), std::move(question), 0);
+}
+
+void RaftCore::onIdentity(const wire::RaftMessage &message)
+{
+    if (!this->change || this->change->index != 0 || message.from() != this->change->replica.id()) {
+        return;
+    }
+    const std::string &wanted = this->change->replica.disk_id();
+    if (!wanted.empty() && wanted != message.from_disk()) {
+        const RequestId request = this->change->request;
+        this->change.reset();
+        this->refuseChange(request, message.from() + " has another disk than the one named");
+        return;
+    }
+    wire::Membership next = this->membership();
+    wire::Replica *added = next.add_replicas();
+    *added = this->change->replica;
+    added->set_disk_id(message.from_disk());
+    added->set_voter(false);
+    this->appendChange(next);
+}
+
+void RaftCore::onMembershipCommitted(const wire::LogEntry &entry)
+{
+    if (this->currentRole != Role::Leader) {
+        return;
+    }
+    if (this->change && this->change->index == entry.index()) {
+        this->emit(MemberChanged{this->change->request, ChangeEnd::Committed, entry.term(), entry.index(), {}});
+        this->change.reset();
+    }
+    const bool newest = this->memberships.rbegin()->first == entry.index();
+    if (newest && !this->isVoter()) {
+        // The leader removed itself: a voter that holds the whole log takes over at once.
+        const Progress *target = this->handOverTarget();
+        if (target != nullptr) {
+            wire::RaftMessage request =
+                this->message(target->replica.id(), target->replica.disk_id(), this->currentTerm);
+            request.mutable_hand_over();
+            this->send(target->replica.address(), std::move(request), 0);
+        }
+        this->becomeFollower(this->currentTerm, {});
+    }
+}
+
+} // namespace bergamotweir::raft
