--- a/include/raft/RaftCore.h
+++ b/include/raft/RaftCore.h
@@ -184,7 +184,6 @@
     void requestVotes(bool preVote, bool handedOver);
     void countVotes();
     void becomeLeader();
-    void appendTermStart();
     void onVoteRequest(const wire::RaftMessage &message);
     void onPreVoteRequest(const wire::RaftMessage &message);
     void onVoteReply(const wire::RaftMessage &message);
--- a/src/raft/Election.cpp
+++ b/src/raft/Election.cpp
@@ -109,14 +109,6 @@
         this->appendOwn(wire::ENTRY_KIND_MEMBERSHIP, membership.SerializeAsString());
     }
     this->rebuildProgress();
-    if (this->entries.lastIndex() > 1) {
-        this->appendTermStart();
-    }
-    this->advanceCommit();
-}
-
-void RaftCore::appendTermStart()
-{
     this->termStartIndex = this->appendOwn(wire::ENTRY_KIND_NOOP, {});
 }
 
--- a/src/raft/Replication.cpp
+++ b/src/raft/Replication.cpp
@@ -173,20 +173,6 @@
  */
 void RaftCore::advanceCommit()
 {
-    if (this->termStartIndex == 0) {
-        // Entry 1 binds the disk ids. Until every replica holds it, one of them could still join another first vote.
-        const bool everywhere = std::all_of(this->membership().replicas().begin(),
-                                            this->membership().replicas().end(),
-                                            [this](const wire::Replica &replica) {
-                                                return this->isSelf(replica)
-                                                           ? this->durableIndex >= 1
-                                                           : this->progresses.at(replica.id()).match >= 1;
-                                            });
-        if (!everywhere) {
-            return;
-        }
-        this->appendTermStart();
-    }
     std::vector<std::uint64_t> matches;
     for (const wire::Replica &replica : this->membership().replicas()) {
         if (replica.voter()) {
