--- /dev/null
+++ b/src/loop/LogLimiter.cpp
@@ -0,0 +1,22 @@
+#include "loop/LogLimiter.h"
+
+#include <utility>
+
+namespace bergamotweir::loop {
+
+std::optional<std::uint64_t> LogLimiter::allow(const LogSite &site, BootTime now)
+{
+    Allowance &allowance = this->sites[site];
+    if (now - allowance.start >= Window) {
+        allowance.start = now;
+        allowance.written = 0;
+    }
+    if (allowance.written == MostPerWindow) {
+        ++allowance.leftOut;
+        return std::nullopt;
+    }
+    ++allowance.written;
+    return std::exchange(allowance.leftOut, 0);
+}
+
+} // namespace bergamotweir::loop
