Command line: settings from flags and variables, all operator commands but report burn

Commands talk to the outside only through cli::Context, so that the tests put fakes there: files, variables, clock, control group.

--- /dev/null
+++ b/include/cli/Context.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "base/Result.h"
+#include "control.pb.h"
+
+#include <chrono>
+#include <functional>
+#include <iosfwd>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace bergamotweir::cli {
+
+/** Everything outside the program that a command touches; tests put fakes in. */
+struct Context {
+    std::ostream &out;
+    std::ostream &err;
+    std::function<std::optional<std::string>(const std::string &variable)> environment;
+    /** Asks the control group; see rpc::callOperator. */
+    std::function<wire::OperatorReply(const std::vector<std::string> &controls,
+                                      const wire::OperatorRequest &request,
+                                      std::chrono::milliseconds timeout)>
+        operate;
+    /** HTTP GET of a small document. */
+    std::function<Result<std::string>(const std::string &url, std::chrono::milliseconds timeout)> fetch;
+    std::function<Result<std::string>(const std::string &path)> readFile;
+    std::function<std::string()> newChangeId;
+    std::function<std::chrono::system_clock::time_point()> wallClock;
+    std::function<void(std::chrono::milliseconds)> sleep;
+};
+
+/** @return the real one, writing to standard output and standard error */
+Context processContext();
+
+} // namespace bergamotweir::cli
--- /dev/null
+++ b/src/cli/StatusCommands.cpp
@@ -0,0 +1,226 @@
+#include "Answer.h"
+#include "Commands.h"
+#include "cli/Command.h"
+#include "cli/Context.h"
+#include "cli/Values.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <map>
+
+namespace bergamotweir::cli {
+
+namespace {
+
+/** Upstreams that fit on a screen beside the rest; beyond it only those in trouble are listed. */
+constexpr int MostUpstreamsListed = 24;
+
+std::string versionText(const wire::Version &version)
+{
+    return std::to_string(version.term()) + "/" + std::to_string(version.index());
+}
+
+nlohmann::json toJson(const wire::Version &version)
+{
+    return {{"term", version.term()}, {"index", version.index()}};
+}
+
+std::string joined(const google::protobuf::RepeatedPtrField<std::string> &names)
+{
+    std::string text;
+    for (const std::string &name : names) {
+        text += (text.empty() ? "" : ", ") + name;
+    }
+    return text.empty() ? "none" : text;
+}
+
+std::string column(const std::string &text, std::size_t width)
+{
+    std::string padded = text + ' ';
+    padded.resize(std::max(width, padded.size()), ' ');
+    return padded;
+}
+
+std::string hex(std::uint64_t number)
+{
+    std::array<char, 20> text{};
+    const int length = std::snprintf(text.data(), text.size(), "%016lx", static_cast<unsigned long>(number));
+    return {text.data(), static_cast<std::size_t>(length)};
+}
+
+std::string stateOf(const wire::UpstreamStatus &upstream)
+{
+    if (!upstream.lease_valid()) {
+        return "no lease";
+    }
+    if (!upstream.upstream().serving()) {
+        return "not serving";
+    }
+    return upstream.marked_out() ? "marked out" : "serving";
+}
+
+bool lacks(const wire::UpstreamStatus &upstream, const wire::Version &version)
+{
+    const wire::Version &has = upstream.in_force();
+    return std::pair(has.term(), has.index()) < std::pair(version.term(), version.index());
+}
+
+std::string controlText(const wire::StatusReport &report)
+{
+    std::string text = "control: leader " + (report.leader().empty() ? "unknown" : report.leader()) + ", term "
+                       + std::to_string(report.term()) + ", version " + versionText(report.version()) + "\n";
+    for (const wire::Replica &replica : report.membership().replicas()) {
+        text += "  " + column(replica.id(), 12) + column(replica.voter() ? "voter" : "learner", 9) + "raft "
+                + column(replica.address(), 22) + "control " + replica.control_address() + "\n";
+    }
+    return text;
+}
+
+std::string servicesText(const wire::StatusReport &report)
+{
+    std::string text = "  " + column("SERVICE", 24) + column("SLICES", 8) + column("NO OWNER", 10) + "MOVING\n";
+    for (const wire::ServiceStatus &service : report.services()) {
+        text += "  " + column(service.service(), 24) + column(std::to_string(service.slices()), 8)
+                + column(std::to_string(service.slices_without_owner()), 10) + std::to_string(service.slices_moving())
+                + "\n";
+    }
+    return text;
+}
+
+std::string upstreamsText(const wire::StatusReport &report)
+{
+    std::map<std::string, int> byState;
+    int lacking = 0;
+    for (const wire::UpstreamStatus &upstream : report.upstreams()) {
+        ++byState[stateOf(upstream)];
+        lacking += lacks(upstream, report.version()) ? 1 : 0;
+    }
+    std::string text = "upstreams: " + std::to_string(report.upstreams_size());
+    for (const auto &[state, count] : byState) {
+        text += ", " + std::to_string(count) + " " + state;
+    }
+    text += "; " + std::to_string(lacking) + " behind version " + versionText(report.version()) + "\n  "
+            + column("UPSTREAM", 20) + column("SERVICE", 20) + column("DOMAIN", 14) + column("AGENT", 14)
+            + column("STATE", 13) + column("SLICES", 8) + "IN FORCE\n";
+    int listed = 0;
+    for (const wire::UpstreamStatus &upstream : report.upstreams()) {
+        const bool isPlain = stateOf(upstream) == "serving" && !lacks(upstream, report.version());
+        if (listed == MostUpstreamsListed || (isPlain && report.upstreams_size() > MostUpstreamsListed)) {
+            continue;
+        }
+        ++listed;
+        const wire::UpstreamInfo &info = upstream.upstream();
+        text += "  " + column(info.name(), 20) + column(info.service(), 20) + column(info.failure_domain(), 14)
+                + column(info.agent(), 14) + column(stateOf(upstream), 13)
+                + column(std::to_string(upstream.slices()), 8) + versionText(upstream.in_force()) + "\n";
+    }
+    if (listed < report.upstreams_size()) {
+        text += "  ... " + std::to_string(report.upstreams_size() - listed) + " more; --json lists all\n";
+    }
+    return text;
+}
+
+nlohmann::json upstreamsJson(const wire::StatusReport &report)
+{
+    nlohmann::json upstreams = nlohmann::json::array();
+    for (const wire::UpstreamStatus &upstream : report.upstreams()) {
+        const wire::UpstreamInfo &info = upstream.upstream();
+        upstreams.push_back({{"name", info.name()},
+                             {"service", info.service()},
+                             {"failure_domain", info.failure_domain()},
+                             {"agent", info.agent()},
+                             {"peer_address", info.peer_address()},
+                             {"operator_address", info.operator_address()},
+                             {"state", stateOf(upstream)},
+                             {"slices", upstream.slices()},
+                             {"in_force", toJson(upstream.in_force())},
+                             {"behind", lacks(upstream, report.version())}});
+    }
+    return upstreams;
+}
+
+nlohmann::json toJson(const wire::StatusReport &report)
+{
+    nlohmann::json members = nlohmann::json::array();
+    for (const wire::Replica &replica : report.membership().replicas()) {
+        members.push_back({{"id", replica.id()},
+                           {"voter", replica.voter()},
+                           {"address", replica.address()},
+                           {"control_address", replica.control_address()}});
+    }
+    nlohmann::json services = nlohmann::json::array();
+    for (const wire::ServiceStatus &service : report.services()) {
+        services.push_back({{"service", service.service()},
+                            {"slices", service.slices()},
+                            {"slices_without_owner", service.slices_without_owner()},
+                            {"slices_moving", service.slices_moving()}});
+    }
+    nlohmann::json quarantined = nlohmann::json::array();
+    for (const std::uint64_t fingerprint : report.quarantined()) {
+        quarantined.push_back(hex(fingerprint));
+    }
+    return {{"leader", report.leader()},
+            {"term", report.term()},
+            {"version", toJson(report.version())},
+            {"table_version", report.table_version()},
+            {"members", members},
+            {"failure_domains_out", report.failure_domains_out()},
+            {"upstreams_out", report.upstreams_out()},
+            {"services", services},
+            {"upstreams", upstreamsJson(report)},
+            {"quarantined", quarantined}};
+}
+
+} // namespace
+
+int runStatus(const Values &values, Context &context)
+{
+    wire::OperatorRequest request;
+    request.mutable_get_status();
+    const wire::OperatorReply reply = ask(request, values, context);
+    Answer answer = toAnswer(reply);
+    if (answer.exitCode == ExitDone) {
+        const wire::StatusReport &report = reply.report();
+        answer.details = toJson(report);
+        answer.text = controlText(report) + "table: version " + std::to_string(report.table_version())
+                      + "; out of service: failure domains " + joined(report.failure_domains_out()) + "; upstreams "
+                      + joined(report.upstreams_out()) + "\n" + servicesText(report) + upstreamsText(report)
+                      + "quarantined requests: " + std::to_string(report.quarantined_size()) + "\n";
+    }
+    return print(answer, values, context);
+}
+
+int runOwner(const Values &values, Context &context)
+{
+    wire::OperatorRequest request;
+    request.mutable_get_owner()->set_service(values.arguments()[0]);
+    request.mutable_get_owner()->set_key(values.arguments()[1]);
+    const wire::OperatorReply reply = ask(request, values, context);
+    Answer answer = toAnswer(reply);
+    if (answer.exitCode != ExitDone) {
+        return print(answer, values, context);
+    }
+    const wire::OwnerReport &owner = reply.owner();
+    const bool isOwned = owner.slice().owner() != 0;
+    answer.details["hash"] = hex(owner.hash());
+    answer.details["slice_begin"] = hex(owner.slice().begin());
+    answer.details["epoch"] = owner.slice().epoch();
+    answer.details["owner"] = nullptr;
+    answer.text = "hash " + hex(owner.hash()) + ", slice from " + hex(owner.slice().begin()) + ", epoch "
+                  + std::to_string(owner.slice().epoch()) + ": ";
+    if (!isOwned) {
+        answer.text += "no owner\n";
+        return print(answer, values, context);
+    }
+    const wire::UpstreamInfo &info = owner.upstream();
+    answer.details["owner"] = {{"upstream", info.name()},
+                               {"agent", info.agent()},
+                               {"failure_domain", info.failure_domain()},
+                               {"peer_address", info.peer_address()}};
+    answer.text +=
+        info.name() + " in " + info.failure_domain() + ", agent " + info.agent() + " at " + info.peer_address() + "\n";
+    return print(answer, values, context);
+}
+
+} // namespace bergamotweir::cli
--- /dev/null
+++ b/src/cli/TableCommands.cpp
@@ -0,0 +1,137 @@
+#include "Answer.h"
+#include "Change.h"
+#include "Commands.h"
+#include "cli/Command.h"
+#include "cli/Context.h"
+#include "cli/Values.h"
+#include "table/RowDifference.h"
+
+#include <ctime>
+#include <iomanip>
+#include <sstream>
+
+namespace bergamotweir::cli {
+
+namespace {
+
+struct TableFile {
+    std::string csv;
+    table::Table table;
+};
+
+Result<TableFile> readTableFile(const std::string &path, Context &context)
+{
+    Result<std::string> csv = context.readFile(path);
+    if (!csv) {
+        return std::move(csv).error();
+    }
+    Result<table::Table> table = table::Table::parse(csv.value());
+    if (!table) {
+        return std::move(table).error();
+    }
+    return TableFile{std::move(csv).value(), std::move(table).value()};
+}
+
+nlohmann::json toJson(const std::vector<table::RowDifference> &differences)
+{
+    nlohmann::json json = nlohmann::json::array();
+    for (const table::RowDifference &difference : differences) {
+        json.push_back(table::toText(difference));
+    }
+    return json;
+}
+
+std::string utc(std::uint64_t unixMs)
+{
+    const auto seconds = static_cast<std::time_t>(unixMs / 1000);
+    std::tm parts{};
+    gmtime_r(&seconds, &parts);
+    std::ostringstream text;
+    text << std::put_time(&parts, "%Y-%m-%d %H:%M:%SZ");
+    return text.str();
+}
+
+} // namespace
+
+int runTableCheck(const Values &values, Context &context)
+{
+    const Result<TableFile> file = readTableFile(values.arguments().front(), context);
+    if (!file) {
+        return printFailure(ExitBadInput, file.error(), values, context);
+    }
+    const table::Table &table = file.value().table;
+    Answer answer;
+    answer.details = {{"rows", table.rows().size()}, {"services", table.services()}};
+    answer.text = "good: " + std::to_string(table.rows().size()) + " rows, " + std::to_string(table.services().size())
+                  + " services\n";
+    return print(answer, values, context);
+}
+
+int runTableGet(const Values &values, Context &context)
+{
+    wire::OperatorRequest request;
+    request.mutable_get_table()->set_table_version(values.number("version"));
+    const wire::OperatorReply reply = ask(request, values, context);
+    Answer answer = toAnswer(reply);
+    if (answer.exitCode == ExitDone) {
+        answer.details["csv"] = reply.csv();
+        answer.details["table_version"] = reply.table_version();
+        // A comment, so that the output can be edited and put back as it is.
+        answer.text = "# table version " + std::to_string(reply.table_version()) + "\n" + reply.csv();
+    }
+    return print(answer, values, context);
+}
+
+int runTablePut(const Values &values, Context &context)
+{
+    const Result<TableFile> file = readTableFile(values.arguments().front(), context);
+    if (!file) {
+        return printFailure(ExitBadInput, file.error(), values, context);
+    }
+    const Result<Situation> situation = readSituation(values, context);
+    if (!situation) {
+        return printFailure(ExitRefused, situation.error(), values, context);
+    }
+    const Situation &now = situation.value();
+    const table::Table &next = file.value().table;
+    const Findings warnings = table::warnings(now.table, now.marks, next, now.marks, now.upstreams);
+    if (!warnings.empty() && !values.isOn("even-if-last")) {
+        return printFailure(ExitRefused, warnings, values, context);
+    }
+    const ChangeStamp change = stamp(values, context);
+    wire::OperatorRequest request;
+    wire::PutTable &put = *request.mutable_put_table();
+    put.set_change_id(change.changeId);
+    put.set_base_version(values.text("base") == "current" ? now.tableVersion : values.number("base"));
+    put.set_csv(file.value().csv);
+    put.set_author(change.author);
+    put.set_unix_ms(change.unixMs);
+    Answer answer = makeChange(request, change.changeId, values, context);
+    const std::vector<table::RowDifference> changed = table::differences(now.table, next);
+    answer.details["differences"] = toJson(changed);
+    if (!answer.text.empty()) {
+        answer.text += "rows changed: " + std::to_string(changed.size()) + "\n";
+    }
+    return print(answer, values, context);
+}
+
+int runTableHistory(const Values &values, Context &context)
+{
+    wire::OperatorRequest request;
+    request.mutable_get_history()->set_most(static_cast<std::uint32_t>(values.number("most")));
+    const wire::OperatorReply reply = ask(request, values, context);
+    Answer answer = toAnswer(reply);
+    answer.details["history"] = nlohmann::json::array();
+    for (const wire::HistoryEntry &entry : reply.history()) {
+        answer.details["history"].push_back({{"table_version", entry.table_version()},
+                                             {"change_id", entry.change_id()},
+                                             {"author", entry.author()},
+                                             {"unix_ms", entry.unix_ms()},
+                                             {"what", entry.what()}});
+        answer.text += std::to_string(entry.table_version()) + "  " + utc(entry.unix_ms()) + "  " + entry.author()
+                       + "  " + entry.change_id() + "  " + entry.what() + "\n";
+    }
+    return print(answer, values, context);
+}
+
+} // namespace bergamotweir::cli
