Burn report: budgets and burn rates per service, what burned them, metrics; report burn collects from the agents

report::record(state, RequestEnd, now) is for the agent that took the request from its caller; report::setObjectives on each new table; makeReport -> toText / toJson / burnMetrics + toPrometheus for GET /burn, /burn?json, /metrics. Constant memory for each service and upstream, none for each key. Counts do not survive a restart; the report says for how long they count. Of several agents the latency quantiles are the worst agent's: quantiles can't be added up.

Guards shown to fail: with BucketRing::sum counting buckets outside the window, "an alarm needs a short and a long window, and ends soon after the fault" fails (1.96 >= 14.4, alarm still raised); without the bound MostBlamed, "memory stays constant however many upstreams fail" fails (3000 == 513).

--- /dev/null
+++ b/include/report/Metric.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace bergamotweir::report {
+
+struct BurnReport;
+
+/** How a metric behaves, for Prometheus. */
+enum class MetricType {
+    Counter,
+    Gauge,
+};
+
+/** One value of a metric. */
+struct Sample {
+    std::vector<std::pair<std::string, std::string>> labels;
+    double value = 0;
+};
+
+/** One metric with all its values. */
+struct Metric {
+    std::string name;
+    std::string help;
+    MetricType type = MetricType::Gauge;
+    std::vector<Sample> samples;
+};
+
+/** @return the metrics in the Prometheus text format, version 0.0.4 */
+std::string toPrometheus(const std::vector<Metric> &metrics);
+
+/** @return requests, latency, burn rates and budgets of an agent's own report */
+std::vector<Metric> burnMetrics(const BurnReport &report);
+
+} // namespace bergamotweir::report
--- a/src/cli/AllCommands.cpp
+++ b/src/cli/AllCommands.cpp
@@ -95,6 +95,12 @@
          .settings = askSettings(),
          .example = "bergamotweir owner catalogue class-4711 --control 127.0.0.1:7001",
          .run = runOwner},
+        {.name = "report burn",
+         .summary = "Collects from every agent what burns the error budgets.",
+         .arguments = {},
+         .settings = askSettings(),
+         .example = "bergamotweir report burn --control 127.0.0.1:7001",
+         .run = runReportBurn},
     };
 }
 
--- a/src/cli/Commands.h
+++ b/src/cli/Commands.h
@@ -16,6 +16,7 @@
 int runMarkOut(const Values &values, Context &context);
 int runStatus(const Values &values, Context &context);
 int runOwner(const Values &values, Context &context);
+int runReportBurn(const Values &values, Context &context);
 int runMemberAdd(const Values &values, Context &context);
 int runMemberRemove(const Values &values, Context &context);
 int runMemberPromote(const Values &values, Context &context);
