--- /dev/null
+++ b/include/control/ClaimStore.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "control.pb.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+
+namespace bergamotweir::control {
+
+/**
+ * The Idempotency-Keys in use: who may run a request, and what came of it.
+ * Owned by the replicated state; every method is deterministic. Bounded by count and by the bytes of kept answers.
+ *
+ * Guards against a payment that runs twice. A caller that lost the answer sends the request again, perhaps through
+ * another agent, after a move or under another leader; the claim is in the replicated log before the first dispatch,
+ * so that whichever agent comes second finds it there.
+ */
+class ClaimStore
+{
+public:
+    /** Most claims kept; about 300 bytes each without an answer. */
+    static constexpr std::size_t MostClaims = 200000;
+    /** Most bytes of one kept answer; of a larger one only the status is kept. */
+    static constexpr std::size_t MostAnswerBytes = 4096;
+    /** Most bytes of all kept answers together. */
+    static constexpr std::size_t MostTotalBytes = 64 * 1024 * 1024;
+
+    /** @param mostClaims bound on the number of claims; another than the default serves tests only */
+    explicit ClaimStore(std::size_t mostClaims = MostClaims);
+
+    /** Takes a claim, or tells why not. A resend of the attempt that owns the claim is granted again. */
+    wire::ClaimReply claim(const wire::ClaimRequest &request);
+
+    /** Records what came of the attempt that owns the claim; anything else is refused. The first outcome stays. */
+    wire::OutcomeReply record(const wire::ClaimOutcome &outcome);
+
+    /** Drops claims taken before a moment. */
+    void expire(std::uint64_t beforeUnixMs);
+
+    std::size_t size() const;
+
+    /** Adds all claims to a snapshot. */
+    void save(wire::StateSnapshot &to) const;
+
+    /** Replaces everything by the claims of a snapshot. */
+    void restore(const wire::StateSnapshot &from);
+
+private:
+    /** Service and Idempotency-Key. */
+    using Name = std::pair<std::string, std::string>;
+
+    void erase(const Name &name);
+
+    std::size_t mostClaims;
+    std::size_t answerBytes = 0;
+    std::map<Name, wire::ClaimRecord> claims;
+    std::set<std::pair<std::uint64_t, Name>> byTime;
+};
+
+} // namespace bergamotweir::control
--- /dev/null
+++ b/src/control/SliceMap.cpp
@@ -0,0 +1,90 @@
+#include "control/SliceMap.h"
+
+#include <cassert>
+#include <cmath>
+#include <iterator>
+#include <limits>
+
+namespace bergamotweir::control {
+
+namespace {
+
+constexpr double HashSpace = 18446744073709551616.0;
+
+} // namespace
+
+SliceMap SliceMap::even(std::size_t count)
+{
+    assert(count > 0);
+    SliceMap map;
+    const std::uint64_t width = std::numeric_limits<std::uint64_t>::max() / count;
+    for (std::size_t number = 0; number < count; ++number) {
+        map.entries.emplace(width * number, SliceHolding{});
+    }
+    return map;
+}
+
+const SliceMap::Slices &SliceMap::slices() const
+{
+    return this->entries;
+}
+
+SliceMap::Slices::const_iterator SliceMap::at(std::uint64_t hash) const
+{
+    assert(!this->entries.empty());
+    return std::prev(this->entries.upper_bound(hash));
+}
+
+double SliceMap::width(Slices::const_iterator slice) const
+{
+    const auto next = std::next(slice);
+    const double end = next == this->entries.end() ? HashSpace : static_cast<double>(next->first);
+    return (end - static_cast<double>(slice->first)) / HashSpace;
+}
+
+bool SliceMap::put(const wire::SliceOwner &change)
+{
+    const SliceHolding present = this->at(change.begin())->second;
+    const bool split = change.owner() == present.owner && change.epoch() == present.epoch;
+    const bool successor = change.epoch() == present.epoch + 1;
+    if (!split && !successor) {
+        return false;
+    }
+    this->entries[change.begin()] = SliceHolding{change.owner(), change.epoch()};
+    return true;
+}
+
+bool SliceMap::merge(std::uint64_t begin)
+{
+    const auto found = this->entries.find(begin);
+    if (found == this->entries.end() || found == this->entries.begin()) {
+        return false;
+    }
+    const auto before = std::prev(found);
+    if (before->second.owner != found->second.owner) {
+        return false;
+    }
+    before->second.epoch = std::max(before->second.epoch, found->second.epoch);
+    this->entries.erase(found);
+    return true;
+}
+
+void SliceMap::restore(const wire::ServiceSlices &from)
+{
+    this->entries.clear();
+    for (const wire::SliceOwner &slice : from.slices()) {
+        this->entries[slice.begin()] = SliceHolding{slice.owner(), slice.epoch()};
+    }
+    this->entries.try_emplace(0);
+}
+
+wire::SliceOwner toWire(SliceMap::Slices::const_iterator slice)
+{
+    wire::SliceOwner owner;
+    owner.set_begin(slice->first);
+    owner.set_owner(slice->second.owner);
+    owner.set_epoch(slice->second.epoch);
+    return owner;
+}
+
+} // namespace bergamotweir::control
--- /dev/null
+++ b/src/control/State.cpp
@@ -0,0 +1,237 @@
+#include "control/State.h"
+
+#include "control/VersionOrder.h"
+
+#include <cassert>
+
+namespace bergamotweir::control {
+
+namespace {
+
+void saveSlices(const std::string &service, const SliceMap &map, wire::ServiceSlices &to)
+{
+    to.set_service(service);
+    to.mutable_slices()->Reserve(static_cast<int>(map.slices().size()));
+    for (auto slice = map.slices().begin(); slice != map.slices().end(); ++slice) {
+        *to.add_slices() = toWire(slice);
+    }
+}
+
+} // namespace
+
+State::State(std::size_t mostClaims)
+    : claimStore(mostClaims)
+{
+}
+
+Applied State::apply(const wire::Version &version, const wire::Command &command)
+{
+    assert(isBefore(this->newest, version));
+    this->newest = version;
+    Applied applied;
+    this->applyOne(command, applied);
+    *applied.update.mutable_version() = version;
+    return applied;
+}
+
+void State::applyOne(const wire::Command &command, Applied &applied)
+{
+    switch (command.body_case()) {
+    case wire::Command::kPutTable:
+        this->putTable(command.put_table(), applied);
+        break;
+    case wire::Command::kMark: {
+        const table::Marks before = this->tableHistory.marks();
+        *applied.result.mutable_operator_reply() = this->tableHistory.mark(this->newest, command.mark());
+        if (this->tableHistory.marks() != before) {
+            *applied.update.mutable_table() = this->tableHistory.inForce();
+            applied.visible = true;
+        }
+        break;
+    }
+    case wire::Command::kPutUpstream:
+        this->putUpstream(command.put_upstream(), applied);
+        break;
+    case wire::Command::kAssign:
+        this->assignSlices(command.assign(), applied);
+        break;
+    case wire::Command::kClaim:
+        *applied.result.mutable_claim() = this->claimStore.claim(command.claim());
+        break;
+    case wire::Command::kClaimOutcome:
+        *applied.result.mutable_outcome() = this->claimStore.record(command.claim_outcome());
+        break;
+    case wire::Command::kExpireClaims:
+        this->expire(command.expire_claims(), applied);
+        break;
+    case wire::Command::kReportCrash:
+        this->reportCrash(command.report_crash(), applied);
+        break;
+    case wire::Command::kBatch:
+        for (const wire::Command &part : command.batch().commands()) {
+            this->applyOne(part, applied);
+        }
+        break;
+    case wire::Command::BODY_NOT_SET:
+        break;
+    }
+}
+
+void State::putTable(const wire::PutTable &change, Applied &applied)
+{
+    const std::uint64_t before = this->tableHistory.tableVersion();
+    *applied.result.mutable_operator_reply() = this->tableHistory.put(this->newest, change);
+    if (this->tableHistory.tableVersion() == before) {
+        return;
+    }
+    applied.visible = true;
+    *applied.update.mutable_table() = this->tableHistory.inForce();
+    const table::Table &table = this->tableHistory.table();
+    for (const std::string &service : table.services()) {
+        if (!table.service(service).keyed || this->sliceMaps.contains(service)) {
+            continue;
+        }
+        const auto added = this->sliceMaps.emplace(service, SliceMap::even(FirstSlices)).first;
+        saveSlices(service, added->second, *applied.update.add_services());
+    }
+}
+
+void State::putUpstream(const wire::PutUpstream &change, Applied &applied)
+{
+    const std::uint32_t id = this->registry.put(change.upstream());
+    if (id == 0) {
+        return;
+    }
+    *applied.update.add_upstreams() = *this->registry.find(id);
+    applied.visible = true;
+}
+
+void State::assignSlices(const wire::AssignSlices &change, Applied &applied)
+{
+    const auto found = this->sliceMaps.find(change.service());
+    if (found == this->sliceMaps.end()) {
+        return;
+    }
+    SliceMap &map = found->second;
+    wire::ServiceSlices changed;
+    changed.set_service(change.service());
+    for (const wire::SliceOwner &slice : change.slices()) {
+        if (map.put(slice)) {
+            *changed.add_slices() = slice;
+        }
+    }
+    for (const std::uint64_t begin : change.merged()) {
+        if (!map.merge(begin)) {
+            continue;
+        }
+        changed.add_merged(begin);
+        // The slice before it may have taken on the merged one's epoch.
+        *changed.add_slices() = toWire(map.at(begin));
+    }
+    if (changed.slices_size() + changed.merged_size() == 0) {
+        return;
+    }
+    *applied.update.add_services() = std::move(changed);
+    applied.visible = true;
+}
+
+void State::reportCrash(const wire::ReportCrash &crash, Applied &applied)
+{
+    for (const std::uint64_t fingerprint : this->quarantineStore.report(crash)) {
+        applied.update.add_quarantined(fingerprint);
+        applied.visible = true;
+    }
+}
+
+void State::expire(const wire::ExpireClaims &expiry, Applied &applied)
+{
+    this->claimStore.expire(expiry.before_unix_ms());
+    for (const std::uint64_t fingerprint : this->quarantineStore.expire(expiry.quarantine_before_unix_ms())) {
+        applied.update.add_released_from_quarantine(fingerprint);
+        applied.visible = true;
+    }
+}
+
+std::string State::snapshot() const
+{
+    wire::StateSnapshot saved;
+    *saved.mutable_version() = this->newest;
+    this->tableHistory.save(saved);
+    for (const auto &[id, upstream] : this->registry.all()) {
+        *saved.add_upstreams() = upstream;
+    }
+    for (const auto &[service, map] : this->sliceMaps) {
+        saveSlices(service, map, *saved.add_services());
+    }
+    this->claimStore.save(saved);
+    this->quarantineStore.save(saved);
+    return saved.SerializeAsString();
+}
+
+bool State::restore(std::string_view bytes)
+{
+    wire::StateSnapshot saved;
+    if (!saved.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        return false;
+    }
+    this->newest = saved.version();
+    this->tableHistory.restore(saved);
+    this->registry.restore(saved);
+    this->sliceMaps.clear();
+    for (const wire::ServiceSlices &service : saved.services()) {
+        this->sliceMaps.emplace(service.service(), SliceMap::even(1)).first->second.restore(service);
+    }
+    this->claimStore.restore(saved);
+    this->quarantineStore.restore(saved);
+    return true;
+}
+
+wire::StateUpdate State::fullUpdate() const
+{
+    wire::StateUpdate update;
+    *update.mutable_version() = this->newest;
+    update.set_full(true);
+    *update.mutable_table() = this->tableHistory.inForce();
+    for (const auto &[id, upstream] : this->registry.all()) {
+        *update.add_upstreams() = upstream;
+    }
+    for (const auto &[service, map] : this->sliceMaps) {
+        saveSlices(service, map, *update.add_services());
+    }
+    for (const std::uint64_t fingerprint : this->quarantineStore.quarantined()) {
+        update.add_quarantined(fingerprint);
+    }
+    return update;
+}
+
+const wire::Version &State::version() const
+{
+    return this->newest;
+}
+
+const TableHistory &State::tables() const
+{
+    return this->tableHistory;
+}
+
+const UpstreamRegistry &State::upstreams() const
+{
+    return this->registry;
+}
+
+const std::map<std::string, SliceMap> &State::services() const
+{
+    return this->sliceMaps;
+}
+
+const ClaimStore &State::claims() const
+{
+    return this->claimStore;
+}
+
+const QuarantineStore &State::quarantine() const
+{
+    return this->quarantineStore;
+}
+
+} // namespace bergamotweir::control
--- /dev/null
+++ b/src/control/UpstreamRegistry.cpp
@@ -0,0 +1,56 @@
+#include "control/UpstreamRegistry.h"
+
+namespace bergamotweir::control {
+
+std::uint32_t UpstreamRegistry::put(const wire::UpstreamInfo &upstream)
+{
+    std::uint32_t &id = this->ids[{upstream.service(), upstream.name()}];
+    if (id != 0 && sameAnnouncement(this->upstreams[id], upstream)) {
+        return 0;
+    }
+    if (id == 0) {
+        id = static_cast<std::uint32_t>(this->ids.size());
+    }
+    this->upstreams[id] = upstream;
+    this->upstreams[id].set_id(id);
+    return id;
+}
+
+const UpstreamRegistry::Upstreams &UpstreamRegistry::all() const
+{
+    return this->upstreams;
+}
+
+const wire::UpstreamInfo *UpstreamRegistry::find(std::uint32_t id) const
+{
+    const auto found = this->upstreams.find(id);
+    return found == this->upstreams.end() ? nullptr : &found->second;
+}
+
+const wire::UpstreamInfo *UpstreamRegistry::find(const std::string &service, const std::string &name) const
+{
+    const auto found = this->ids.find({service, name});
+    return found == this->ids.end() ? nullptr : this->find(found->second);
+}
+
+void UpstreamRegistry::restore(const wire::StateSnapshot &from)
+{
+    this->upstreams.clear();
+    this->ids.clear();
+    for (const wire::UpstreamInfo &upstream : from.upstreams()) {
+        this->upstreams[upstream.id()] = upstream;
+        this->ids[{upstream.service(), upstream.name()}] = upstream.id();
+    }
+}
+
+bool sameAnnouncement(const wire::UpstreamInfo &left, const wire::UpstreamInfo &right)
+{
+    return left.service() == right.service() && left.name() == right.name()
+        && left.failure_domain() == right.failure_domain() && left.agent() == right.agent()
+        && left.peer_address() == right.peer_address() && left.incarnation() == right.incarnation()
+        && left.slots() == right.slots() && left.connections() == right.connections()
+        && left.checks_grants() == right.checks_grants() && left.serving() == right.serving()
+        && left.operator_address() == right.operator_address();
+}
+
+} // namespace bergamotweir::control
