--- a/include/control/ClaimStore.h
+++ b/include/control/ClaimStore.h
@@ -27,7 +27,7 @@
     /** Most bytes of one kept answer; of a larger one only the status is kept. */
     static constexpr std::size_t MostAnswerBytes = 4096;
     /** Most bytes of all kept answers together. */
-    static constexpr std::size_t MostTotalBytes = 64 * 1024 * 1024;
+    static constexpr std::size_t MostTotalBytes = std::size_t{64} * 1024 * 1024;
 
     /** @param mostClaims bound on the number of claims; another than the default serves tests only */
     explicit ClaimStore(std::size_t mostClaims = MostClaims);
--- a/src/control/ClaimStore.cpp
+++ b/src/control/ClaimStore.cpp
@@ -74,7 +74,6 @@
         return reply;
     }
     *record.mutable_outcome() = outcome;
-    record.set_has_outcome(true);
     const std::size_t bytes = outcome.body().size();
     if (bytes > MostAnswerBytes || this->answerBytes + bytes > MostTotalBytes) {
         record.mutable_outcome()->clear_body();
--- a/src/control/QuarantineStore.cpp
+++ b/src/control/QuarantineStore.cpp
@@ -1,6 +1,7 @@
 #include "control/QuarantineStore.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace bergamotweir::control {
 
@@ -92,7 +93,7 @@
     }
     const auto older = [](const auto &left, const auto &right) {
         return std::tuple(left.second.quarantined, left.second.lastUnixMs)
-            < std::tuple(right.second.quarantined, right.second.lastUnixMs);
+               < std::tuple(right.second.quarantined, right.second.lastUnixMs);
     };
     this->suspects.erase(std::min_element(this->suspects.begin(), this->suspects.end(), older));
 }
--- a/src/control/TableHistory.cpp
+++ b/src/control/TableHistory.cpp
@@ -3,6 +3,7 @@
 #include "table/RowDifference.h"
 
 #include <algorithm>
+#include <cassert>
 #include <xxhash.h>
 
 namespace bergamotweir::control {
--- a/src/control/UpstreamRegistry.cpp
+++ b/src/control/UpstreamRegistry.cpp
@@ -46,11 +46,11 @@
 bool sameAnnouncement(const wire::UpstreamInfo &left, const wire::UpstreamInfo &right)
 {
     return left.service() == right.service() && left.name() == right.name()
-        && left.failure_domain() == right.failure_domain() && left.agent() == right.agent()
-        && left.peer_address() == right.peer_address() && left.incarnation() == right.incarnation()
-        && left.slots() == right.slots() && left.connections() == right.connections()
-        && left.checks_grants() == right.checks_grants() && left.serving() == right.serving()
-        && left.operator_address() == right.operator_address();
+           && left.failure_domain() == right.failure_domain() && left.agent() == right.agent()
+           && left.peer_address() == right.peer_address() && left.incarnation() == right.incarnation()
+           && left.slots() == right.slots() && left.connections() == right.connections()
+           && left.checks_grants() == right.checks_grants() && left.serving() == right.serving()
+           && left.operator_address() == right.operator_address();
 }
 
 } // namespace bergamotweir::control
