--- a/tests/AssignmentTest.cpp
+++ b/tests/AssignmentTest.cpp
@@ -59,7 +59,7 @@
 // not served. Only the load that the tolerance demands may move.
 TEST_CASE("a member lost, joined or reweighted moves little more than the least possible")
 {
-    std::vector<LoadedSlice> slices = even(12 * 32);
+    std::vector<LoadedSlice> slices = even(std::size_t{12} * 32);
     std::vector<Member> all = members(12);
     carryOut(slices, assign(all, slices));
     SECTION("lost")
