--- a/src/cli/StatusCommands.cpp
+++ b/src/cli/StatusCommands.cpp
@@ -206,7 +206,7 @@
     answer.details["hash"] = hex(owner.hash());
     answer.details["slice_begin"] = hex(owner.slice().begin());
     answer.details["epoch"] = owner.slice().epoch();
-    answer.details["owner"] = nullptr;
+    answer.details["owned"] = isOwned;
     answer.text = "hash " + hex(owner.hash()) + ", slice from " + hex(owner.slice().begin()) + ", epoch "
                   + std::to_string(owner.slice().epoch()) + ": ";
     if (!isOwned) {
@@ -214,10 +214,10 @@
         return print(answer, values, context);
     }
     const wire::UpstreamInfo &info = owner.upstream();
-    answer.details["owner"] = {{"upstream", info.name()},
-                               {"agent", info.agent()},
-                               {"failure_domain", info.failure_domain()},
-                               {"peer_address", info.peer_address()}};
+    answer.details["upstream"] = info.name();
+    answer.details["agent"] = info.agent();
+    answer.details["failure_domain"] = info.failure_domain();
+    answer.details["peer_address"] = info.peer_address();
     answer.text +=
         info.name() + " in " + info.failure_domain() + ", agent " + info.agent() + " at " + info.peer_address() + "\n";
     return print(answer, values, context);
