--- a/include/net/HttpServer.h
+++ b/include/net/HttpServer.h
@@ -37,7 +37,10 @@
     /** @return the port bound to */
     std::uint16_t port() const;
 
-    /** @return how many requests have been handed over and not yet been answered or abandoned */
+    /**
+     * @return how many requests have been handed over and not ended: an answer counts until its last byte is written,
+     * so that a process which stops at 0 cuts nothing off
+     */
     std::size_t inProgress() const;
 
     /** Closes the listening socket; open connections are closed after their next answer. */
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -103,7 +103,9 @@
     int daemonEvents = -1;
     int hangUps = -1;
     loop::TimerId sweep = 0;
-    loop::TimerId again = 0;
+    /** Lives as long as the server; posted tasks look at it. */
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+    bool runPosted = false;
     bool running = false;
     bool stopping = false;
     bool ended = false;
@@ -119,6 +121,7 @@
 
     Findings start();
     void run();
+    void runSoon();
     void onHangUps();
     void onConnection(MHD_Connection *connection, void **context, MHD_ConnectionNotificationCode what);
     MHD_Result onAccess(
@@ -220,6 +223,9 @@
                           "the HTTP server cannot listen there",
                           "a free port of this VM");
     }
+    this->host.runSoon = [this] {
+        this->runSoon();
+    };
     this->daemonEvents = MHD_get_daemon_info(this->daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
     this->hangUps = epoll_create1(EPOLL_CLOEXEC);
     this->loop.watch(this->daemonEvents, {.readable = true}, [this](loop::Readiness) {
@@ -249,11 +255,22 @@
     this->running = false;
     if (more) {
         // Nothing else tells the loop of work that libmicrohttpd has already read from its sockets.
-        this->loop.cancel(this->again);
-        this->again = this->loop.after(std::chrono::nanoseconds(0), [this] {
-            this->run();
-        });
+        this->runSoon();
+    }
+}
+
+void HttpServer::Parts::runSoon()
+{
+    if (this->runPosted) {
+        return;
     }
+    this->runPosted = true;
+    this->loop.post([this, alive = std::weak_ptr<bool>(this->alive)] {
+        if (!alive.expired()) {
+            this->runPosted = false;
+            this->run();
+        }
+    });
 }
 
 /*
@@ -418,7 +435,6 @@
 {
     this->parts->ended = true;
     this->parts->loop.cancel(this->parts->sweep);
-    this->parts->loop.cancel(this->parts->again);
     this->parts->loop.unwatch(this->parts->daemonEvents);
     this->parts->loop.unwatch(this->parts->hangUps);
     // libmicrohttpd ends the whole process when it is stopped with a suspended connection.
--- a/src/net/ServerExchange.cpp
+++ b/src/net/ServerExchange.cpp
@@ -15,9 +15,6 @@
     this->state = State::Answered;
     this->outgoing = std::move(answer);
     this->abandonedTask = nullptr;
-    if (this->host != nullptr) {
-        --this->host->inProgress;
-    }
     this->wake();
 }
 
@@ -41,9 +38,6 @@
         return;
     }
     this->state = State::Abandoned;
-    if (this->host != nullptr) {
-        --this->host->inProgress;
-    }
     this->wake();
     const std::function<void()> task = std::move(this->abandonedTask);
     if (task) {
@@ -56,11 +50,11 @@
     if (this->state == State::HandedOver) {
         this->state = State::Abandoned;
         this->abandonedTask = nullptr;
-        if (this->host != nullptr) {
-            --this->host->inProgress;
-        }
     }
     this->wake();
+    if (this->host != nullptr) {
+        --this->host->inProgress;
+    }
     this->host = nullptr;
     this->connection = nullptr;
 }
@@ -70,6 +64,8 @@
     if (this->suspended && this->connection != nullptr) {
         this->suspended = false;
         MHD_resume_connection(this->connection);
+        // Without this the answer waits for the next byte from anyone: a resumed connection makes no event.
+        this->host->runSoon();
     }
 }
 
--- a/src/net/ServerExchange.h
+++ b/src/net/ServerExchange.h
@@ -10,8 +10,10 @@
 
 /** What an exchange needs of the server; outlived by exchanges, which then hold no pointer to it. */
 struct ExchangeHost {
-    /** Requests handed over, neither answered nor abandoned. */
+    /** Requests handed over whose answer has not been written whole. */
     std::size_t inProgress = 0;
+    /** Makes libmicrohttpd look at its connections in the loop's next turn. */
+    std::function<void()> runSoon;
 };
 
 /**
--- a/tests/HttpServerTest.cpp
+++ b/tests/HttpServerTest.cpp
@@ -114,6 +114,33 @@
     CHECK(bench.server->inProgress() == 0);
 }
 
+/*
+ * Story: a caller waits up to a second for an answer that is ready, because a resumed connection makes no event and
+ * only the idle sweep finds it. Forty such waits would take longer than the limit of this test.
+ */
+TEST_CASE("an answer given later is sent at once")
+{
+    Bench bench;
+    bench.listen([&](const std::shared_ptr<Exchange> &exchange) {
+        bench.loop->after(1us, [exchange] {
+            exchange->answer(textAnswer("now"));
+        });
+    });
+    int left = 40;
+    std::function<void()> next = [&] {
+        bench.client->send(bench.call("GET"), [&](const CallResult &result) {
+            CHECK(result.answer.body == "now");
+            if (--left == 0) {
+                bench.loop->stop();
+            } else {
+                next();
+            }
+        });
+    };
+    bench.loop->post(next);
+    bench.run();
+}
+
 TEST_CASE("an answer to HEAD states the length of the body it leaves out")
 {
     Bench bench;
