--- /dev/null
+++ b/tools/load/Main.cpp
@@ -0,0 +1,74 @@
+#include "Report.h"
+
+#include <fstream>
+#include <iostream>
+#include <thread>
+
+using namespace bergamotweir;
+using namespace bergamotweir::load;
+
+namespace {
+
+constexpr int Faulty = 1;
+constexpr int BadInput = 2;
+
+int fail(const Findings &findings)
+{
+    std::cerr << toText(findings);
+    return BadInput;
+}
+
+void writeOutcomes(const std::string &path, const Generator &generator)
+{
+    std::ofstream file(path);
+    for (const Outcome &outcome : generator.outcomes) {
+        const auto since = [&](BootTime time) {
+            return std::chrono::duration_cast<std::chrono::microseconds>(time - generator.begun).count();
+        };
+        file << nlohmann::json{{"test_id", generator.testId(outcome)},
+                               {"kind", toText(outcome.kind)},
+                               {"key", outcome.key},
+                               {"status", outcome.status},
+                               {"verdict", toText(outcome.verdict)},
+                               {"intended_us", since(outcome.intended)},
+                               {"ended_us", since(outcome.ended)}}
+             << '\n';
+    }
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const Result<LoadSettings> parsed = parseSettings(argc, argv);
+    if (!parsed) {
+        return fail(parsed.error());
+    }
+    const LoadSettings &settings = parsed.value();
+    const std::unique_ptr<loop::EventLoop> loop = loop::EventLoop::create().value();
+    Generator generator(*loop, settings, [&] {
+        loop->stop();
+    });
+    generator.start();
+    loop->run();
+
+    nlohmann::json report = summarise(generator.outcomes, settings, generator.begun);
+    if (!settings.outcomes.empty()) {
+        writeOutcomes(settings.outcomes, generator);
+    }
+    bool faulty = report["verdicts"].contains(toText(Verdict::Wrong));
+    if (!settings.ledgers.empty()) {
+        std::this_thread::sleep_for(settings.settle);
+        const auto executions = readLedgers(settings.ledgers);
+        if (!executions) {
+            return fail(executions.error());
+        }
+        const LedgerVerdict verdict = compare(generator.outcomes, executions.value(), [&](const Outcome &outcome) {
+            return generator.testId(outcome);
+        });
+        addLedger(report, verdict);
+        faulty = faulty || verdict.lost + verdict.doubled + verdict.untrueNo > 0;
+    }
+    std::cout << report.dump(2) << '\n';
+    return faulty ? Faulty : 0;
+}
