--- /dev/null
+++ b/include/agent/AdaptiveLimit.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "base/BootClock.h"
+
+#include <chrono>
+#include <cstdint>
+
+namespace bergamotweir::agent {
+
+/** Which way the limit is being sought. */
+enum class LimitPhase {
+    /** A fresh or cold upstream: the limit starts at one and grows while the latency allows. */
+    Cold,
+    /** The limit follows the latency of a warm upstream. */
+    Steady
+};
+
+/** What one measuring window has seen. */
+struct LatencyWindow {
+    BootTime start;
+    unsigned answers = 0;
+    unsigned sheds = 0;
+    std::chrono::nanoseconds sum{0};
+    /** Most requests in progress at once. */
+    unsigned peak = 0;
+};
+
+/**
+ * How many requests an upstream can take at once, found from the latency of its answers. Its own load reports lag and
+ * mislead; latency doesn't.
+ *
+ * Guard against running over an upstream. It shows when an upstream that has just started, or whose cache turned cold
+ * unannounced, gets full load, slows down, and never warms up. The limit starts at one for each incarnation, grows by
+ * a bounded step for each window in which the latency didn't rise, and falls when it did or when the upstream shed.
+ * One per upstream, owned by its Gate.
+ */
+struct AdaptiveLimit {
+    /** Most that the table or the upstream's slots allow. */
+    unsigned ceiling = 1;
+    double limit = 1;
+    LimitPhase phase = LimitPhase::Cold;
+    /** Latency of the upstream when it is warm and not crowded; 0 when not known yet. Survives incarnations. */
+    std::chrono::nanoseconds baseline{0};
+    /** Mean latency of the window before; 0 when there is none in this phase. */
+    std::chrono::nanoseconds previous{0};
+    /** Windows in a row without a reason to fall. */
+    unsigned calmWindows = 0;
+    LatencyWindow window;
+};
+
+/** @return how many requests may be in progress now, 1..ceiling */
+unsigned allowed(const AdaptiveLimit &limit);
+
+/** Starts over at one request: a new incarnation. The warm latency stays known. */
+void startCold(AdaptiveLimit &limit, BootTime now);
+
+/** Follows a changed table limit or number of slots. @param ceiling at least 1 */
+void setCeiling(AdaptiveLimit &limit, unsigned ceiling);
+
+/**
+ * Counts a whole answer.
+ * @param latency from dispatch to answer
+ * @param inProgress requests in progress at the answer, this one included
+ */
+void noteAnswer(AdaptiveLimit &limit, std::chrono::nanoseconds latency, unsigned inProgress, BootTime now);
+
+/** Counts a refusal by the upstream itself: it is fuller than thought. */
+void noteShed(AdaptiveLimit &limit, BootTime now);
+
+/** Counts a request that got no answer within @p waited; it says at least that much about the latency. */
+void noteTimeout(AdaptiveLimit &limit, std::chrono::nanoseconds waited, unsigned inProgress, BootTime now);
+
+} // namespace bergamotweir::agent
--- /dev/null
+++ b/include/agent/Gate.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "agent/AdaptiveLimit.h"
+#include "agent/GateSettings.h"
+
+#include <cstdint>
+#include <deque>
+#include <vector>
+
+namespace bergamotweir::agent {
+
+/** Names a request at a gate; the gate's owner chooses it. */
+using TicketId = std::uint64_t;
+
+/** A request that waits at a gate. */
+struct Ticket {
+    TicketId id = 0;
+    BootTime deadline;
+};
+
+/** What becomes of a request that arrives at a gate. */
+enum class Admission {
+    Admitted,
+    Queued,
+    /** It can't be served in time; it surely did not run. */
+    NoRoom,
+    /** The same, at the limit of the table. */
+    OverLimit
+};
+
+/** How an admitted request left the upstream. */
+enum class WorkEnd {
+    Answered,
+    /** The upstream refused it as too much. */
+    Shed,
+    TimedOut,
+    /** Connection lost, cancelled: nothing to be learnt about the latency. */
+    Lost
+};
+
+/** Requests that the gate let go of. */
+struct GateMoves {
+    std::vector<TicketId> admitted;
+    /** Too old to be served in time; surely not run. */
+    std::vector<TicketId> shed;
+};
+
+/**
+ * The only way to one upstream: how many requests are in progress, who waits, and when a new connection is due.
+ *
+ * Guard against overload that feeds itself. It shows when callers give up on queued requests and send them again while
+ * the upstream still works on the old ones. The queue is short, a request that can't be served within its deadline is
+ * shed at once, and what waited too long is never dispatched.
+ * Owned by the agent process, one per upstream beside it.
+ */
+struct Gate {
+    GateSettings settings;
+    AdaptiveLimit limit;
+    unsigned inProgress = 0;
+    std::deque<Ticket> queue;
+    /** Open connections without a request. */
+    unsigned idleConnections = 0;
+    BootTime nextConnection;
+    /** Mean time that a request takes, smoothed; 0 when not known. */
+    std::chrono::nanoseconds serviceTime{0};
+};
+
+/** @return a cold gate */
+Gate makeGate(const GateSettings &settings, BootTime now);
+
+/** Follows a changed table or announcement; requests in progress stay. */
+void configure(Gate &gate, const GateSettings &settings);
+
+/** A new incarnation of the upstream: cold, without connections. */
+void restart(Gate &gate, BootTime now);
+
+/** A request arrives. */
+Admission arrive(Gate &gate, const Ticket &ticket, BootTime now);
+
+/** A waiting request is given up. @return false when it wasn't waiting */
+bool leave(Gate &gate, TicketId ticket);
+
+/** An admitted request has surely ended. @param latency since its dispatch */
+void finish(Gate &gate, WorkEnd end, std::chrono::nanoseconds latency, BootTime now);
+
+/** Lets waiting requests through; to be called after finish() and at nextMove(). */
+GateMoves move(Gate &gate, BootTime now);
+
+/** The upstream takes no work now. @return all who waited; surely not run */
+std::vector<TicketId> takeAll(Gate &gate);
+
+/** @return when move() may have something to do without a finish(); BootTime::max() when never */
+BootTime nextMove(const Gate &gate);
+
+/** @return the time that a request arriving now would wait */
+std::chrono::nanoseconds expectedWait(const Gate &gate);
+
+/** @return requests in progress and waiting over those allowed; what answers carry as Upstream-Load */
+double load(const Gate &gate);
+
+} // namespace bergamotweir::agent
--- /dev/null
+++ b/include/agent/GateSettings.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "base/Result.h"
+
+#include <chrono>
+
+namespace bergamotweir::agent {
+
+/** How a Gate behaves; made by GateSettingsBuilder. */
+struct GateSettings {
+    /** Most requests in progress; what the table says, else the slots that the upstream announced. */
+    unsigned ceiling = 1;
+    /** Whether the ceiling is the table's limit, so that a refusal at it is 429 and not 503. */
+    bool ceilingIsTableLimit = false;
+    /** Most connections to the upstream. */
+    unsigned connections = 128;
+    /** Least time between two new connections: four times what one costs the upstream. */
+    std::chrono::microseconds connectionPace{4000};
+    /** Most requests that wait. */
+    unsigned queueLength = 64;
+    /** Longest wait that is worth more than a refusal. */
+    std::chrono::milliseconds longestWait{250};
+    /** False keeps the limit at the ceiling: the baseline of the measurements. */
+    bool adaptive = true;
+
+    bool operator==(const GateSettings &other) const = default;
+};
+
+/** Collects and checks the settings of a Gate. */
+class GateSettingsBuilder
+{
+public:
+    GateSettingsBuilder &ceiling(unsigned value);
+    GateSettingsBuilder &ceilingIsTableLimit(bool value);
+    GateSettingsBuilder &connections(unsigned value);
+    GateSettingsBuilder &connectionPace(std::chrono::microseconds value);
+    GateSettingsBuilder &queueLength(unsigned value);
+    GateSettingsBuilder &longestWait(std::chrono::milliseconds value);
+    GateSettingsBuilder &adaptive(bool value);
+
+    /** @return the settings, or everything that is wrong with them */
+    Result<GateSettings> build() const;
+
+private:
+    GateSettings settings;
+};
+
+} // namespace bergamotweir::agent
--- a/include/agent/Ownership.h
+++ b/include/agent/Ownership.h
@@ -2,8 +2,6 @@
 
 #include "agent/RouteMap.h"
 
-#include <compare>
-
 namespace bergamotweir::agent {
 
 struct Lease;
@@ -14,7 +12,7 @@
     std::uint64_t begin = 0;
     std::uint64_t epoch = 0;
 
-    auto operator<=>(const SliceKey &other) const = default;
+    bool operator<(const SliceKey &other) const;
 };
 
 /**
--- /dev/null
+++ b/src/agent/Gate.cpp
@@ -0,0 +1,185 @@
+#include "agent/Gate.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace bergamotweir::agent {
+
+namespace {
+
+using std::chrono::nanoseconds;
+
+/** Weight of a new sample in the smoothed service time: one in eight. */
+constexpr int ServiceTimeShare = 8;
+
+unsigned allowedNow(const Gate &gate)
+{
+    const unsigned limit = gate.settings.adaptive ? allowed(gate.limit) : gate.settings.ceiling;
+    return std::min(limit, gate.settings.connections);
+}
+
+/** @return whether a request can be given a connection now, open or new */
+bool hasConnection(const Gate &gate, BootTime now)
+{
+    return gate.idleConnections > 0 || now >= gate.nextConnection;
+}
+
+/** Guard against a connection storm: a connection costs the upstream a millisecond, so new ones are spaced out. */
+void takeConnection(Gate &gate, BootTime now)
+{
+    if (gate.idleConnections > 0) {
+        gate.idleConnections--;
+        return;
+    }
+    gate.nextConnection = now + gate.settings.connectionPace;
+}
+
+bool mayDispatch(const Gate &gate, BootTime now)
+{
+    return gate.inProgress < allowedNow(gate) && hasConnection(gate, now);
+}
+
+void dispatch(Gate &gate, BootTime now)
+{
+    takeConnection(gate, now);
+    gate.inProgress++;
+}
+
+Admission shedding(const Gate &gate)
+{
+    const bool atTableLimit = gate.settings.ceilingIsTableLimit && gate.inProgress >= gate.settings.ceiling;
+    return atTableLimit ? Admission::OverLimit : Admission::NoRoom;
+}
+
+/** @return whether a request would still have time for its work after so long a wait */
+bool isInTime(const Gate &gate, BootTime deadline, BootTime dispatchedAt)
+{
+    return dispatchedAt + gate.serviceTime < deadline;
+}
+
+} // namespace
+
+Gate makeGate(const GateSettings &settings, BootTime now)
+{
+    Gate gate;
+    startCold(gate.limit, now);
+    configure(gate, settings);
+    return gate;
+}
+
+void configure(Gate &gate, const GateSettings &settings)
+{
+    gate.settings = settings;
+    setCeiling(gate.limit, settings.ceiling);
+}
+
+void restart(Gate &gate, BootTime now)
+{
+    startCold(gate.limit, now);
+    gate.idleConnections = 0;
+}
+
+Admission arrive(Gate &gate, const Ticket &ticket, BootTime now)
+{
+    if (gate.queue.empty() && mayDispatch(gate, now)) {
+        dispatch(gate, now);
+        return Admission::Admitted;
+    }
+    const nanoseconds wait = expectedWait(gate);
+    if (gate.queue.size() >= gate.settings.queueLength || wait > gate.settings.longestWait
+        || !isInTime(gate, ticket.deadline, now + wait)) {
+        return shedding(gate);
+    }
+    gate.queue.push_back(ticket);
+    return Admission::Queued;
+}
+
+bool leave(Gate &gate, TicketId ticket)
+{
+    const auto found = std::find_if(gate.queue.begin(), gate.queue.end(), [&](const Ticket &waiting) {
+        return waiting.id == ticket;
+    });
+    if (found == gate.queue.end()) {
+        return false;
+    }
+    gate.queue.erase(found);
+    return true;
+}
+
+void finish(Gate &gate, WorkEnd end, std::chrono::nanoseconds latency, BootTime now)
+{
+    assert(gate.inProgress > 0);
+    const unsigned inProgress = gate.inProgress;
+    gate.inProgress--;
+    switch (end) {
+    case WorkEnd::Answered:
+        gate.idleConnections = std::min(gate.idleConnections + 1, gate.settings.connections);
+        gate.serviceTime += (latency - gate.serviceTime) / (gate.serviceTime.count() == 0 ? 1 : ServiceTimeShare);
+        noteAnswer(gate.limit, latency, inProgress, now);
+        break;
+    case WorkEnd::Shed:
+        gate.idleConnections = std::min(gate.idleConnections + 1, gate.settings.connections);
+        noteShed(gate.limit, now);
+        break;
+    case WorkEnd::TimedOut:
+        noteTimeout(gate.limit, latency, inProgress, now);
+        break;
+    case WorkEnd::Lost:
+        break;
+    }
+}
+
+GateMoves move(Gate &gate, BootTime now)
+{
+    GateMoves moves;
+    while (!gate.queue.empty()) {
+        const Ticket &first = gate.queue.front();
+        if (!isInTime(gate, first.deadline, now)) {
+            moves.shed.push_back(first.id);
+            gate.queue.pop_front();
+            continue;
+        }
+        if (!mayDispatch(gate, now)) {
+            break;
+        }
+        dispatch(gate, now);
+        moves.admitted.push_back(first.id);
+        gate.queue.pop_front();
+    }
+    return moves;
+}
+
+std::vector<TicketId> takeAll(Gate &gate)
+{
+    std::vector<TicketId> all;
+    for (const Ticket &waiting : gate.queue) {
+        all.push_back(waiting.id);
+    }
+    gate.queue.clear();
+    return all;
+}
+
+BootTime nextMove(const Gate &gate)
+{
+    if (gate.queue.empty()) {
+        return BootTime::max();
+    }
+    const BootTime expiry = gate.queue.front().deadline - gate.serviceTime;
+    if (gate.inProgress >= allowedNow(gate)) {
+        return expiry;
+    }
+    return std::min(expiry, gate.nextConnection);
+}
+
+std::chrono::nanoseconds expectedWait(const Gate &gate)
+{
+    const auto ahead = static_cast<nanoseconds::rep>(gate.queue.size() + 1);
+    return gate.serviceTime * ahead / allowedNow(gate);
+}
+
+double load(const Gate &gate)
+{
+    return static_cast<double>(gate.inProgress + gate.queue.size()) / allowedNow(gate);
+}
+
+} // namespace bergamotweir::agent
--- /dev/null
+++ b/src/agent/GateSettings.cpp
@@ -0,0 +1,68 @@
+#include "agent/GateSettings.h"
+
+namespace bergamotweir::agent {
+
+GateSettingsBuilder &GateSettingsBuilder::ceiling(unsigned value)
+{
+    this->settings.ceiling = value;
+    return *this;
+}
+
+GateSettingsBuilder &GateSettingsBuilder::ceilingIsTableLimit(bool value)
+{
+    this->settings.ceilingIsTableLimit = value;
+    return *this;
+}
+
+GateSettingsBuilder &GateSettingsBuilder::connections(unsigned value)
+{
+    this->settings.connections = value;
+    return *this;
+}
+
+GateSettingsBuilder &GateSettingsBuilder::connectionPace(std::chrono::microseconds value)
+{
+    this->settings.connectionPace = value;
+    return *this;
+}
+
+GateSettingsBuilder &GateSettingsBuilder::queueLength(unsigned value)
+{
+    this->settings.queueLength = value;
+    return *this;
+}
+
+GateSettingsBuilder &GateSettingsBuilder::longestWait(std::chrono::milliseconds value)
+{
+    this->settings.longestWait = value;
+    return *this;
+}
+
+GateSettingsBuilder &GateSettingsBuilder::adaptive(bool value)
+{
+    this->settings.adaptive = value;
+    return *this;
+}
+
+Result<GateSettings> GateSettingsBuilder::build() const
+{
+    Findings findings;
+    if (this->settings.ceiling == 0) {
+        findings.push_back({"gate ceiling", "0 lets nothing through", "at least 1"});
+    }
+    if (this->settings.connections == 0) {
+        findings.push_back({"gate connections", "0 lets nothing through", "at least 1"});
+    }
+    if (this->settings.connectionPace.count() < 0) {
+        findings.push_back({"gate connection pace", "negative", "0 or more microseconds"});
+    }
+    if (this->settings.longestWait.count() < 0) {
+        findings.push_back({"gate longest wait", "negative", "0 or more milliseconds"});
+    }
+    if (!findings.empty()) {
+        return findings;
+    }
+    return this->settings;
+}
+
+} // namespace bergamotweir::agent
--- a/src/agent/Ownership.cpp
+++ b/src/agent/Ownership.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <tuple>
 
 namespace bergamotweir::agent {
 
@@ -48,6 +49,11 @@
 
 } // namespace
 
+bool SliceKey::operator<(const SliceKey &other) const
+{
+    return std::tie(this->service, this->begin, this->epoch) < std::tie(other.service, other.begin, other.epoch);
+}
+
 Refusal checkOwnership(const Ownership &ownership,
                        const RouteMap &map,
                        const Lease &lease,
--- /dev/null
+++ b/src/agent/Router.cpp
@@ -0,0 +1,309 @@
+#include "agent/Router.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace bergamotweir::agent {
+
+namespace {
+
+using std::chrono::nanoseconds;
+
+/** Weight of a new sample in the smoothed latency: one in four, so that a straggler is seen within a few answers. */
+constexpr int LatencyShare = 4;
+/** Smoothed latency over the median of the service that makes a straggler, ... */
+constexpr double StragglerRatio = 3;
+/** ... unless the difference is too small to matter, ... */
+constexpr std::chrono::milliseconds LeastDifference{2};
+/** ... or too little was seen. */
+constexpr unsigned LeastAnswers = 3;
+constexpr unsigned MostFailuresInRow = 3;
+constexpr std::chrono::milliseconds FirstEjection{200};
+constexpr unsigned MostDoublings = 4;
+constexpr unsigned ProbesToReturn = 3;
+/** At most one upstream in so many is ejected, but always one where there is a second. */
+constexpr std::size_t EjectedShare = 3;
+
+/** Load reports older than this say nothing. */
+constexpr std::chrono::milliseconds LoadAge{500};
+/** A full gate counts as much as so many requests outstanding here. */
+constexpr double LoadWorth = 8;
+/** Load of a gate that sheds: everything in progress and as much waiting. */
+constexpr double FullLoad = 2;
+/** Loads that differ by less are alike, and the local failure domain is preferred among them, ... */
+constexpr double AlikeLoad = 0.5;
+/** ... as long as the local upstream isn't busy. */
+constexpr double BusyLoad = 0.5;
+
+constexpr double HedgeQuantile = 0.95;
+/** Step of the quantile estimate, as a part of itself. */
+constexpr double QuantileStep = 0.05;
+constexpr std::chrono::milliseconds LeastHedgeDelay{1};
+
+nanoseconds medianLatency(const ServiceRouting &routing, std::uint32_t except)
+{
+    std::vector<nanoseconds> latencies;
+    for (const auto &[id, health] : routing.health) {
+        if (id != except && health.answers > 0) {
+            latencies.push_back(health.latency);
+        }
+    }
+    if (latencies.empty()) {
+        return nanoseconds(0);
+    }
+    const auto middle = latencies.begin() + static_cast<std::ptrdiff_t>(latencies.size() / 2);
+    std::nth_element(latencies.begin(), middle, latencies.end());
+    return *middle;
+}
+
+bool mayEject(const ServiceRouting &routing, std::uint32_t upstream, BootTime now)
+{
+    const std::size_t known = routing.health.size();
+    if (known < 2) {
+        return false;
+    }
+    const auto out = std::count_if(routing.health.begin(), routing.health.end(), [&](const auto &entry) {
+        return entry.first != upstream && (now < entry.second.ejectedUntil || entry.second.probesLeft > 0);
+    });
+    return static_cast<std::size_t>(out) < std::max<std::size_t>(1, known / EjectedShare);
+}
+
+void eject(ServiceRouting &routing, std::uint32_t upstream, BootTime now)
+{
+    if (!mayEject(routing, upstream, now)) {
+        return;
+    }
+    UpstreamHealth &health = routing.health[upstream];
+    health.ejectedUntil = now + FirstEjection * (1U << std::min(health.ejections, MostDoublings));
+    health.ejections++;
+    health.probesLeft = ProbesToReturn;
+    health.failuresInRow = 0;
+}
+
+bool isStraggler(const ServiceRouting &routing, std::uint32_t upstream, nanoseconds latency)
+{
+    const nanoseconds median = medianLatency(routing, upstream);
+    return median.count() > 0 && latency > median + LeastDifference
+           && static_cast<double>(latency.count()) > StragglerRatio * static_cast<double>(median.count());
+}
+
+void learnLatency(UpstreamHealth &health, nanoseconds latency)
+{
+    const int share = health.answers == 0 ? 1 : LatencyShare;
+    health.latency += (latency - health.latency) / share;
+    health.answers++;
+}
+
+void learnHedgeDelay(ServiceRouting &routing, nanoseconds latency)
+{
+    const auto step = static_cast<double>(routing.hedgeDelay.count()) * QuantileStep;
+    const double change = latency > routing.hedgeDelay ? step * HedgeQuantile : -step * (1 - HedgeQuantile);
+    routing.hedgeDelay += nanoseconds(static_cast<nanoseconds::rep>(change));
+    routing.hedgeDelay = std::max<nanoseconds>(routing.hedgeDelay, LeastHedgeDelay);
+}
+
+/** A slow probe sends the upstream out again; a fast one brings it nearer. */
+void judge(ServiceRouting &routing, std::uint32_t upstream, nanoseconds latency, BootTime now)
+{
+    UpstreamHealth &health = routing.health[upstream];
+    if (health.probesLeft > 0) {
+        if (now < health.ejectedUntil) {
+            return;
+        }
+        if (isStraggler(routing, upstream, latency)) {
+            eject(routing, upstream, now);
+            return;
+        }
+        health.probesLeft--;
+        health.latency = latency;
+        if (health.probesLeft == 0) {
+            health.ejections = 0;
+        }
+        return;
+    }
+    if (health.answers >= LeastAnswers && isStraggler(routing, upstream, health.latency)) {
+        eject(routing, upstream, now);
+    }
+}
+
+void noteEnded(ServiceRouting &routing, std::uint32_t upstream)
+{
+    UpstreamHealth &health = routing.health[upstream];
+    if (health.outstanding > 0) {
+        health.outstanding--;
+    }
+}
+
+/** @return whether the upstream takes no request now: ejected, or probed by one already */
+bool isHeldBack(const ServiceRouting &routing, std::uint32_t upstream, BootTime now)
+{
+    const auto found = routing.health.find(upstream);
+    if (found == routing.health.end()) {
+        return false;
+    }
+    const UpstreamHealth &health = found->second;
+    return now < health.ejectedUntil || (health.probesLeft > 0 && health.outstanding > 0);
+}
+
+double reportedLoad(const UpstreamHealth &health, BootTime now)
+{
+    return now - health.loadAt < LoadAge ? health.load : 0;
+}
+
+/** @return how busy an upstream is for its weight */
+double cost(const ServiceRouting &routing, const Candidate &candidate, double meanWeight, BootTime now)
+{
+    const auto found = routing.health.find(candidate.upstream);
+    if (found == routing.health.end()) {
+        return 0;
+    }
+    const UpstreamHealth &health = found->second;
+    return reportedLoad(health, now) * LoadWorth + health.outstanding * meanWeight / candidate.weight;
+}
+
+double randomPart(pcg32 &random)
+{
+    return static_cast<double>(random()) / (static_cast<double>(pcg32::max()) + 1);
+}
+
+std::size_t drawByWeight(const std::vector<Candidate> &candidates, double total, pcg32 &random)
+{
+    double rest = randomPart(random) * total;
+    for (std::size_t index = 0; index + 1 < candidates.size(); index++) {
+        rest -= candidates[index].weight;
+        if (rest < 0) {
+            return index;
+        }
+    }
+    return candidates.size() - 1;
+}
+
+const Candidate &
+better(const ServiceRouting &routing, const Candidate &first, const Candidate &second, double meanWeight, BootTime now)
+{
+    const double firstCost = cost(routing, first, meanWeight, now);
+    const double secondCost = cost(routing, second, meanWeight, now);
+    const bool alike = std::abs(firstCost - secondCost) < AlikeLoad;
+    if (alike && first.localDomain != second.localDomain) {
+        const Candidate &local = first.localDomain ? first : second;
+        const auto found = routing.health.find(local.upstream);
+        const bool busy = found != routing.health.end() && reportedLoad(found->second, now) >= BusyLoad;
+        return busy ? first : local;
+    }
+    return secondCost < firstCost ? second : first;
+}
+
+const Candidate &twoChoices(ServiceRouting &routing, const std::vector<Candidate> &open, pcg32 &random, BootTime now)
+{
+    double total = 0;
+    for (const Candidate &candidate : open) {
+        total += candidate.weight;
+    }
+    const Candidate &first = open[drawByWeight(open, total, random)];
+    const Candidate &second = open[drawByWeight(open, total, random)];
+    return better(routing, first, second, total / static_cast<double>(open.size()), now);
+}
+
+std::vector<Candidate> without(const std::vector<Candidate> &candidates, const std::vector<std::uint32_t> &tried)
+{
+    std::vector<Candidate> left;
+    std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(left), [&](const Candidate &candidate) {
+        return std::find(tried.begin(), tried.end(), candidate.upstream) == tried.end();
+    });
+    return left;
+}
+
+} // namespace
+
+std::uint32_t choose(ServiceRouting &routing,
+                     const std::vector<Candidate> &candidates,
+                     const std::vector<std::uint32_t> &tried,
+                     pcg32 &random,
+                     BootTime now)
+{
+    const std::vector<Candidate> left = without(candidates, tried);
+    if (left.empty()) {
+        return 0;
+    }
+    if (routing.policy == ChoicePolicy::UniformRandom) {
+        return left[random(static_cast<std::uint32_t>(left.size()))].upstream;
+    }
+    if (routing.policy == ChoicePolicy::RoundRobin) {
+        return left[routing.turn++ % left.size()].upstream;
+    }
+    if (routing.policy == ChoicePolicy::WeightedRandom) {
+        double total = 0;
+        for (const Candidate &candidate : left) {
+            total += candidate.weight;
+        }
+        return left[drawByWeight(left, total, random)].upstream;
+    }
+    std::vector<Candidate> open;
+    std::copy_if(left.begin(), left.end(), std::back_inserter(open), [&](const Candidate &candidate) {
+        return !isHeldBack(routing, candidate.upstream, now);
+    });
+    // With nobody else left, an ejected upstream is better than none.
+    return twoChoices(routing, open.empty() ? left : open, random, now).upstream;
+}
+
+void noteSent(ServiceRouting &routing, std::uint32_t upstream)
+{
+    routing.health[upstream].outstanding++;
+}
+
+void noteAnswered(
+    ServiceRouting &routing, std::uint32_t upstream, std::chrono::nanoseconds latency, double load, BootTime now)
+{
+    noteEnded(routing, upstream);
+    UpstreamHealth &health = routing.health[upstream];
+    health.failuresInRow = 0;
+    if (load >= 0) {
+        health.load = load;
+        health.loadAt = now;
+    }
+    learnLatency(health, latency);
+    learnHedgeDelay(routing, latency);
+    judge(routing, upstream, latency, now);
+}
+
+void noteShed(ServiceRouting &routing, std::uint32_t upstream, BootTime now)
+{
+    noteEnded(routing, upstream);
+    UpstreamHealth &health = routing.health[upstream];
+    health.load = std::max(health.load, FullLoad);
+    health.loadAt = now;
+}
+
+void noteFailed(ServiceRouting &routing, std::uint32_t upstream, std::chrono::nanoseconds waited, BootTime now)
+{
+    noteEnded(routing, upstream);
+    UpstreamHealth &health = routing.health[upstream];
+    health.failuresInRow++;
+    if (health.failuresInRow >= MostFailuresInRow || health.probesLeft > 0) {
+        eject(routing, upstream, now);
+        return;
+    }
+    if (waited > health.latency) {
+        learnLatency(health, waited);
+        judge(routing, upstream, waited, now);
+    }
+}
+
+void noteCancelled(ServiceRouting &routing, std::uint32_t upstream, std::chrono::nanoseconds waited, BootTime now)
+{
+    noteEnded(routing, upstream);
+    UpstreamHealth &health = routing.health[upstream];
+    // It takes at least as long as was waited: the loser of a hedge is how a straggler is first seen.
+    if (waited > health.latency) {
+        learnLatency(health, waited);
+        judge(routing, upstream, waited, now);
+    }
+}
+
+bool isEjected(const ServiceRouting &routing, std::uint32_t upstream, BootTime now)
+{
+    const auto found = routing.health.find(upstream);
+    return found != routing.health.end() && now < found->second.ejectedUntil;
+}
+
+} // namespace bergamotweir::agent
--- /dev/null
+++ b/src/process/ControlLink.cpp
@@ -0,0 +1,175 @@
+#include "process/ControlLink.h"
+
+#include "process/AgentState.h"
+
+#include <log4cplus/loggingmacros.h>
+
+namespace bergamotweir::process {
+
+namespace {
+
+constexpr std::chrono::milliseconds RenewInterval{100};
+
+log4cplus::Logger logger()
+{
+    return log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("control-link"));
+}
+
+void findOwnUpstreams(AgentState &state)
+{
+    state.ownership.ownUpstreams.clear();
+    for (const auto &[id, upstream] : state.map.upstreams) {
+        if (upstream.agent() == state.settings.agentName) {
+            state.ownership.ownUpstreams.insert(id);
+        }
+    }
+}
+
+void readTable(AgentState &state)
+{
+    Result<table::Table> table = table::Table::parse(state.map.csv);
+    if (!table) {
+        LOG4CPLUS_ERROR(logger(), "table " << state.map.tableVersion << " can't be read, the one before stays");
+        return;
+    }
+    state.table = std::move(table).value();
+    LOG4CPLUS_INFO(logger(), "table " << state.map.tableVersion << " in force");
+}
+
+} // namespace
+
+ControlLink::ControlLink(loop::EventLoop &loop, AgentState &state, ControlLinkEvents events)
+    : loop(loop)
+    , state(state)
+    , events(std::move(events))
+    , claimClient(loop, state.settings.controls)
+{
+    rpc::ControlSessionEvents sessionEvents;
+    sessionEvents.hello = [this] {
+        return this->hello();
+    };
+    sessionEvents.opened = [this](rpc::SessionId id) {
+        this->opened(id);
+    };
+    sessionEvents.message = [this](rpc::SessionId id, const wire::ControlMessage &message) {
+        this->received(id, message);
+    };
+    sessionEvents.closed = [this](rpc::SessionId) {
+        LOG4CPLUS_WARN(logger(), "session closed");
+        agent::endSession(this->state.lease);
+    };
+    this->session = std::make_unique<rpc::ControlSession>(loop, state.settings.controls, std::move(sessionEvents));
+    this->renewTimer = loop.every(RenewInterval, [this] {
+        this->renew();
+    });
+}
+
+ControlLink::~ControlLink()
+{
+    this->loop.cancel(this->renewTimer);
+}
+
+wire::Hello ControlLink::hello() const
+{
+    wire::Hello hello;
+    hello.set_agent(this->state.settings.agentName);
+    hello.set_failure_domain(this->state.settings.failureDomain);
+    hello.set_peer_address(this->state.peerAddress);
+    hello.set_operator_address(this->state.operatorAddress);
+    *hello.mutable_seen() = this->state.map.version;
+    return hello;
+}
+
+void ControlLink::opened(rpc::SessionId id)
+{
+    LOG4CPLUS_INFO(logger(), "session open");
+    agent::beginSession(this->state.lease, id);
+    for (const wire::UpstreamInfo &upstream : this->events.upstreams()) {
+        this->tell(upstream);
+    }
+    this->renew();
+}
+
+void ControlLink::received(rpc::SessionId id, const wire::ControlMessage &message)
+{
+    if (message.has_renewed()) {
+        if (agent::confirmRenewal(this->state.lease, id, message.renewed())) {
+            this->events.renewed();
+        }
+    } else if (message.has_update()) {
+        this->update(id, message.update());
+    } else if (message.has_revoke()) {
+        agent::revoke(this->state.ownership, message.revoke());
+        this->events.revoked(message.revoke());
+        this->tellReleased();
+    }
+}
+
+void ControlLink::update(rpc::SessionId id, const wire::StateUpdate &update)
+{
+    if (agent::apply(this->state.map, update) == agent::UpdateEnd::Older) {
+        LOG4CPLUS_WARN(logger(), "older state left out");
+        return;
+    }
+    findOwnUpstreams(this->state);
+    agent::forgetOldEpochs(this->state.ownership, this->state.map);
+    if (update.has_table()) {
+        readTable(this->state);
+    }
+    if (update.full()) {
+        wire::AgentMessage message;
+        *message.mutable_released() = agent::resumeReleased(this->state.ownership, this->state.map);
+        if (!message.released().slices().empty()) {
+            this->session->send(message);
+        }
+        agent::fullStateApplied(this->state.lease, id);
+        this->renew();
+    }
+    this->events.stateChanged();
+}
+
+void ControlLink::renew()
+{
+    if (this->state.lease.session == 0) {
+        return;
+    }
+    wire::AgentMessage message;
+    message.mutable_renew()->set_sequence(agent::noteRenewal(this->state.lease, BootClock::now()));
+    *message.mutable_renew()->mutable_in_force() = this->state.map.version;
+    this->session->send(message);
+}
+
+void ControlLink::tell(const wire::UpstreamInfo &upstream)
+{
+    wire::AgentMessage message;
+    *message.mutable_upstream() = upstream;
+    this->session->send(message);
+}
+
+void ControlLink::tell(const wire::ReportCrash &crash)
+{
+    wire::AgentMessage message;
+    *message.mutable_crash() = crash;
+    this->session->send(message);
+}
+
+void ControlLink::tellReleased()
+{
+    wire::AgentMessage message;
+    *message.mutable_released() = agent::takeReleased(this->state.ownership, this->state.map);
+    if (!message.released().slices().empty()) {
+        this->session->send(message);
+    }
+}
+
+bool ControlLink::isOpen() const
+{
+    return this->session->isOpen();
+}
+
+rpc::ClaimClient &ControlLink::claims()
+{
+    return this->claimClient;
+}
+
+} // namespace bergamotweir::process
--- /dev/null
+++ b/src/process/ControlLink.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "rpc/ClaimClient.h"
+#include "rpc/ControlSession.h"
+
+namespace bergamotweir::process {
+
+struct AgentState;
+
+/** What the owner of a ControlLink is told. */
+struct ControlLinkEvents {
+    /** Routes, table, marks or quarantine changed. */
+    std::function<void()> stateChanged;
+    std::function<void(const wire::Revoke &)> revoked;
+    /** The lease was extended. */
+    std::function<void()> renewed;
+    /** @return the agent's upstreams, told at the start of each session */
+    std::function<std::vector<wire::UpstreamInfo>()> upstreams;
+};
+
+/**
+ * The agent's side of its session with the leader: renewals, state updates, revocations and releases.
+ * Owned by AgentProcess; used on the loop's thread.
+ */
+class ControlLink
+{
+public:
+    ControlLink(loop::EventLoop &loop, AgentState &state, ControlLinkEvents events);
+    ~ControlLink();
+    ControlLink(const ControlLink &) = delete;
+    ControlLink &operator=(const ControlLink &) = delete;
+
+    void tell(const wire::UpstreamInfo &upstream);
+    void tell(const wire::ReportCrash &crash);
+
+    /** Tells of revoked slices on which no work is left. */
+    void tellReleased();
+
+    bool isOpen() const;
+    rpc::ClaimClient &claims();
+
+private:
+    wire::Hello hello() const;
+    void opened(rpc::SessionId session);
+    void received(rpc::SessionId session, const wire::ControlMessage &message);
+    void update(rpc::SessionId session, const wire::StateUpdate &update);
+    void renew();
+
+    loop::EventLoop &loop;
+    AgentState &state;
+    ControlLinkEvents events;
+    rpc::ClaimClient claimClient;
+    std::unique_ptr<rpc::ControlSession> session;
+    loop::TimerId renewTimer = 0;
+};
+
+} // namespace bergamotweir::process
--- /dev/null
+++ b/src/process/LocalUpstream.cpp
@@ -0,0 +1,508 @@
+#include "process/LocalUpstream.h"
+
+#include "process/AgentState.h"
+
+#include <log4cplus/loggingmacros.h>
+
+#include <algorithm>
+#include <cassert>
+
+namespace bergamotweir::process {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds HealthInterval{100};
+/** Without any answer for so long the upstream counts as frozen. */
+constexpr milliseconds FrozenAfter{500};
+constexpr milliseconds SilentAfter{3000};
+constexpr milliseconds CancelInterval{100};
+/** Work that was given up and not confirmed as ended counts until so long past its deadline. */
+constexpr milliseconds LingerPastDeadline{1000};
+/** Connections kept free for orders and health. */
+constexpr unsigned OrderConnections = 4;
+
+log4cplus::Logger logger()
+{
+    return log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("upstream"));
+}
+
+milliseconds unixTime()
+{
+    return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+}
+
+unsigned connectionsFor(const Announcement &announcement)
+{
+    return std::max(announcement.connections, OrderConnections + 1) - OrderConnections;
+}
+
+agent::GateSettings gateSettings(const AgentState &state, const Announcement &announcement)
+{
+    const table::UpstreamPolicy policy =
+        state.table.upstream(announcement.service, state.settings.failureDomain, announcement.name);
+    const bool limited = policy.limit != 0;
+    return agent::GateSettingsBuilder()
+        .ceiling(limited ? policy.limit : announcement.slots)
+        .ceilingIsTableLimit(limited)
+        .connections(connectionsFor(announcement))
+        .build()
+        .value();
+}
+
+net::HttpClientSettings clientSettings(const Announcement &announcement)
+{
+    net::HttpClientSettings settings;
+    settings.maxIdleConnections = announcement.connections;
+    settings.maxConnectionsPerPeer = announcement.connections;
+    return settings;
+}
+
+std::uint64_t endOf(const std::vector<agent::Slice> &slices, std::size_t index)
+{
+    return index + 1 < slices.size() ? slices[index + 1].begin : 0;
+}
+
+} // namespace
+
+/** One request at the upstream. */
+struct LocalUpstream::Work {
+    Dispatch request;
+    std::function<void(DispatchResult)> done;
+    net::CallId call = 0;
+    /** Where it was sent; a later incarnation may listen elsewhere. */
+    std::string address;
+    BootTime dispatchedAt;
+    /** The upstream's side of the connection broke, as it does when its process ends. */
+    bool broken = false;
+    /** Given up; counted until it has surely ended. */
+    bool lingering = false;
+    agent::WorkEnd end = agent::WorkEnd::Lost;
+};
+
+LocalUpstream::LocalUpstream(loop::EventLoop &loop,
+                             AgentState &state,
+                             Announcement announcement,
+                             LocalUpstreamEvents events)
+    : loop(loop)
+    , state(state)
+    , latest(std::move(announcement))
+    , events(std::move(events))
+    , client(loop, clientSettings(this->latest))
+    , gate(agent::makeGate(gateSettings(state, this->latest), BootClock::now()))
+    , lastAnnounced(BootClock::now())
+    , lastAnswer(this->lastAnnounced)
+    , alive(std::make_shared<bool>(true))
+{
+    this->healthTimer = this->loop.every(HealthInterval, [this] {
+        this->checkHealth(false);
+    });
+}
+
+LocalUpstream::~LocalUpstream()
+{
+    *this->alive = false;
+    this->loop.cancel(this->healthTimer);
+    this->loop.cancel(this->queueTimer);
+}
+
+void LocalUpstream::announced(const Announcement &announcement)
+{
+    const BootTime now = BootClock::now();
+    this->lastAnnounced = now;
+    this->lastAnswer = now;
+    const bool restarted = announcement.incarnation != this->latest.incarnation;
+    if (restarted) {
+        LOG4CPLUS_INFO(logger(), announcement.name << ": new incarnation, starting cold");
+        this->processEnded();
+        agent::restart(this->gate, now);
+    }
+    const bool differs = announcement != this->latest;
+    this->latest = announcement;
+    if (differs) {
+        this->applyTable();
+        this->events.changed();
+    }
+    // A crashed process doesn't come back; only a new incarnation does.
+    if (restarted || this->present == UpstreamStatus::Frozen) {
+        this->setStatus(UpstreamStatus::Serving);
+    }
+}
+
+void LocalUpstream::applyTable()
+{
+    agent::configure(this->gate, gateSettings(this->state, this->latest));
+    this->moveQueue();
+}
+
+std::vector<Grant> LocalUpstream::grants() const
+{
+    const BootTime now = BootClock::now();
+    const std::uint32_t own = this->id();
+    Grant grant;
+    grant.service = this->latest.service;
+    const auto found = this->state.map.slices.find(grant.service);
+    if (own == 0 || found == this->state.map.slices.end() || !agent::holds(this->state.lease, now)) {
+        return {};
+    }
+    const std::vector<agent::Slice> &slices = found->second;
+    for (std::size_t index = 0; index < slices.size(); index++) {
+        const agent::Slice &slice = slices[index];
+        const agent::SliceKey key{grant.service, slice.begin, slice.epoch};
+        if (slice.owner != own || this->state.ownership.revoked.contains(key)
+            || this->state.ownership.released.contains(key)) {
+            continue;
+        }
+        grant.ranges.push_back({slice.begin, endOf(slices, index)});
+        grant.epoch = std::max(grant.epoch, slice.epoch);
+    }
+    // The rounding down keeps the upstream's grant inside the lease.
+    grant.expires = std::chrono::duration_cast<milliseconds>(this->state.lease.validUntil - now);
+    return {grant};
+}
+
+void LocalUpstream::sendGrants()
+{
+    if (this->present == UpstreamStatus::Crashed) {
+        return;
+    }
+    if (this->granting) {
+        this->grantAgain = true;
+        return;
+    }
+    for (const Grant &grant : this->grants()) {
+        this->granting = true;
+        this->grantedEpoch = std::max(this->grantedEpoch, grant.epoch);
+        this->client.send(grantsCall(upstreamAddress(this->latest), grant), [this](const net::CallResult &) {
+            this->granting = false;
+            if (std::exchange(this->grantAgain, false)) {
+                this->sendGrants();
+            }
+        });
+    }
+}
+
+void LocalUpstream::sendRevoke(const wire::Revoke &order)
+{
+    const auto slices = this->state.map.slices.find(this->latest.service);
+    Grant revoked;
+    revoked.service = this->latest.service;
+    for (const wire::SliceRef &slice : order.slices()) {
+        if (slice.service() != this->latest.service || slices == this->state.map.slices.end()) {
+            continue;
+        }
+        for (std::size_t index = 0; index < slices->second.size(); index++) {
+            if (slices->second[index].begin == slice.begin()) {
+                revoked.ranges.push_back({slice.begin(), endOf(slices->second, index)});
+                revoked.epoch = std::max(revoked.epoch, slice.epoch());
+            }
+        }
+    }
+    if (!revoked.ranges.empty()) {
+        this->client.send(revokeCall(upstreamAddress(this->latest), revoked), [](const net::CallResult &) {});
+    }
+}
+
+agent::Admission LocalUpstream::enter(agent::TicketId ticket, BootTime deadline)
+{
+    if (this->present != UpstreamStatus::Serving) {
+        return agent::Admission::NoRoom;
+    }
+    const agent::Admission admission = agent::arrive(this->gate, {ticket, deadline}, BootClock::now());
+    if (admission == agent::Admission::Queued) {
+        this->armQueueTimer();
+    }
+    return admission;
+}
+
+void LocalUpstream::dispatch(agent::TicketId ticket, Dispatch request, std::function<void(DispatchResult)> done)
+{
+    const BootTime now = BootClock::now();
+    Work entry;
+    entry.request = std::move(request);
+    entry.done = std::move(done);
+    entry.dispatchedAt = now;
+    if (entry.request.keyed) {
+        agent::beginWork(this->state.ownership, entry.request.service, entry.request.hash);
+    }
+    agent::began(this->state.crashes, entry.request.fingerprint);
+    net::HttpCall call = std::move(entry.request.call);
+    addOrder(call,
+             {std::max(entry.request.epoch, this->grantedEpoch),
+              entry.request.requestId,
+              std::chrono::duration_cast<milliseconds>(entry.request.deadline - now)});
+    entry.address = upstreamAddress(this->latest);
+    call.address = entry.address;
+    call.timeout = entry.request.deadline - now;
+    entry.call = this->client.send(std::move(call), [this, ticket](net::CallResult result) {
+        this->answered(ticket, std::move(result));
+    });
+    const bool inserted = this->work.emplace(ticket, std::move(entry)).second;
+    assert(inserted);
+    static_cast<void>(inserted);
+}
+
+void LocalUpstream::giveBack(agent::TicketId)
+{
+    agent::finish(this->gate, agent::WorkEnd::Lost, {}, BootClock::now());
+    this->moveQueue();
+}
+
+void LocalUpstream::cancel(agent::TicketId ticket)
+{
+    if (agent::leave(this->gate, ticket)) {
+        return;
+    }
+    const auto found = this->work.find(ticket);
+    if (found == this->work.end() || found->second.lingering) {
+        return;
+    }
+    found->second.done = nullptr;
+    this->linger(ticket);
+    this->client.cancel(found->second.call);
+}
+
+void LocalUpstream::answered(agent::TicketId ticket, net::CallResult result)
+{
+    const auto found = this->work.find(ticket);
+    if (found == this->work.end() || found->second.lingering) {
+        return;
+    }
+    const AttemptOutcome outcome = readOutcome(result);
+    const auto done = std::exchange(found->second.done, nullptr);
+    if (result.end == net::CallEnd::Answered) {
+        this->lastAnswer = BootClock::now();
+        const bool shed = outcome.end == agent::AttemptEnd::NoRoom;
+        this->endWork(ticket, shed ? agent::WorkEnd::Shed : agent::WorkEnd::Answered, outcome.mayHaveRun);
+    } else if (!outcome.mayHaveRun) {
+        this->endWork(ticket, agent::WorkEnd::Lost, false);
+        this->checkHealth(true);
+    } else {
+        const bool late = result.end == net::CallEnd::TimedOut;
+        found->second.broken = result.end == net::CallEnd::Broken || result.end == net::CallEnd::ShortAnswer;
+        found->second.end = late ? agent::WorkEnd::TimedOut : agent::WorkEnd::Lost;
+        this->linger(ticket);
+        this->checkHealth(true);
+    }
+    if (done) {
+        done({outcome, std::move(result.answer)});
+    }
+}
+
+/**
+ * Guard against two owners of a key. It shows when a request that was given up still runs at the upstream while its
+ * slice has been released to another. The work counts until the upstream confirms the cancellation or ended, or its
+ * deadline, which the upstream honours, is well past.
+ */
+void LocalUpstream::linger(agent::TicketId ticket)
+{
+    this->work.at(ticket).lingering = true;
+    this->askToCancel(ticket);
+}
+
+void LocalUpstream::askToCancel(agent::TicketId ticket)
+{
+    const auto found = this->work.find(ticket);
+    if (found == this->work.end()) {
+        return;
+    }
+    if (BootClock::now() >= found->second.request.deadline + LingerPastDeadline) {
+        this->endWork(ticket, found->second.end, false);
+        return;
+    }
+    this->client.send(cancelCall(found->second.address, found->second.request.requestId),
+                      [this, ticket](const net::CallResult &result) {
+                          const auto waiting = this->work.find(ticket);
+                          if (waiting == this->work.end()) {
+                              return;
+                          }
+                          if (result.end == net::CallEnd::Answered) {
+                              this->endWork(ticket, waiting->second.end, false);
+                              return;
+                          }
+                          this->loop.after(CancelInterval, [this, ticket, alive = this->alive] {
+                              if (*alive) {
+                                  this->askToCancel(ticket);
+                              }
+                          });
+                      });
+}
+
+void LocalUpstream::endWork(agent::TicketId ticket, agent::WorkEnd end, bool answeredInFull)
+{
+    const auto found = this->work.find(ticket);
+    const Work ended = std::move(found->second);
+    this->work.erase(found);
+    const BootTime now = BootClock::now();
+    if (ended.request.keyed) {
+        agent::endWork(this->state.ownership, ended.request.service, ended.request.hash);
+    }
+    agent::ended(this->state.crashes, ended.request.fingerprint, answeredInFull);
+    agent::finish(this->gate, end, now - ended.dispatchedAt, now);
+    this->moveQueue();
+    this->events.workEnded();
+}
+
+void LocalUpstream::checkHealth(bool freshConnection)
+{
+    const BootTime now = BootClock::now();
+    if (this->present == UpstreamStatus::Crashed) {
+        return;
+    }
+    if (now - this->lastAnnounced > SilentAfter || now - this->lastAnswer > FrozenAfter) {
+        this->setStatus(UpstreamStatus::Frozen);
+    }
+    if (this->probing) {
+        return;
+    }
+    this->probing = true;
+    net::HttpCall call = healthCall(upstreamAddress(this->latest), FrozenAfter);
+    call.freshConnection = freshConnection;
+    this->client.send(std::move(call), [this](const net::CallResult &result) {
+        this->probing = false;
+        this->healthAnswered(result);
+    });
+}
+
+void LocalUpstream::healthAnswered(const net::CallResult &result)
+{
+    if (result.end == net::CallEnd::Answered) {
+        this->lastAnswer = BootClock::now();
+        const bool announces = this->lastAnswer - this->lastAnnounced <= SilentAfter;
+        if (this->present == UpstreamStatus::Frozen && announces) {
+            this->setStatus(UpstreamStatus::Serving);
+        }
+        return;
+    }
+    const bool refused = result.end == net::CallEnd::NotSent && result.elapsed < FrozenAfter;
+    if (refused) {
+        this->processEnded();
+    } else if (result.end == net::CallEnd::Broken) {
+        this->checkHealth(true);
+    }
+}
+
+/**
+ * Ends the work whose connections broke, and suspects it.
+ * Guard against taking a graceful stop for a crash. A stopping upstream closes its listening socket first and so
+ * refuses connections while it finishes its work; were its slices given away at once, two upstreams would run a key.
+ * A process that has really ended breaks every connection, so work with an unbroken one keeps the upstream Frozen.
+ */
+void LocalUpstream::processEnded()
+{
+    std::set<std::uint64_t> broken;
+    std::vector<agent::TicketId> ended;
+    for (const auto &[ticket, entry] : this->work) {
+        if (entry.broken) {
+            broken.insert(entry.request.fingerprint);
+            ended.push_back(ticket);
+        }
+    }
+    const bool allEnded = ended.size() == this->work.size();
+    this->setStatus(allEnded ? UpstreamStatus::Crashed : UpstreamStatus::Frozen);
+    const wire::ReportCrash report = agent::crashed(this->state.crashes, broken, this->latest.incarnation, unixTime());
+    for (const agent::TicketId ticket : ended) {
+        this->endWork(ticket, agent::WorkEnd::Lost, false);
+    }
+    if (!report.suspects().empty()) {
+        LOG4CPLUS_WARN(logger(), this->latest.name << ": " << report.suspects_size() << " requests suspected");
+        this->events.crashed(report);
+    }
+}
+
+void LocalUpstream::setStatus(UpstreamStatus status)
+{
+    if (status == this->present) {
+        return;
+    }
+    this->present = status;
+    LOG4CPLUS_INFO(logger(),
+                   this->latest.name << (status == UpstreamStatus::Serving   ? ": serving"
+                                         : status == UpstreamStatus::Crashed ? ": crashed"
+                                                                             : ": does not answer"));
+    this->events.changed();
+    this->moveQueue();
+}
+
+void LocalUpstream::moveQueue()
+{
+    agent::GateMoves moves;
+    if (this->present == UpstreamStatus::Serving) {
+        moves = agent::move(this->gate, BootClock::now());
+    } else {
+        moves.shed = agent::takeAll(this->gate);
+    }
+    this->armQueueTimer();
+    for (const agent::TicketId ticket : moves.shed) {
+        this->events.decided(ticket, false);
+    }
+    for (const agent::TicketId ticket : moves.admitted) {
+        this->events.decided(ticket, true);
+    }
+}
+
+void LocalUpstream::armQueueTimer()
+{
+    this->loop.cancel(this->queueTimer);
+    this->queueTimer = 0;
+    const BootTime next = agent::nextMove(this->gate);
+    if (next == BootTime::max()) {
+        return;
+    }
+    const auto delay = std::max<std::chrono::nanoseconds>(next - BootClock::now(), std::chrono::microseconds(100));
+    this->queueTimer = this->loop.after(delay, [this] {
+        this->queueTimer = 0;
+        this->moveQueue();
+    });
+}
+
+wire::UpstreamInfo LocalUpstream::info() const
+{
+    wire::UpstreamInfo info;
+    info.set_service(this->latest.service);
+    info.set_name(this->latest.name);
+    info.set_failure_domain(this->state.settings.failureDomain);
+    info.set_agent(this->state.settings.agentName);
+    info.set_peer_address(this->state.peerAddress);
+    info.set_incarnation(this->latest.incarnation);
+    info.set_slots(this->latest.slots);
+    info.set_connections(this->latest.connections);
+    info.set_checks_grants(this->latest.checksGrants);
+    info.set_serving(this->present == UpstreamStatus::Serving && !this->state.stopping);
+    info.set_operator_address(this->state.operatorAddress);
+    return info;
+}
+
+std::uint32_t LocalUpstream::id() const
+{
+    for (const std::uint32_t own : this->state.ownership.ownUpstreams) {
+        const wire::UpstreamInfo *known = agent::findUpstream(this->state.map, own);
+        if (known != nullptr && known->service() == this->latest.service && known->name() == this->latest.name) {
+            return own;
+        }
+    }
+    return 0;
+}
+
+const Announcement &LocalUpstream::announcement() const
+{
+    return this->latest;
+}
+
+UpstreamStatus LocalUpstream::status() const
+{
+    return this->present;
+}
+
+double LocalUpstream::load() const
+{
+    return agent::load(this->gate);
+}
+
+std::size_t LocalUpstream::inProgress() const
+{
+    return this->work.size();
+}
+
+} // namespace bergamotweir::process
--- /dev/null
+++ b/src/process/LocalUpstream.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include "agent/Gate.h"
+#include "loop/EventLoop.h"
+#include "net/HttpClient.h"
+#include "process/UpstreamProtocol.h"
+
+#include <control.pb.h>
+
+#include <map>
+
+namespace bergamotweir::process {
+
+struct AgentState;
+
+/** Whether an upstream takes work. */
+enum class UpstreamStatus {
+    Serving,
+    /** Its process ended: nothing is in progress at it. */
+    Crashed,
+    /** It doesn't answer, but may come back to what it was doing. */
+    Frozen
+};
+
+/** One request as it is handed to the upstream. */
+struct Dispatch {
+    net::HttpCall call;
+    std::string requestId;
+    std::string service;
+    bool keyed = false;
+    std::uint64_t hash = 0;
+    /** Of the slice that the key is in; 0 when the service isn't keyed. */
+    std::uint64_t epoch = 0;
+    std::uint64_t fingerprint = 0;
+    BootTime deadline;
+};
+
+/** What came of it. */
+struct DispatchResult {
+    AttemptOutcome outcome;
+    net::HttpAnswer answer;
+};
+
+/** What the owner of a LocalUpstream is told. */
+struct LocalUpstreamEvents {
+    /** Status, incarnation or announcement changed: control must know. */
+    std::function<void()> changed;
+    std::function<void(const wire::ReportCrash &)> crashed;
+    /** Work ended: a revoked slice may be free. */
+    std::function<void()> workEnded;
+    /** A waiting ticket was let through, or shed. */
+    std::function<void(agent::TicketId, bool admitted)> decided;
+};
+
+/**
+ * The upstream beside this agent: its gate, its orders, its health and the work in progress at it.
+ * Owned by AgentProcess; used on the loop's thread.
+ */
+class LocalUpstream
+{
+public:
+    LocalUpstream(loop::EventLoop &loop, AgentState &state, Announcement announcement, LocalUpstreamEvents events);
+    ~LocalUpstream();
+    LocalUpstream(const LocalUpstream &) = delete;
+    LocalUpstream &operator=(const LocalUpstream &) = delete;
+
+    /** Takes an announcement of the same service and name; a new incarnation starts cold. */
+    void announced(const Announcement &announcement);
+
+    /** Takes the limits of a changed table. */
+    void applyTable();
+
+    /** Sends the grants that map and lease allow now; to be called after each change and renewal. */
+    void sendGrants();
+
+    /** Tells the upstream what it no longer serves. */
+    void sendRevoke(const wire::Revoke &order);
+
+    agent::Admission enter(agent::TicketId ticket, BootTime deadline);
+
+    /** Hands an admitted request on. @param done called once, unless cancelled */
+    void dispatch(agent::TicketId ticket, Dispatch request, std::function<void(DispatchResult)> done);
+
+    /** An admitted ticket won't be dispatched after all. */
+    void giveBack(agent::TicketId ticket);
+
+    /** Gives a ticket up, waiting or dispatched; its work counts until it has surely ended. */
+    void cancel(agent::TicketId ticket);
+
+    /** @return how control knows this upstream */
+    wire::UpstreamInfo info() const;
+
+    /** @return id that control gave, 0 before that */
+    std::uint32_t id() const;
+
+    const Announcement &announcement() const;
+    UpstreamStatus status() const;
+    double load() const;
+
+    /** @return requests in progress, those given up but perhaps still running included */
+    std::size_t inProgress() const;
+
+private:
+    struct Work;
+    void checkHealth(bool freshConnection);
+    void healthAnswered(const net::CallResult &result);
+    void answered(agent::TicketId ticket, net::CallResult result);
+    void linger(agent::TicketId ticket);
+    void askToCancel(agent::TicketId ticket);
+    void endWork(agent::TicketId ticket, agent::WorkEnd end, bool answeredInFull);
+    void processEnded();
+    void setStatus(UpstreamStatus status);
+    void moveQueue();
+    void armQueueTimer();
+    std::vector<Grant> grants() const;
+
+    loop::EventLoop &loop;
+    AgentState &state;
+    Announcement latest;
+    LocalUpstreamEvents events;
+    net::HttpClient client;
+    agent::Gate gate;
+    std::map<agent::TicketId, Work> work;
+    UpstreamStatus present = UpstreamStatus::Serving;
+    BootTime lastAnnounced;
+    BootTime lastAnswer;
+    bool probing = false;
+    bool granting = false;
+    bool grantAgain = false;
+    /** Newest epoch that the upstream was told. */
+    std::uint64_t grantedEpoch = 0;
+    loop::TimerId healthTimer = 0;
+    loop::TimerId queueTimer = 0;
+    std::shared_ptr<bool> alive;
+};
+
+} // namespace bergamotweir::process
--- /dev/null
+++ b/src/process/RequestRunner.cpp
@@ -0,0 +1,633 @@
+#include "process/RequestRunner.h"
+
+#include "agent/RequestStep.h"
+#include "net/Problem.h"
+#include "process/AgentState.h"
+#include "process/LocalUpstream.h"
+#include "rpc/ClaimClient.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cstdlib>
+
+namespace bergamotweir::process {
+
+namespace {
+
+using agent::ActionKind;
+using agent::AttemptEnd;
+using agent::EventKind;
+using std::chrono::milliseconds;
+
+constexpr std::size_t MaxRunning = 16384;
+constexpr std::size_t MaxWaiting = 4096;
+constexpr milliseconds RecordTimeout{10000};
+/** Answers larger than this aren't kept with a claim. */
+constexpr std::size_t MaxRecordedBody = 16 * 1024;
+/** Taken off the deadline at each hop, so that the agent that the caller waits for is the last to give up. */
+constexpr milliseconds HopMargin{2};
+
+std::uint64_t bodyHash(const ParsedRequest &parsed)
+{
+    return parsed.fingerprint;
+}
+
+agent::ClaimAnswer claimAnswer(const wire::ClaimReply &reply)
+{
+    switch (reply.verdict()) {
+    case wire::CLAIM_VERDICT_GRANTED:
+        return agent::ClaimAnswer::Granted;
+    case wire::CLAIM_VERDICT_IN_PROGRESS:
+        return agent::ClaimAnswer::InProgress;
+    case wire::CLAIM_VERDICT_RECORDED:
+        return reply.outcome().body_dropped() ? agent::ClaimAnswer::RecordedWithoutBody : agent::ClaimAnswer::Recorded;
+    case wire::CLAIM_VERDICT_CONFLICT:
+        return agent::ClaimAnswer::Conflict;
+    case wire::CLAIM_VERDICT_UNKNOWN:
+        return agent::ClaimAnswer::Unknown;
+    default:
+        return agent::ClaimAnswer::Unavailable;
+    }
+}
+
+/** @return how the other agent says that the attempt ended; its answer is an upstream's unless it says otherwise */
+AttemptOutcome readPeerOutcome(const net::CallResult &result)
+{
+    if (result.end != net::CallEnd::Answered) {
+        return readOutcome(result);
+    }
+    const std::string *end = net::findHeader(result.answer.headers, EndHeader);
+    const std::string *ran = net::findHeader(result.answer.headers, "Request-Ran");
+    const bool mayHaveRun = ran == nullptr || *ran != "no";
+    if (end == nullptr) {
+        return {AttemptEnd::Answered, mayHaveRun};
+    }
+    return {agent::attemptEndFromText(*end).value_or(AttemptEnd::Broken), mayHaveRun};
+}
+
+double readLoad(const net::HttpAnswer &answer)
+{
+    const std::string *load = net::findHeader(answer.headers, LoadHeader);
+    return load == nullptr ? -1 : std::strtod(load->c_str(), nullptr);
+}
+
+AttemptEnd endOf(const agent::RefusalFacts &refusal)
+{
+    return refusal.cause == agent::RefusalCause::DeadlinePassed ? AttemptEnd::TimedOut : refusal.end;
+}
+
+} // namespace
+
+struct RequestRunner::LiveAttempt {
+    std::uint32_t upstream = 0;
+    bool local = false;
+    std::uint64_t ticket = 0;
+    net::CallId call = 0;
+    BootTime begunAt;
+    net::HttpAnswer answer;
+};
+
+struct RequestRunner::Running {
+    Number number = 0;
+    Origin origin = Origin::Caller;
+    std::shared_ptr<net::Exchange> exchange;
+    ParsedRequest parsed;
+    agent::RequestState state;
+    BootTime acceptedAt;
+    std::map<unsigned, LiveAttempt> attempts;
+    wire::ClaimReply claim;
+    bool claimPending = false;
+    /** Events that came up while an earlier one was handled. */
+    std::deque<agent::RequestEvent> events;
+    bool handling = false;
+    bool waits = false;
+    loop::TimerId deadlineTimer = 0;
+    loop::TimerId waitTimer = 0;
+    loop::TimerId hedgeTimer = 0;
+};
+
+RequestRunner::RequestRunner(loop::EventLoop &loop, AgentState &state, RequestRunnerNeeds needs)
+    : loop(loop)
+    , state(state)
+    , needs(std::move(needs))
+    , peers(loop)
+{
+    const std::uint64_t start = (static_cast<std::uint64_t>(state.random()) << 32U) | state.random();
+    this->idPrefix = state.settings.agentName + "-" + std::to_string(start) + "-";
+}
+
+RequestRunner::~RequestRunner() = default;
+
+void RequestRunner::accept(const std::shared_ptr<net::Exchange> &exchange, Origin origin)
+{
+    const BootTime now = BootClock::now();
+    if (this->running.size() >= MaxRunning) {
+        exchange->answer(refusalAnswer(
+            {.end = AttemptEnd::NoRoom, .status = 503, .ran = agent::Ran::No, .retryAfter = true}, this->state.random));
+        return;
+    }
+    auto parsed = parseRequest(exchange->request(), this->state.table, origin, now);
+    if (auto *refusal = std::get_if<net::HttpAnswer>(&parsed)) {
+        if (origin == Origin::Peer) {
+            // This agent's table may be behind the sender's, which waits and asks again.
+            refusal->headers.push_back({EndHeader, std::string(agent::toText(AttemptEnd::NotOwner))});
+        }
+        exchange->answer(std::move(*refusal));
+        return;
+    }
+    auto request = std::make_unique<Running>();
+    request->number = ++this->lastNumber;
+    request->origin = origin;
+    request->exchange = exchange;
+    request->parsed = std::move(std::get<ParsedRequest>(parsed));
+    request->state.facts = request->parsed.facts;
+    request->acceptedAt = now;
+    const Number number = request->number;
+    if (request->parsed.suspect) {
+        agent::suspect(this->state.crashes, request->parsed.fingerprint);
+    }
+    if (request->parsed.requestId.empty()) {
+        request->parsed.requestId = this->idPrefix + std::to_string(number);
+    }
+    request->deadlineTimer = this->loop.after(request->parsed.facts.deadline - now, [this, number] {
+        this->handle(number, {.kind = EventKind::DeadlinePassed});
+    });
+    exchange->onAbandoned([this, number] {
+        this->handle(number, {.kind = EventKind::CallerGone});
+    });
+    const bool quarantined = this->state.map.quarantined.contains(request->parsed.fingerprint);
+    this->running.emplace(number, std::move(request));
+    this->handle(number, {.kind = quarantined ? EventKind::FoundQuarantined : EventKind::Accepted});
+}
+
+void RequestRunner::handle(Number number, const agent::RequestEvent &event)
+{
+    const auto found = this->running.find(number);
+    if (found == this->running.end()) {
+        return;
+    }
+    Running &request = *found->second;
+    request.events.push_back(event);
+    if (request.handling) {
+        return;
+    }
+    request.handling = true;
+    while (!request.events.empty()) {
+        const agent::RequestEvent next = request.events.front();
+        request.events.pop_front();
+        ServiceState &service = this->state.services[request.state.facts.service];
+        const agent::RequestContext context{&service.retries, &service.hedges, &this->state.random};
+        for (const agent::RequestAction &action : agent::step(request.state, next, BootClock::now(), context)) {
+            this->perform(request, action);
+        }
+    }
+    request.handling = false;
+    if (request.state.stage == agent::Stage::Ended && !request.claimPending) {
+        this->finish(request);
+        this->running.erase(number);
+    }
+}
+
+void RequestRunner::perform(Running &request, const agent::RequestAction &action)
+{
+    switch (action.kind) {
+    case ActionKind::Claim:
+        this->claim(request);
+        break;
+    case ActionKind::Route:
+        this->route(request);
+        break;
+    case ActionKind::Wait:
+        this->wait(request, action.delay);
+        break;
+    case ActionKind::EnterGate:
+        this->enterGate(request, action);
+        break;
+    case ActionKind::Dispatch:
+        this->dispatch(request, action);
+        break;
+    case ActionKind::Forward:
+        this->forward(request, action);
+        break;
+    case ActionKind::Cancel:
+        this->cancel(request, action.attempt);
+        break;
+    case ActionKind::ArmHedge:
+        this->armHedge(request);
+        break;
+    case ActionKind::Relay:
+        this->relay(request, action.attempt);
+        break;
+    case ActionKind::RelayRecorded:
+        this->relayRecorded(request);
+        break;
+    case ActionKind::Refuse:
+        this->refuse(request, action.refusal);
+        break;
+    case ActionKind::Record:
+        this->record(request, action);
+        break;
+    }
+}
+
+void RequestRunner::claim(Running &request)
+{
+    wire::ClaimRequest claim;
+    claim.set_service(request.state.facts.service);
+    claim.set_idempotency_key(request.parsed.idempotencyKey);
+    claim.set_body_hash(bodyHash(request.parsed));
+    claim.set_agent(this->state.settings.agentName);
+    claim.set_attempt(request.parsed.requestId);
+    const auto unixTime = std::chrono::system_clock::now().time_since_epoch();
+    claim.set_unix_ms(static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(unixTime).count()));
+    const auto left = std::chrono::duration_cast<milliseconds>(request.state.facts.deadline - BootClock::now());
+    request.claimPending = true;
+    const Number number = request.number;
+    this->needs.claims->claim(claim, std::max(left, milliseconds(1)), [this, number](const wire::ClaimReply &reply) {
+        const auto found = this->running.find(number);
+        if (found == this->running.end()) {
+            return;
+        }
+        found->second->claim = reply;
+        found->second->claimPending = false;
+        this->handle(number, {.kind = EventKind::ClaimAnswered, .claim = claimAnswer(reply)});
+    });
+}
+
+void RequestRunner::route(Running &request)
+{
+    std::uint32_t upstream = 0;
+    if (request.origin == Origin::Peer) {
+        upstream = this->routeForwarded(request);
+    } else if (request.state.facts.keyed) {
+        upstream = this->routeKeyed(request);
+    } else {
+        upstream = this->routeUnkeyed(request);
+    }
+    const bool local = upstream != 0 && this->needs.localUpstream(upstream) != nullptr;
+    this->handle(request.number, {.kind = EventKind::Routed, .upstream = upstream, .local = local});
+}
+
+std::uint32_t RequestRunner::routeKeyed(const Running &request) const
+{
+    const agent::RequestFacts &facts = request.state.facts;
+    const auto slice = agent::findSlice(this->state.map, facts.service, facts.hash);
+    const wire::UpstreamInfo *owner = slice ? agent::findUpstream(this->state.map, slice->owner) : nullptr;
+    if (owner == nullptr) {
+        return 0;
+    }
+    if (!this->state.ownership.ownUpstreams.contains(slice->owner)) {
+        return slice->owner;
+    }
+    const bool served =
+        this->needs.localUpstream(slice->owner) != nullptr
+        && agent::ownsLocally(
+            this->state.ownership, this->state.map, this->state.lease, facts.service, facts.hash, BootClock::now());
+    return served ? slice->owner : 0;
+}
+
+std::uint32_t RequestRunner::routeUnkeyed(Running &request)
+{
+    ServiceState &service = this->state.services[request.state.facts.service];
+    return agent::choose(
+        service.routing, service.candidates, request.state.tried, this->state.random, BootClock::now());
+}
+
+std::uint32_t RequestRunner::routeForwarded(const Running &request) const
+{
+    const agent::RequestFacts &facts = request.state.facts;
+    const std::uint32_t wanted = request.parsed.wantedUpstream;
+    const LocalUpstream *upstream = this->needs.localUpstream(wanted);
+    if (upstream == nullptr || upstream->announcement().service != facts.service) {
+        return 0;
+    }
+    return facts.keyed && this->routeKeyed(request) != wanted ? 0 : wanted;
+}
+
+void RequestRunner::wait(Running &request, std::chrono::nanoseconds delay)
+{
+    const Number number = request.number;
+    if (this->waiting >= MaxWaiting) {
+        this->handle(number, {.kind = EventKind::WaitRefused});
+        return;
+    }
+    this->waiting++;
+    request.waits = true;
+    request.waitTimer = this->loop.after(delay, [this, number] {
+        const auto found = this->running.find(number);
+        if (found != this->running.end() && found->second->waits) {
+            found->second->waits = false;
+            this->waiting--;
+            this->handle(number, {.kind = EventKind::Woken});
+        }
+    });
+}
+
+void RequestRunner::stateChanged()
+{
+    std::vector<Number> woken;
+    for (const auto &[number, request] : this->running) {
+        if (request->waits && request->state.lastEnd == AttemptEnd::NotOwner) {
+            woken.push_back(number);
+        }
+    }
+    std::sort(woken.begin(), woken.end());
+    for (const Number number : woken) {
+        Running &request = *this->running.at(number);
+        this->loop.cancel(request.waitTimer);
+        request.waits = false;
+        this->waiting--;
+        this->handle(number, {.kind = EventKind::Woken});
+    }
+}
+
+void RequestRunner::armHedge(Running &request)
+{
+    const Number number = request.number;
+    const auto delay = this->state.services[request.state.facts.service].routing.hedgeDelay;
+    this->loop.cancel(request.hedgeTimer);
+    request.hedgeTimer = this->loop.after(delay, [this, number] {
+        this->handle(number, {.kind = EventKind::HedgeDue});
+    });
+}
+
+void RequestRunner::enterGate(Running &request, const agent::RequestAction &action)
+{
+    LocalUpstream *upstream = this->needs.localUpstream(action.upstream);
+    LiveAttempt attempt;
+    attempt.upstream = action.upstream;
+    attempt.local = true;
+    attempt.begunAt = BootClock::now();
+    attempt.ticket = ++this->lastTicket;
+    const std::uint64_t ticket = attempt.ticket;
+    request.attempts[action.attempt] = std::move(attempt);
+    this->tickets[ticket] = {request.number, action.attempt};
+    agent::noteSent(this->state.services[request.state.facts.service].routing, action.upstream);
+    const agent::Admission admission =
+        upstream == nullptr ? agent::Admission::NoRoom : upstream->enter(ticket, request.state.facts.deadline);
+    switch (admission) {
+    case agent::Admission::Admitted:
+        this->handle(request.number, {.kind = EventKind::Admitted, .attempt = action.attempt});
+        break;
+    case agent::Admission::Queued:
+        break;
+    case agent::Admission::NoRoom:
+        this->attemptEnded(request.number, action.attempt, AttemptEnd::NoRoom, false, {});
+        break;
+    case agent::Admission::OverLimit:
+        this->attemptEnded(request.number, action.attempt, AttemptEnd::OverLimit, false, {});
+        break;
+    }
+}
+
+void RequestRunner::gateDecided(std::uint64_t ticket, bool admitted)
+{
+    const auto found = this->tickets.find(ticket);
+    if (found == this->tickets.end()) {
+        return;
+    }
+    const auto [number, attempt] = found->second;
+    if (admitted) {
+        this->handle(number, {.kind = EventKind::Admitted, .attempt = attempt});
+    } else {
+        this->attemptEnded(number, attempt, AttemptEnd::NoRoom, false, {});
+    }
+}
+
+/** The last check before a request is handed to an upstream: ownership and lease as they are now. */
+AttemptEnd RequestRunner::checkDispatch(const Running &request, std::uint64_t &epoch) const
+{
+    const agent::RequestFacts &facts = request.state.facts;
+    if (this->state.map.quarantined.contains(request.parsed.fingerprint)) {
+        return AttemptEnd::Quarantined;
+    }
+    if (!agent::mayRun(this->state.crashes, request.parsed.fingerprint)) {
+        return AttemptEnd::NoRoom;
+    }
+    if (!facts.keyed) {
+        return AttemptEnd::Answered;
+    }
+    agent::Slice slice;
+    const agent::Refusal refusal = agent::checkOwnership(
+        this->state.ownership, this->state.map, this->state.lease, facts.service, facts.hash, BootClock::now(), &slice);
+    epoch = slice.epoch;
+    return refusal == agent::Refusal::None ? AttemptEnd::Answered : AttemptEnd::NotOwner;
+}
+
+void RequestRunner::dispatch(Running &request, const agent::RequestAction &action)
+{
+    const LiveAttempt &attempt = request.attempts.at(action.attempt);
+    LocalUpstream *upstream = this->needs.localUpstream(action.upstream);
+    Dispatch order;
+    const AttemptEnd check = upstream == nullptr ? AttemptEnd::NotOwner : this->checkDispatch(request, order.epoch);
+    if (check != AttemptEnd::Answered) {
+        if (upstream != nullptr) {
+            upstream->giveBack(attempt.ticket);
+        }
+        this->attemptEnded(request.number, action.attempt, check, false, {});
+        return;
+    }
+    const net::HttpRequest &received = request.exchange->request();
+    order.call.method = received.method;
+    order.call.target = received.target;
+    order.call.headers = headersToForward(received);
+    order.call.body = received.body;
+    order.requestId = request.parsed.requestId + "." + std::to_string(action.attempt);
+    order.service = request.state.facts.service;
+    order.keyed = request.state.facts.keyed;
+    order.hash = request.state.facts.hash;
+    order.fingerprint = request.parsed.fingerprint;
+    order.deadline = request.state.facts.deadline;
+    const Number number = request.number;
+    const unsigned id = action.attempt;
+    upstream->dispatch(attempt.ticket, std::move(order), [this, number, id](DispatchResult result) {
+        this->attemptEnded(number, id, result.outcome.end, result.outcome.mayHaveRun, std::move(result.answer));
+    });
+}
+
+void RequestRunner::forward(Running &request, const agent::RequestAction &action)
+{
+    const BootTime now = BootClock::now();
+    const wire::UpstreamInfo *upstream = agent::findUpstream(this->state.map, action.upstream);
+    const milliseconds left = std::chrono::duration_cast<milliseconds>(request.state.facts.deadline - now) - HopMargin;
+    LiveAttempt attempt;
+    attempt.upstream = action.upstream;
+    attempt.begunAt = now;
+    agent::noteSent(this->state.services[request.state.facts.service].routing, action.upstream);
+    const Number number = request.number;
+    const unsigned id = action.attempt;
+    if (upstream == nullptr || left.count() <= 0) {
+        request.attempts[id] = std::move(attempt);
+        this->attemptEnded(number, id, AttemptEnd::NotSent, false, {});
+        return;
+    }
+    const net::HttpRequest &received = request.exchange->request();
+    net::HttpCall call;
+    call.address = upstream->peer_address();
+    call.method = received.method;
+    call.target = received.target;
+    call.headers = headersToForward(received);
+    call.headers.push_back({HopHeader, "1"});
+    call.headers.push_back({UpstreamHeader, std::to_string(action.upstream)});
+    call.headers.push_back({"Request-Id", request.parsed.requestId + "." + std::to_string(id)});
+    call.headers.push_back({"Request-Timeout", std::to_string(left.count())});
+    if (agent::isSuspect(this->state.crashes, request.parsed.fingerprint)) {
+        call.headers.push_back({SuspectHeader, "1"});
+    }
+    call.body = received.body;
+    call.timeout = request.state.facts.deadline - now;
+    attempt.call = this->peers.send(std::move(call), [this, number, id](net::CallResult result) {
+        const AttemptOutcome outcome = readPeerOutcome(result);
+        this->attemptEnded(number, id, outcome.end, outcome.mayHaveRun, std::move(result.answer));
+    });
+    request.attempts[id] = std::move(attempt);
+}
+
+void RequestRunner::cancel(Running &request, unsigned attempt)
+{
+    const auto found = request.attempts.find(attempt);
+    if (found == request.attempts.end()) {
+        return;
+    }
+    const LiveAttempt &live = found->second;
+    if (live.local) {
+        if (LocalUpstream *upstream = this->needs.localUpstream(live.upstream); upstream != nullptr) {
+            upstream->cancel(live.ticket);
+        }
+        this->tickets.erase(live.ticket);
+    } else {
+        this->peers.cancel(live.call);
+    }
+    const BootTime now = BootClock::now();
+    agent::noteCancelled(
+        this->state.services[request.state.facts.service].routing, live.upstream, now - live.begunAt, now);
+    request.attempts.erase(found);
+}
+
+void RequestRunner::attemptEnded(
+    Number number, unsigned attempt, AttemptEnd end, bool mayHaveRun, net::HttpAnswer answer)
+{
+    const auto found = this->running.find(number);
+    if (found == this->running.end()) {
+        return;
+    }
+    Running &request = *found->second;
+    const auto live = request.attempts.find(attempt);
+    if (live == request.attempts.end()) {
+        return;
+    }
+    live->second.answer = std::move(answer);
+    this->tickets.erase(live->second.ticket);
+    this->noteRouting(request, live->second, end);
+    if (end == AttemptEnd::Crashed || end == AttemptEnd::Broken) {
+        agent::suspect(this->state.crashes, request.parsed.fingerprint);
+    }
+    this->handle(number, {.kind = EventKind::AttemptEnded, .attempt = attempt, .end = end, .mayHaveRun = mayHaveRun});
+}
+
+void RequestRunner::noteRouting(Running &request, const LiveAttempt &attempt, AttemptEnd end)
+{
+    agent::ServiceRouting &routing = this->state.services[request.state.facts.service].routing;
+    const BootTime now = BootClock::now();
+    const auto waited = now - attempt.begunAt;
+    switch (end) {
+    case AttemptEnd::Answered: {
+        const LocalUpstream *local = attempt.local ? this->needs.localUpstream(attempt.upstream) : nullptr;
+        const double load = local != nullptr ? local->load() : readLoad(attempt.answer);
+        agent::noteAnswered(routing, attempt.upstream, waited, load, now);
+        break;
+    }
+    case AttemptEnd::NoRoom:
+    case AttemptEnd::OverLimit:
+    case AttemptEnd::NotOwner:
+    case AttemptEnd::Quarantined:
+        agent::noteShed(routing, attempt.upstream, now);
+        break;
+    default:
+        agent::noteFailed(routing, attempt.upstream, waited, now);
+        break;
+    }
+}
+
+void RequestRunner::relay(Running &request, unsigned attempt)
+{
+    const LiveAttempt &live = request.attempts.at(attempt);
+    net::HttpAnswer answer = answerForCaller(live.answer);
+    if (request.origin == Origin::Peer) {
+        const LocalUpstream *local = this->needs.localUpstream(live.upstream);
+        answer.headers.push_back({EndHeader, std::string(agent::toText(AttemptEnd::Answered))});
+        answer.headers.push_back({LoadHeader, std::to_string(local == nullptr ? 0 : local->load())});
+    } else {
+        this->needs.ended({.service = request.state.facts.service,
+                           .upstream = live.upstream,
+                           .status = answer.status,
+                           .latency = BootClock::now() - request.acceptedAt});
+    }
+    request.exchange->answer(std::move(answer));
+}
+
+void RequestRunner::relayRecorded(Running &request)
+{
+    const wire::ClaimOutcome &outcome = request.claim.outcome();
+    net::HttpAnswer answer;
+    answer.status = static_cast<int>(outcome.status());
+    if (!outcome.content_type().empty()) {
+        answer.headers.push_back({"Content-Type", outcome.content_type()});
+    }
+    answer.body = outcome.body();
+    request.exchange->answer(std::move(answer));
+}
+
+void RequestRunner::refuse(Running &request, const agent::RefusalFacts &refusal)
+{
+    net::HttpAnswer answer = refusalAnswer(refusal, this->state.random);
+    if (request.origin == Origin::Peer) {
+        answer.headers.push_back({EndHeader, std::string(agent::toText(endOf(refusal)))});
+    } else {
+        this->needs.ended({.service = request.state.facts.service,
+                           .upstream = request.state.tried.empty() ? 0 : request.state.tried.back(),
+                           .status = refusal.status,
+                           .refused = true,
+                           .latency = BootClock::now() - request.acceptedAt});
+    }
+    request.exchange->answer(std::move(answer));
+}
+
+void RequestRunner::record(Running &request, const agent::RequestAction &action)
+{
+    wire::ClaimOutcome outcome;
+    outcome.set_service(request.state.facts.service);
+    outcome.set_idempotency_key(request.parsed.idempotencyKey);
+    outcome.set_attempt(request.parsed.requestId);
+    outcome.set_released(action.outcome == agent::ClaimEnd::Released);
+    outcome.set_unknown(action.outcome == agent::ClaimEnd::Unknown);
+    if (action.outcome == agent::ClaimEnd::Answered) {
+        const net::HttpAnswer &answer = request.attempts.at(action.attempt).answer;
+        outcome.set_status(static_cast<std::uint32_t>(answer.status));
+        outcome.set_body_dropped(answer.body.size() > MaxRecordedBody);
+        if (!outcome.body_dropped()) {
+            outcome.set_body(answer.body);
+        }
+        if (const std::string *type = net::findHeader(answer.headers, "Content-Type"); type != nullptr) {
+            outcome.set_content_type(*type);
+        }
+    }
+    this->needs.claims->recordOutcome(outcome, RecordTimeout, [](const wire::OutcomeReply &) {});
+}
+
+void RequestRunner::finish(Running &request)
+{
+    this->loop.cancel(request.deadlineTimer);
+    this->loop.cancel(request.waitTimer);
+    this->loop.cancel(request.hedgeTimer);
+    if (request.waits) {
+        this->waiting--;
+    }
+}
+
+std::size_t RequestRunner::inProgress() const
+{
+    return this->running.size();
+}
+
+} // namespace bergamotweir::process
--- /dev/null
+++ b/src/process/RequestRunner.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "agent/RequestAction.h"
+#include "agent/RequestEvent.h"
+#include "loop/EventLoop.h"
+#include "net/Exchange.h"
+#include "net/HttpClient.h"
+#include "process/RequestText.h"
+
+#include <control.pb.h>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+namespace bergamotweir::rpc {
+class ClaimClient;
+}
+
+namespace bergamotweir::process {
+
+struct AgentState;
+class LocalUpstream;
+
+/** How a request ended, for the burn report. */
+struct RequestEndNote {
+    std::string service;
+    std::uint32_t upstream = 0;
+    int status = 0;
+    /** A problem of the system's own. */
+    bool refused = false;
+    std::chrono::nanoseconds latency{0};
+};
+
+/** What a RequestRunner needs of its owner. */
+struct RequestRunnerNeeds {
+    /** @return the local upstream that control knows by this id, or nullptr */
+    std::function<LocalUpstream *(std::uint32_t)> localUpstream;
+    rpc::ClaimClient *claims = nullptr;
+    std::function<void(const RequestEndNote &)> ended;
+};
+
+/**
+ * Carries out the actions of agent::step() for all requests in progress at this agent.
+ * Owned by AgentProcess; used on the loop's thread.
+ */
+class RequestRunner
+{
+public:
+    RequestRunner(loop::EventLoop &loop, AgentState &state, RequestRunnerNeeds needs);
+    ~RequestRunner();
+    RequestRunner(const RequestRunner &) = delete;
+    RequestRunner &operator=(const RequestRunner &) = delete;
+
+    /** Takes a request from a caller or from another agent. */
+    void accept(const std::shared_ptr<net::Exchange> &exchange, Origin origin);
+
+    /** Routes, table or marks changed: requests that wait for an owner look again. */
+    void stateChanged();
+
+    /** A gate decided on a waiting ticket. */
+    void gateDecided(std::uint64_t ticket, bool admitted);
+
+    /** @return requests whose answer is outstanding */
+    std::size_t inProgress() const;
+
+private:
+    struct Running;
+    struct LiveAttempt;
+    using Number = std::uint64_t;
+
+    void handle(Number number, const agent::RequestEvent &event);
+    void perform(Running &request, const agent::RequestAction &action);
+    void claim(Running &request);
+    void route(Running &request);
+    std::uint32_t routeKeyed(const Running &request) const;
+    std::uint32_t routeUnkeyed(Running &request);
+    std::uint32_t routeForwarded(const Running &request) const;
+    void wait(Running &request, std::chrono::nanoseconds delay);
+    void armHedge(Running &request);
+    void enterGate(Running &request, const agent::RequestAction &action);
+    void dispatch(Running &request, const agent::RequestAction &action);
+    void forward(Running &request, const agent::RequestAction &action);
+    void cancel(Running &request, unsigned attempt);
+    void relay(Running &request, unsigned attempt);
+    void relayRecorded(Running &request);
+    void refuse(Running &request, const agent::RefusalFacts &refusal);
+    void record(Running &request, const agent::RequestAction &action);
+    void attemptEnded(Number number, unsigned attempt, agent::AttemptEnd end, bool mayHaveRun, net::HttpAnswer answer);
+    void noteRouting(Running &request, const LiveAttempt &attempt, agent::AttemptEnd end);
+    void finish(Running &request);
+    agent::AttemptEnd checkDispatch(const Running &request, std::uint64_t &epoch) const;
+
+    loop::EventLoop &loop;
+    AgentState &state;
+    RequestRunnerNeeds needs;
+    net::HttpClient peers;
+    std::unordered_map<Number, std::unique_ptr<Running>> running;
+    std::unordered_map<std::uint64_t, std::pair<Number, unsigned>> tickets;
+    std::size_t waiting = 0;
+    Number lastNumber = 0;
+    std::uint64_t lastTicket = 0;
+    std::string idPrefix;
+};
+
+} // namespace bergamotweir::process
--- /dev/null
+++ b/src/process/RequestText.cpp
@@ -0,0 +1,233 @@
+#include "process/RequestText.h"
+
+#include "agent/CrashWatch.h"
+#include "base/KeyHash.h"
+#include "net/Problem.h"
+#include "table/Table.h"
+
+#include <strings.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <optional>
+
+namespace bergamotweir::process {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::string_view Prefix = "/s/";
+constexpr milliseconds LongestTimeout{std::chrono::minutes(10)};
+constexpr std::size_t MaxKeyLength = 1024;
+constexpr std::size_t MaxIdempotencyKeyLength = 256;
+constexpr unsigned ShortestRetryAfter = 1;
+constexpr unsigned RetryAfterSpread = 3;
+constexpr std::string_view OwnPrefix = "bergamotweir-";
+
+bool equalNames(std::string_view left, std::string_view right)
+{
+    return left.size() == right.size() && strncasecmp(left.data(), right.data(), left.size()) == 0;
+}
+
+bool isOwnHeader(std::string_view name)
+{
+    static constexpr std::array<std::string_view, 4> Own{"Request-Id", "Grant-Epoch", LoadHeader, "Request-Timeout"};
+    const bool prefixed = name.size() > OwnPrefix.size() && equalNames(name.substr(0, OwnPrefix.size()), OwnPrefix);
+    return prefixed || std::any_of(Own.begin(), Own.end(), [&](std::string_view own) {
+               return equalNames(name, own);
+           });
+}
+
+std::string headerText(const net::HttpRequest &request, std::string_view name)
+{
+    const std::string *value = net::findHeader(request.headers, name);
+    return value == nullptr ? std::string() : *value;
+}
+
+std::optional<std::uint64_t> readNumber(const std::string &text)
+{
+    std::uint64_t value = 0;
+    const char *end = text.data() + text.size();
+    const auto [stopped, error] = std::from_chars(text.data(), end, value);
+    if (error != std::errc() || stopped != end || text.empty()) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+net::HttpAnswer badRequest(std::string_view detail)
+{
+    return net::problem(400, "bad request", detail, net::RequestRan::No);
+}
+
+std::string serviceOf(std::string_view target)
+{
+    if (!target.starts_with(Prefix)) {
+        return {};
+    }
+    target.remove_prefix(Prefix.size());
+    return std::string(target.substr(0, target.find_first_of("/?")));
+}
+
+/** @return the deadline, or nothing when the header field is no number of milliseconds */
+std::optional<BootTime> readDeadline(const net::HttpRequest &request, milliseconds standard, BootTime now)
+{
+    const std::string text = headerText(request, "Request-Timeout");
+    if (text.empty()) {
+        return now + standard;
+    }
+    const std::optional<std::uint64_t> wanted = readNumber(text);
+    if (!wanted || *wanted == 0) {
+        return std::nullopt;
+    }
+    const auto bounded = std::min<std::uint64_t>(*wanted, static_cast<std::uint64_t>(LongestTimeout.count()));
+    return now + milliseconds(bounded);
+}
+
+void readPeerFields(const net::HttpRequest &request, ParsedRequest &parsed)
+{
+    parsed.facts.forwarded = true;
+    parsed.requestId = headerText(request, "Request-Id");
+    const std::uint64_t wanted = readNumber(headerText(request, UpstreamHeader)).value_or(0);
+    parsed.wantedUpstream = static_cast<std::uint32_t>(wanted);
+    parsed.suspect = !headerText(request, SuspectHeader).empty();
+}
+
+struct RefusalText {
+    const char *title;
+    const char *detail;
+};
+
+RefusalText textOf(agent::AttemptEnd end)
+{
+    switch (end) {
+    case agent::AttemptEnd::NotOwner:
+        return {"no owner", "nobody serves this key or service now"};
+    case agent::AttemptEnd::NoRoom:
+        return {"no room", "the upstream can't serve this request in time"};
+    case agent::AttemptEnd::OverLimit:
+        return {"over the limit", "the upstream is at the limit that the table sets"};
+    case agent::AttemptEnd::Quarantined:
+        return {"quarantined", "this request crashed upstreams"};
+    case agent::AttemptEnd::NotSent:
+        return {"upstream not reached", "no connection to the upstream"};
+    case agent::AttemptEnd::TimedOut:
+        return {"deadline passed", "the upstream didn't answer in time"};
+    case agent::AttemptEnd::ShortAnswer:
+        return {"upstream failed", "the upstream's answer was cut short"};
+    case agent::AttemptEnd::TooLarge:
+        return {"upstream failed", "the upstream's answer was too large"};
+    case agent::AttemptEnd::Crashed:
+        return {"upstream failed", "the upstream crashed"};
+    default:
+        return {"upstream failed", "the connection to the upstream broke"};
+    }
+}
+
+RefusalText textOf(const agent::RefusalFacts &refusal)
+{
+    switch (refusal.cause) {
+    case agent::RefusalCause::Attempt:
+        return textOf(refusal.end);
+    case agent::RefusalCause::DeadlinePassed:
+        return {"deadline passed", "no answer before the request's deadline"};
+    case agent::RefusalCause::ClaimConflict:
+        return {"idempotency key conflict", "this Idempotency-Key belongs to another request"};
+    case agent::RefusalCause::ClaimInProgress:
+        return {"in progress", "an earlier send under this Idempotency-Key has not ended"};
+    case agent::RefusalCause::ClaimBodyDropped:
+        return {"outcome recorded", "an earlier send was answered; its answer was too large to keep"};
+    case agent::RefusalCause::ClaimUnknown:
+        return {"outcome unknown", "an earlier send under this Idempotency-Key may have run"};
+    case agent::RefusalCause::ClaimUnavailable:
+        return {"claims not available", "the Idempotency-Key could not be claimed"};
+    }
+    return {"upstream failed", ""};
+}
+
+net::RequestRan toWire(agent::Ran ran)
+{
+    switch (ran) {
+    case agent::Ran::No:
+        return net::RequestRan::No;
+    case agent::Ran::Yes:
+        return net::RequestRan::Yes;
+    case agent::Ran::Unknown:
+        break;
+    }
+    return net::RequestRan::Unknown;
+}
+
+} // namespace
+
+std::variant<ParsedRequest, net::HttpAnswer>
+parseRequest(const net::HttpRequest &request, const table::Table &table, Origin origin, BootTime now)
+{
+    ParsedRequest parsed;
+    parsed.facts.service = serviceOf(request.target);
+    if (parsed.facts.service.empty()) {
+        return badRequest("the target is not /s/SERVICE/PATH");
+    }
+    if (!table.hasService(parsed.facts.service)) {
+        return net::problem(404, "unknown service", "the table names no such service", net::RequestRan::No);
+    }
+    const table::ServicePolicy policy = table.service(parsed.facts.service);
+    parsed.facts.method = request.method;
+    parsed.facts.keyed = policy.keyed;
+    parsed.key = headerText(request, "Routing-Key");
+    if (policy.keyed && (parsed.key.empty() || parsed.key.size() > MaxKeyLength)) {
+        return badRequest("the service is divided by key; Routing-Key must hold 1 to 1024 bytes");
+    }
+    parsed.facts.hash = hashKey(parsed.key);
+    const std::optional<BootTime> deadline = readDeadline(request, policy.timeout, now);
+    if (!deadline) {
+        return badRequest("Request-Timeout is not a number of milliseconds above 0");
+    }
+    parsed.facts.deadline = *deadline;
+    parsed.idempotencyKey = headerText(request, "Idempotency-Key");
+    if (parsed.idempotencyKey.size() > MaxIdempotencyKeyLength) {
+        return badRequest("Idempotency-Key is longer than 256 bytes");
+    }
+    parsed.fingerprint =
+        agent::fingerprint({parsed.facts.service, parsed.key, request.method, request.target, request.body});
+    if (origin == Origin::Peer) {
+        readPeerFields(request, parsed);
+    }
+    parsed.facts.claimed =
+        origin == Origin::Caller && !parsed.idempotencyKey.empty() && !agent::isIdempotent(request.method);
+    return parsed;
+}
+
+std::vector<net::Header> headersToForward(const net::HttpRequest &request)
+{
+    std::vector<net::Header> headers;
+    for (const net::Header &header : request.headers) {
+        const bool host = equalNames(header.name, "Host") || equalNames(header.name, "Expect");
+        if (!net::isConnectionHeader(header.name) && !isOwnHeader(header.name) && !host) {
+            headers.push_back(header);
+        }
+    }
+    return headers;
+}
+
+net::HttpAnswer answerForCaller(net::HttpAnswer answer)
+{
+    std::erase_if(answer.headers, [](const net::Header &header) {
+        return isOwnHeader(header.name) || net::isConnectionHeader(header.name);
+    });
+    return answer;
+}
+
+net::HttpAnswer refusalAnswer(const agent::RefusalFacts &refusal, pcg32 &random)
+{
+    const RefusalText text = textOf(refusal);
+    net::HttpAnswer answer = net::problem(refusal.status, text.title, text.detail, toWire(refusal.ran));
+    if (refusal.retryAfter) {
+        answer.headers.push_back({"Retry-After", std::to_string(ShortestRetryAfter + random(RetryAfterSpread))});
+    }
+    return answer;
+}
+
+} // namespace bergamotweir::process
--- /dev/null
+++ b/src/process/UpstreamProtocol.cpp
@@ -0,0 +1,164 @@
+#include "process/UpstreamProtocol.h"
+
+#include <nlohmann/json.hpp>
+
+namespace bergamotweir::process {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t MaxNameLength = 64;
+constexpr unsigned MaxSlots = 100000;
+constexpr std::chrono::milliseconds OrderTimeout{500};
+
+void readName(const json &object, const char *field, std::string &value, Findings &findings)
+{
+    const auto found = object.find(field);
+    if (found == object.end() || !found->is_string() || found->get_ref<const std::string &>().empty()
+        || found->get_ref<const std::string &>().size() > MaxNameLength) {
+        findings.push_back({field, "missing or not a text of 1 to 64 bytes", ""});
+        return;
+    }
+    value = found->get<std::string>();
+}
+
+std::uint64_t readNumber(const json &object, const char *field, std::uint64_t most, Findings &findings)
+{
+    const auto found = object.find(field);
+    if (found == object.end() || !found->is_number_unsigned() || found->get<std::uint64_t>() == 0
+        || found->get<std::uint64_t>() > most) {
+        findings.push_back({field, "missing or not a number of 1 to " + std::to_string(most), ""});
+        return 1;
+    }
+    return found->get<std::uint64_t>();
+}
+
+net::HttpCall order(const std::string &address, const std::string &target, const json &body)
+{
+    net::HttpCall call;
+    call.address = address;
+    call.method = "POST";
+    call.target = target;
+    call.headers = {{"Content-Type", "application/json"}};
+    call.body = body.dump();
+    call.timeout = OrderTimeout;
+    return call;
+}
+
+json rangesOf(const Grant &grant)
+{
+    json ranges = json::array();
+    for (const GrantedRange &range : grant.ranges) {
+        // As text: JSON numbers lose 64-bit precision in many readers.
+        ranges.push_back({{"begin", std::to_string(range.begin)}, {"end", std::to_string(range.end)}});
+    }
+    return ranges;
+}
+
+AttemptOutcome readAnswer(const net::HttpAnswer &answer)
+{
+    constexpr int FirstError = 400;
+    constexpr int NoRoomStatus = 503;
+    const std::string *ran = net::findHeader(answer.headers, "Request-Ran");
+    if (ran == nullptr || *ran != "no" || answer.status < FirstError) {
+        return {agent::AttemptEnd::Answered, true};
+    }
+    return {answer.status == NoRoomStatus ? agent::AttemptEnd::NoRoom : agent::AttemptEnd::NotOwner, false};
+}
+
+} // namespace
+
+Result<Announcement> parseAnnouncement(std::string_view body)
+{
+    const json object = json::parse(body, nullptr, false);
+    if (!object.is_object()) {
+        return oneFinding("announcement", "not a JSON object");
+    }
+    constexpr std::uint64_t MaxPort = 65535;
+    Findings findings;
+    Announcement announcement;
+    readName(object, "service", announcement.service, findings);
+    readName(object, "name", announcement.name, findings);
+    readName(object, "incarnation", announcement.incarnation, findings);
+    announcement.port = static_cast<std::uint16_t>(readNumber(object, "port", MaxPort, findings));
+    announcement.slots = static_cast<unsigned>(readNumber(object, "slots", MaxSlots, findings));
+    announcement.connections = static_cast<unsigned>(readNumber(object, "connections", MaxSlots, findings));
+    const auto checks = object.find("checks_grants");
+    if (checks != object.end() && checks->is_boolean()) {
+        announcement.checksGrants = checks->get<bool>();
+    }
+    if (!findings.empty()) {
+        return findings;
+    }
+    return announcement;
+}
+
+std::string upstreamAddress(const Announcement &announcement)
+{
+    return "127.0.0.1:" + std::to_string(announcement.port);
+}
+
+net::HttpCall grantsCall(const std::string &address, const Grant &grant)
+{
+    return order(address,
+                 "/grants",
+                 {{"service", grant.service},
+                  {"slices", rangesOf(grant)},
+                  {"epoch", grant.epoch},
+                  {"expires_ms", grant.expires.count()}});
+}
+
+net::HttpCall revokeCall(const std::string &address, const Grant &grant)
+{
+    return order(address, "/revoke", {{"service", grant.service}, {"slices", rangesOf(grant)}, {"epoch", grant.epoch}});
+}
+
+net::HttpCall drainCall(const std::string &address)
+{
+    return order(address, "/drain", json::object());
+}
+
+net::HttpCall cancelCall(const std::string &address, const std::string &requestId)
+{
+    return order(address, "/cancel", {{"request", requestId}});
+}
+
+net::HttpCall healthCall(const std::string &address, std::chrono::milliseconds timeout)
+{
+    net::HttpCall call;
+    call.address = address;
+    call.target = "/health";
+    call.timeout = timeout;
+    call.connectTimeout = timeout;
+    return call;
+}
+
+void addOrder(net::HttpCall &call, const RequestOrder &order)
+{
+    call.headers.push_back({"Grant-Epoch", std::to_string(order.epoch)});
+    call.headers.push_back({"Request-Id", order.requestId});
+    call.headers.push_back({"Request-Timeout", std::to_string(order.timeout.count())});
+}
+
+AttemptOutcome readOutcome(const net::CallResult &result)
+{
+    switch (result.end) {
+    case net::CallEnd::Answered:
+        return readAnswer(result.answer);
+    case net::CallEnd::NotSent:
+        return {agent::AttemptEnd::NotSent, false};
+    case net::CallEnd::ShortAnswer:
+        return {agent::AttemptEnd::ShortAnswer, true};
+    case net::CallEnd::TooLarge:
+        return {agent::AttemptEnd::TooLarge, true};
+    case net::CallEnd::TimedOut:
+        return {agent::AttemptEnd::TimedOut, result.mayHaveRun};
+    case net::CallEnd::Broken:
+    case net::CallEnd::Cancelled:
+        return {agent::AttemptEnd::Broken, result.mayHaveRun};
+    }
+    return {agent::AttemptEnd::Broken, true};
+}
+
+} // namespace bergamotweir::process
