--- a/include/agent/AdaptiveLimit.h
+++ b/include/agent/AdaptiveLimit.h
@@ -31,7 +31,9 @@
  *
  * Guard against running over an upstream. It shows when an upstream that has just started, or whose cache turned cold
  * unannounced, gets full load, slows down, and never warms up. The limit starts at one for each incarnation, grows by
- * a bounded step for each window in which the latency didn't rise, and falls when it did or when the upstream shed.
+ * a bounded step for each window in which the latency stayed near the reference, and falls when it didn't or when the
+ * upstream shed. After a jump the limit is cut and the reference is measured anew at the low limit: an upstream that is
+ * as slow alone as crowded (slowed by its neighbours) gets its limit back, one that was crowded doesn't.
  * One per upstream, owned by its Gate.
  */
 struct AdaptiveLimit {
@@ -39,19 +41,21 @@
     unsigned ceiling = 1;
     double limit = 1;
     LimitPhase phase = LimitPhase::Cold;
-    /** Latency of the upstream when it is warm and not crowded; 0 when not known yet. Survives incarnations. */
-    std::chrono::nanoseconds baseline{0};
-    /** Mean latency of the window before; 0 when there is none in this phase. */
-    std::chrono::nanoseconds previous{0};
-    /** Windows in a row without a reason to fall. */
-    unsigned calmWindows = 0;
+    /** Latency of the upstream when it isn't crowded, in its present state; 0 when not measured yet. */
+    std::chrono::nanoseconds reference{0};
+    /** The limit was just cut: answers to requests from before say nothing. */
+    bool settling = false;
+    /** Windows in a row whose latency was over the reference. */
+    unsigned crowdedWindows = 0;
+    /** Whether the limit was once too high in this phase; it grows by single steps from then on. */
+    bool wasCrowded = false;
     LatencyWindow window;
 };
 
 /** @return how many requests may be in progress now, 1..ceiling */
 unsigned allowed(const AdaptiveLimit &limit);
 
-/** Starts over at one request: a new incarnation. The warm latency stays known. */
+/** Starts over at one request: a new incarnation. */
 void startCold(AdaptiveLimit &limit, BootTime now);
 
 /** Follows a changed table limit or number of slots. @param ceiling at least 1 */
--- a/include/agent/Ownership.h
+++ b/include/agent/Ownership.h
@@ -22,7 +22,7 @@
 struct Ownership {
     /** Ids that control gave to this agent's upstreams. */
     std::set<std::uint32_t> ownUpstreams;
-    /** Revoked on this session; no new work is taken, Released follows when the work in progress has ended. */
+    /** No new work is taken, Released follows when the work in progress has ended. */
     std::set<SliceKey> revoked;
     /** Released was sent; never served again under that epoch, whatever a later leader knows of it. */
     std::set<SliceKey> released;
@@ -76,9 +76,10 @@
 wire::Released takeReleased(Ownership &ownership, const RouteMap &map);
 
 /**
- * After the first full state of a session: forgets revocations of the session before (its leader never heard
- * Released, so it granted nothing), and finds released slices that the state still gives to this agent.
- * @return what has to be told again, since the leader that heard it may have lost it
+ * After the first full state of a session: finds released slices that the state still gives to this agent under the
+ * same epoch. The leader that heard Released may be gone; told again, its follower gives the slice a new epoch.
+ * Revocations stand as well: their Released follows when the work ends, whoever leads then.
+ * @return what has to be told again
  */
 wire::Released resumeReleased(Ownership &ownership, const RouteMap &map);
 
--- a/src/agent/AdaptiveLimit.cpp
+++ b/src/agent/AdaptiveLimit.cpp
@@ -11,28 +11,31 @@
 
 /** A window closes with so many answers per allowed request, ... */
 constexpr unsigned AnswersPerSlot = 2;
-constexpr unsigned LeastAnswers = 8;
+constexpr unsigned LeastAnswers = 16;
 /** ... but not before this, and after the longest time with whatever it has. */
 constexpr std::chrono::milliseconds ShortestWindow{10};
 constexpr std::chrono::milliseconds LongestWindow{1000};
 
-/** Latency over its reference that counts as crowded. */
-constexpr double CrowdedRatio = 1.5;
-/** A jump from one window to the next that looks like a cold cache or a straggler. */
+/** Latency over the reference that counts as crowded. */
+constexpr double CrowdedRatio = 1.3;
+/** Latency over the reference that looks like a cold cache or a straggler. */
 constexpr double ColdRatio = 3;
-/** A cold upstream's latency over the window before that counts as too much load. */
-constexpr double ColdCrowdedRatio = 1.25;
+/** So many crowded windows in a row say that the reference is no longer true. */
+constexpr unsigned MostCrowdedWindows = 8;
 
 constexpr double CrowdedStep = 0.85;
-constexpr double ColdBackStep = 0.7;
+constexpr double ShedStep = 0.7;
 constexpr double ColdTurnStep = 0.25;
 constexpr double ColdGrowth = 1.3;
-/** How fast the warm latency follows a lasting rise, per window. */
-constexpr double BaselineDrift = 0.01;
+/** Added per window once the limit was too high. */
+constexpr double CarefulGrowth = 0.5;
+/** How the reference follows a lower and a higher latency, per window. */
+constexpr double FollowDown = 0.5;
+constexpr double FollowUp = 0.02;
 
 double ratio(nanoseconds value, nanoseconds reference)
 {
-    return reference.count() == 0 ? 1 : static_cast<double>(value.count()) / static_cast<double>(reference.count());
+    return static_cast<double>(value.count()) / static_cast<double>(reference.count());
 }
 
 void clampLimit(AdaptiveLimit &limit)
@@ -40,75 +43,77 @@
     limit.limit = std::clamp(limit.limit, 1.0, static_cast<double>(limit.ceiling));
 }
 
-bool wasUsed(const AdaptiveLimit &limit)
+void learnReference(AdaptiveLimit &limit, nanoseconds mean)
 {
-    return limit.window.peak >= allowed(limit);
+    if (limit.reference.count() == 0) {
+        limit.reference = mean;
+        return;
+    }
+    // A cold upstream's reference only falls: were it to follow the crowding, the limit would climb with it.
+    const double followUp = limit.phase == LimitPhase::Cold ? 0 : FollowUp;
+    const double follow = mean < limit.reference ? FollowDown : followUp;
+    const auto change = static_cast<double>((mean - limit.reference).count()) * follow;
+    limit.reference += nanoseconds(static_cast<nanoseconds::rep>(change));
 }
 
-void learnBaseline(AdaptiveLimit &limit, nanoseconds mean)
+/** Cuts the limit and measures the reference anew there. */
+void turnCold(AdaptiveLimit &limit)
 {
-    if (limit.baseline.count() == 0 || mean < limit.baseline) {
-        limit.baseline = mean;
-        return;
-    }
-    const auto drift =
-        static_cast<nanoseconds::rep>(static_cast<double>((mean - limit.baseline).count()) * BaselineDrift);
-    limit.baseline += nanoseconds(drift);
+    limit.phase = LimitPhase::Cold;
+    limit.limit *= ColdTurnStep;
+    limit.reference = nanoseconds(0);
+    limit.settling = true;
+    limit.crowdedWindows = 0;
+    limit.wasCrowded = false;
 }
 
-void closeCold(AdaptiveLimit &limit, nanoseconds mean)
+void grow(AdaptiveLimit &limit)
 {
-    const bool worse = limit.window.sheds > 0 || ratio(mean, limit.previous) > ColdCrowdedRatio;
-    if (worse) {
-        limit.limit *= ColdBackStep;
-        limit.calmWindows = 0;
-        limit.previous = mean;
-        clampLimit(limit);
-        return;
+    limit.crowdedWindows = 0;
+    if (limit.window.peak >= allowed(limit)) {
+        const bool fast = limit.phase == LimitPhase::Cold && !limit.wasCrowded;
+        limit.limit = fast ? std::max(limit.limit + 1, limit.limit * ColdGrowth) : limit.limit + CarefulGrowth;
     }
-    limit.calmWindows++;
-    limit.previous = mean;
-    const bool warm = limit.baseline.count() == 0 || ratio(mean, limit.baseline) <= CrowdedRatio;
-    if (wasUsed(limit)) {
-        limit.limit = std::max(limit.limit + 1, limit.limit * ColdGrowth);
-        clampLimit(limit);
-    }
-    if (warm && allowed(limit) == limit.ceiling) {
+    if (limit.limit >= limit.ceiling) {
         limit.phase = LimitPhase::Steady;
-        learnBaseline(limit, mean);
+        limit.wasCrowded = false;
     }
 }
 
-void closeSteady(AdaptiveLimit &limit, nanoseconds mean)
+void judgeLatency(AdaptiveLimit &limit, nanoseconds mean)
 {
-    const double now = ratio(mean, limit.baseline);
-    const double jump = ratio(mean, limit.previous);
-    limit.previous = mean;
-    learnBaseline(limit, mean);
-    if (now > ColdRatio && jump > ColdRatio) {
-        limit.phase = LimitPhase::Cold;
-        limit.limit *= ColdTurnStep;
-    } else if (now > CrowdedRatio || limit.window.sheds > 0) {
+    if (limit.settling) {
+        limit.settling = false;
+        return;
+    }
+    const double crowding = limit.reference.count() == 0 ? 1 : ratio(mean, limit.reference);
+    if (crowding > ColdRatio || limit.crowdedWindows >= MostCrowdedWindows) {
+        turnCold(limit);
+        return;
+    }
+    if (limit.window.sheds > 0) {
+        limit.limit *= ShedStep;
+        limit.wasCrowded = true;
+    } else if (crowding > CrowdedRatio) {
         limit.limit *= CrowdedStep;
-    } else if (wasUsed(limit)) {
-        limit.limit += 1;
+        limit.crowdedWindows++;
+        limit.wasCrowded = true;
+    } else {
+        grow(limit);
     }
-    clampLimit(limit);
+    learnReference(limit, mean);
 }
 
 void closeWindow(AdaptiveLimit &limit, BootTime now)
 {
-    const unsigned answers = std::max(limit.window.answers, 1U);
-    const nanoseconds mean = limit.window.sum / answers;
-    if (limit.window.answers == 0) {
-        limit.limit *= limit.window.sheds > 0 ? ColdBackStep : 1;
-        clampLimit(limit);
-    } else if (limit.phase == LimitPhase::Cold) {
-        closeCold(limit, mean);
-    } else {
-        closeSteady(limit, mean);
+    if (limit.window.answers > 0) {
+        judgeLatency(limit, limit.window.sum / limit.window.answers);
+    } else if (limit.window.sheds > 0) {
+        limit.limit *= ShedStep;
     }
-    limit.window = {.start = now};
+    clampLimit(limit);
+    limit.window = {};
+    limit.window.start = now;
 }
 
 void closeWindowIfDue(AdaptiveLimit &limit, BootTime now)
@@ -132,9 +137,12 @@
 {
     limit.limit = 1;
     limit.phase = LimitPhase::Cold;
-    limit.previous = nanoseconds(0);
-    limit.calmWindows = 0;
-    limit.window = {.start = now};
+    limit.reference = nanoseconds(0);
+    limit.settling = false;
+    limit.crowdedWindows = 0;
+    limit.wasCrowded = false;
+    limit.window = {};
+    limit.window.start = now;
 }
 
 void setCeiling(AdaptiveLimit &limit, unsigned ceiling)
--- a/src/agent/Ownership.cpp
+++ b/src/agent/Ownership.cpp
@@ -127,7 +127,6 @@
 
 wire::Released resumeReleased(Ownership &ownership, const RouteMap &map)
 {
-    ownership.revoked.clear();
     wire::Released released;
     for (auto next = ownership.released.begin(); next != ownership.released.end();) {
         if (!isStillGiven(ownership, map, *next)) {
--- a/src/agent/RequestStep.cpp
+++ b/src/agent/RequestStep.cpp
@@ -159,6 +159,13 @@
     }
 }
 
+/** Only reads of unkeyed services, where another upstream can answer as well, and once. */
+bool mayHedge(const RequestState &state)
+{
+    return !state.facts.keyed && !state.facts.forwarded && isRead(state.facts.method) && !state.hedged
+           && state.tries < MaxTries;
+}
+
 void routed(
     RequestState &state, const RequestEvent &event, BootTime now, const RequestContext &context, Actions &actions)
 {
@@ -188,8 +195,7 @@
     state.live.push_back(attempt);
     const ActionKind kind = event.local ? ActionKind::EnterGate : ActionKind::Forward;
     actions.push_back({.kind = kind, .attempt = attempt.id, .upstream = attempt.upstream});
-    const bool mayHedge = !state.facts.keyed && !state.facts.forwarded && isRead(state.facts.method);
-    if (mayHedge && !state.hedged && state.tries < MaxTries) {
+    if (mayHedge(state)) {
         actions.push_back({.kind = ActionKind::ArmHedge});
     }
 }
@@ -259,8 +265,8 @@
 void hedgeDue(RequestState &state, BootTime now, const RequestContext &context, Actions &actions)
 {
     const bool oneHandedOn = state.live.size() == 1 && state.live.front().stage != AttemptStage::Queued;
-    if (state.stage != Stage::Running || state.hedged || !oneHandedOn || state.tries >= MaxTries
-        || now >= state.facts.deadline || !withdraw(*context.hedges)) {
+    if (state.stage != Stage::Running || !mayHedge(state) || !oneHandedOn || now >= state.facts.deadline
+        || !withdraw(*context.hedges)) {
         return;
     }
     state.hedged = true;
--- /dev/null
+++ b/src/process/AgentProcess.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "net/HttpServer.h"
+#include "process/AgentState.h"
+#include "process/ControlLink.h"
+#include "process/LocalUpstream.h"
+#include "process/RequestRunner.h"
+
+#include <map>
+#include <utility>
+
+namespace bergamotweir::process {
+
+/**
+ * The agent: binds its four ports, and joins control link, local upstreams and request runner.
+ * Owned by runAgent(); used on the loop's thread.
+ */
+class AgentProcess
+{
+public:
+    /** @return a running agent, or every port that could not be bound */
+    static Result<std::unique_ptr<AgentProcess>> open(loop::EventLoop &loop, const AgentSettings &settings);
+
+    ~AgentProcess();
+    AgentProcess(const AgentProcess &) = delete;
+    AgentProcess &operator=(const AgentProcess &) = delete;
+
+    /**
+     * Stops without cutting off a request: leaves the routing, hands the keys over, finishes what is in progress.
+     * Bounded in time; stops the loop at the end.
+     */
+    void stop();
+
+private:
+    using UpstreamName = std::pair<std::string, std::string>;
+
+    AgentProcess(loop::EventLoop &loop, const AgentSettings &settings);
+    Findings listen();
+    void connect();
+    void announce(const std::shared_ptr<net::Exchange> &exchange);
+    void answerOperator(const std::shared_ptr<net::Exchange> &exchange);
+    void addUpstream(const Announcement &announcement);
+    void stateChanged();
+    void rebuildCandidates();
+    void sendGrants();
+    void requestEnded(const RequestEndNote &note);
+    LocalUpstream *localUpstream(std::uint32_t id);
+    bool hasLeft() const;
+    void stopStep();
+    std::string metrics() const;
+    std::string healthJson() const;
+
+    loop::EventLoop &loop;
+    AgentState state;
+    std::unique_ptr<net::HttpServer> callers;
+    std::unique_ptr<net::HttpServer> peers;
+    std::unique_ptr<net::HttpServer> announcements;
+    std::unique_ptr<net::HttpServer> operators;
+    std::map<UpstreamName, std::unique_ptr<LocalUpstream>> upstreams;
+    std::unique_ptr<ControlLink> control;
+    std::unique_ptr<RequestRunner> runner;
+    BootTime stoppingSince;
+    BootTime leftSince;
+    std::uint64_t answeredCount = 0;
+    std::uint64_t refusedCount = 0;
+};
+
+} // namespace bergamotweir::process
--- a/src/process/LocalUpstream.cpp
+++ b/src/process/LocalUpstream.cpp
@@ -157,6 +157,8 @@
         grant.ranges.push_back({slice.begin, endOf(slices, index)});
         grant.epoch = std::max(grant.epoch, slice.epoch);
     }
+    // The upstream refuses an epoch older than one it was told, and moved slices may have taken the newest with them.
+    grant.epoch = std::max(grant.epoch, this->grantedEpoch);
     // The rounding down keeps the upstream's grant inside the lease.
     grant.expires = std::chrono::duration_cast<milliseconds>(this->state.lease.validUntil - now);
     return {grant};
@@ -173,13 +175,17 @@
     }
     for (const Grant &grant : this->grants()) {
         this->granting = true;
-        this->grantedEpoch = std::max(this->grantedEpoch, grant.epoch);
-        this->client.send(grantsCall(upstreamAddress(this->latest), grant), [this](const net::CallResult &) {
-            this->granting = false;
-            if (std::exchange(this->grantAgain, false)) {
-                this->sendGrants();
-            }
-        });
+        const std::uint64_t epoch = grant.epoch;
+        this->client.send(grantsCall(upstreamAddress(this->latest), grant),
+                          [this, epoch](const net::CallResult &result) {
+                              this->granting = false;
+                              if (result.end == net::CallEnd::Answered) {
+                                  this->grantedEpoch = std::max(this->grantedEpoch, epoch);
+                              }
+                              if (std::exchange(this->grantAgain, false)) {
+                                  this->sendGrants();
+                              }
+                          });
     }
 }
 
@@ -195,7 +201,7 @@
         for (std::size_t index = 0; index < slices->second.size(); index++) {
             if (slices->second[index].begin == slice.begin()) {
                 revoked.ranges.push_back({slice.begin(), endOf(slices->second, index)});
-                revoked.epoch = std::max(revoked.epoch, slice.epoch());
+                revoked.epoch = std::max({revoked.epoch, slice.epoch(), this->grantedEpoch});
             }
         }
     }
--- a/src/process/LocalUpstream.h
+++ b/src/process/LocalUpstream.h
@@ -127,7 +127,7 @@
     bool probing = false;
     bool granting = false;
     bool grantAgain = false;
-    /** Newest epoch that the upstream was told. */
+    /** Newest epoch that the upstream has taken; all its ranges were told again under it. */
     std::uint64_t grantedEpoch = 0;
     loop::TimerId healthTimer = 0;
     loop::TimerId queueTimer = 0;
--- a/src/process/RequestRunner.cpp
+++ b/src/process/RequestRunner.cpp
@@ -23,7 +23,7 @@
 constexpr std::size_t MaxWaiting = 4096;
 constexpr milliseconds RecordTimeout{10000};
 /** Answers larger than this aren't kept with a claim. */
-constexpr std::size_t MaxRecordedBody = 16 * 1024;
+constexpr std::size_t MaxRecordedBody = 16384;
 /** Taken off the deadline at each hop, so that the agent that the caller waits for is the last to give up. */
 constexpr milliseconds HopMargin{2};
 
@@ -333,7 +333,11 @@
     }
     std::sort(woken.begin(), woken.end());
     for (const Number number : woken) {
-        Running &request = *this->running.at(number);
+        const auto found = this->running.find(number);
+        if (found == this->running.end() || !found->second->waits) {
+            continue;
+        }
+        Running &request = *found->second;
         this->loop.cancel(request.waitTimer);
         request.waits = false;
         this->waiting--;
--- /dev/null
+++ b/tests/GateTest.cpp
@@ -0,0 +1,152 @@
+#include "agent/Gate.h"
+
+#include <catch2/catch.hpp>
+
+using namespace bergamotweir;
+using namespace bergamotweir::agent;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr BootTime Start{100s};
+
+Gate warmGate(unsigned ceiling)
+{
+    Gate gate =
+        makeGate(GateSettingsBuilder().ceiling(ceiling).connectionPace(0us).queueLength(4).build().value(), Start);
+    gate.limit.limit = ceiling;
+    gate.limit.phase = LimitPhase::Steady;
+    gate.limit.reference = 10ms;
+    gate.serviceTime = 10ms;
+    return gate;
+}
+
+/** An upstream that serves so many requests at once, each in @p alone; more share it. */
+struct Server {
+    unsigned slots = 12;
+    std::chrono::milliseconds alone{10};
+
+    std::chrono::nanoseconds latency(unsigned inProgress) const
+    {
+        return this->alone * std::max(inProgress, this->slots) / this->slots;
+    }
+};
+
+/** Keeps the gate full until so many requests are answered. */
+BootTime answerFull(Gate &gate, unsigned answers, const Server &server, BootTime now)
+{
+    for (unsigned answer = 0; answer < answers; answer++) {
+        while (arrive(gate, {answer + 1, now + 10s}, now) == Admission::Admitted) { }
+        takeAll(gate);
+        const auto latency = server.latency(gate.inProgress);
+        now += latency / gate.inProgress;
+        finish(gate, WorkEnd::Answered, latency, now);
+    }
+    return now;
+}
+
+} // namespace
+
+TEST_CASE("gate settings are checked together")
+{
+    const Result<GateSettings> bad = GateSettingsBuilder().ceiling(0).connections(0).build();
+    REQUIRE_FALSE(bad);
+    REQUIRE(bad.error().size() == 2);
+}
+
+// An upstream that has just started falls over: it gets the load of a warm one at once.
+TEST_CASE("a new incarnation starts at one request and grows with its answers")
+{
+    Gate gate = warmGate(12);
+    restart(gate, Start);
+    REQUIRE(arrive(gate, {1, Start + 1s}, Start) == Admission::Admitted);
+    REQUIRE(arrive(gate, {2, Start + 1s}, Start) == Admission::Queued);
+    takeAll(gate);
+    finish(gate, WorkEnd::Answered, 10ms, Start + 10ms);
+    const BootTime later = answerFull(gate, 500, {}, Start + 10ms);
+    REQUIRE(allowed(gate.limit) == 12);
+    REQUIRE(later - Start < 2s);
+}
+
+// A cold upstream is held down for good, or run over: its limit must follow what it can bear in both directions.
+TEST_CASE("a cold upstream gets what it can bear, and its full limit once it is warm")
+{
+    Gate gate = warmGate(12);
+    restart(gate, Start);
+    BootTime now = Start;
+    for (unsigned round = 0; round < 50; round++) {
+        now = answerFull(gate, 16, {.slots = 3, .alone = 30ms}, now);
+        REQUIRE(allowed(gate.limit) <= 5);
+    }
+    now = answerFull(gate, 500, {}, now);
+    REQUIRE(allowed(gate.limit) == 12);
+    REQUIRE(gate.limit.phase == LimitPhase::Steady);
+}
+
+// An upstream's cache is dropped without notice and its load stays: it takes ten times as long, and less at once.
+TEST_CASE("a jump of the latency starts the limit from cold")
+{
+    Gate gate = warmGate(12);
+    BootTime now = answerFull(gate, 100, {}, Start);
+    REQUIRE(allowed(gate.limit) == 12);
+    now = answerFull(gate, 40, {.slots = 3, .alone = 30ms}, now);
+    REQUIRE(gate.limit.phase == LimitPhase::Cold);
+    REQUIRE(allowed(gate.limit) <= 3);
+    answerFull(gate, 400, {.slots = 3, .alone = 30ms}, now);
+    REQUIRE(allowed(gate.limit) <= 5);
+}
+
+// A key's only owner is slowed by neighbours and sheds most of its load, though it could serve as many at once as ever:
+// its limit was cut for a latency that has nothing to do with its load.
+TEST_CASE("an upstream as slow alone as crowded gets its limit back")
+{
+    Gate gate = warmGate(12);
+    const BootTime now = answerFull(gate, 100, {}, Start);
+    answerFull(gate, 500, {.slots = 12, .alone = 100ms}, now);
+    REQUIRE(allowed(gate.limit) == 12);
+}
+
+TEST_CASE("a request that can't be served within its deadline is shed at once, and one that waited too long later")
+{
+    Gate gate = warmGate(1);
+    REQUIRE(arrive(gate, {1, Start + 1s}, Start) == Admission::Admitted);
+    REQUIRE(arrive(gate, {2, Start + 15ms}, Start) == Admission::NoRoom);
+    REQUIRE(arrive(gate, {3, Start + 45ms}, Start) == Admission::Queued);
+    REQUIRE(arrive(gate, {4, Start + 1s}, Start) == Admission::Queued);
+    REQUIRE(nextMove(gate) == Start + 35ms);
+    const GateMoves late = move(gate, Start + 36ms);
+    REQUIRE(late.shed == std::vector<TicketId>{3});
+    REQUIRE(late.admitted.empty());
+    finish(gate, WorkEnd::Answered, 40ms, Start + 40ms);
+    REQUIRE(move(gate, Start + 40ms).admitted == std::vector<TicketId>{4});
+}
+
+TEST_CASE("the queue is short, and a refusal at the table's limit is told apart")
+{
+    Gate gate = warmGate(1);
+    REQUIRE(arrive(gate, {1, Start + 1s}, Start) == Admission::Admitted);
+    for (TicketId ticket = 2; ticket < 6; ticket++) {
+        REQUIRE(arrive(gate, {ticket, Start + 1s}, Start) == Admission::Queued);
+    }
+    REQUIRE(arrive(gate, {6, Start + 1s}, Start) == Admission::NoRoom);
+    gate.settings.ceilingIsTableLimit = true;
+    REQUIRE(arrive(gate, {7, Start + 1s}, Start) == Admission::OverLimit);
+    REQUIRE(leave(gate, 3));
+    REQUIRE_FALSE(leave(gate, 3));
+    REQUIRE(arrive(gate, {8, Start + 1s}, Start) == Admission::Queued);
+}
+
+// An upstream stops answering after a restart beside it: a hundred connections were opened to it within a millisecond,
+// and each costs it one.
+TEST_CASE("new connections are spaced out, open ones are used at once")
+{
+    Gate gate = warmGate(12);
+    gate.settings.connectionPace = 4ms;
+    REQUIRE(arrive(gate, {1, Start + 1s}, Start) == Admission::Admitted);
+    REQUIRE(arrive(gate, {2, Start + 1s}, Start) == Admission::Queued);
+    REQUIRE(nextMove(gate) == Start + 4ms);
+    REQUIRE(move(gate, Start + 3ms).admitted.empty());
+    REQUIRE(move(gate, Start + 4ms).admitted == std::vector<TicketId>{2});
+    finish(gate, WorkEnd::Answered, 1ms, Start + 5ms);
+    REQUIRE(arrive(gate, {3, Start + 1s}, Start + 5ms) == Admission::Admitted);
+}
--- a/tests/OwnershipTest.cpp
+++ b/tests/OwnershipTest.cpp
@@ -133,14 +133,16 @@
     REQUIRE(agent::resumeReleased(agent.ownership, agent.map).slices().empty());
 }
 
-// Keys stay without an owner: the leader that revoked them fell before it heard Released, and its follower knows
-// nothing of the move, while the agent goes on refusing.
-TEST_CASE("a revocation that was not released ends with its session")
+// A key has two owners: the session broke between Revoke and Released, the agent took up the key again, and the leader,
+// which still was the leader, had its Released of another slice.
+TEST_CASE("a revocation stands over the end of its session until its work has ended")
 {
     Agent agent;
     agent::beginWork(agent.ownership, "catalogue", 5);
     agent.revoke(0, 1);
     REQUIRE(agent::takeReleased(agent.ownership, agent.map).slices().empty());
     REQUIRE(agent::resumeReleased(agent.ownership, agent.map).slices().empty());
-    REQUIRE(agent.check(5) == agent::Refusal::None);
+    REQUIRE(agent.check(5) == agent::Refusal::Moving);
+    agent::endWork(agent.ownership, "catalogue", 5);
+    REQUIRE(agent::takeReleased(agent.ownership, agent.map).slices_size() == 1);
 }
--- /dev/null
+++ b/tests/RequestStepTest.cpp
@@ -0,0 +1,329 @@
+#include "agent/RequestStep.h"
+#include "agent/RetryBudget.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+
+using namespace bergamotweir;
+using namespace bergamotweir::agent;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr BootTime Start{100s};
+constexpr std::uint32_t Near = 1;
+constexpr std::uint32_t Far = 2;
+
+/** What really happened to the attempts, which the request can't see, beside what step() made of it. */
+struct World {
+    RequestState state;
+    RetryBudget retries;
+    RetryBudget hedges;
+    pcg32 random{7};
+    BootTime now = Start;
+    /** Attempts handed to an upstream and neither ended nor cancelled. */
+    std::map<unsigned, bool> handedOn;
+    /** Whether any part of the request may have run. */
+    bool mayHaveRun = false;
+    bool granted = false;
+    bool callerGone = false;
+    unsigned answers = 0;
+    unsigned records = 0;
+    bool released = false;
+    std::string story;
+
+    bool hasEnded() const
+    {
+        return this->state.stage == Stage::Ended;
+    }
+};
+
+void check(World &world, bool holds, const char *rule)
+{
+    if (!holds) {
+        FAIL(rule << " broken after:" << world.story);
+    }
+}
+
+void handOn(World &world, const RequestAction &action)
+{
+    const bool alone = world.handedOn.empty() && !world.mayHaveRun;
+    check(world, alone || isIdempotent(world.state.facts.method), "a non-idempotent request is sent once");
+    check(world, world.granted || !world.state.facts.claimed, "a claimed request waits for its claim");
+    check(world, world.now < world.state.facts.deadline, "nothing is sent after the deadline");
+    world.handedOn[action.attempt] = true;
+}
+
+void answer(World &world, const RequestAction &action)
+{
+    world.answers++;
+    if (action.kind != ActionKind::Refuse) {
+        return;
+    }
+    const bool earlierSend =
+        world.state.facts.claimed && !world.granted && action.refusal.cause != RefusalCause::ClaimConflict;
+    if (action.refusal.ran == Ran::No) {
+        check(world, !world.mayHaveRun && !earlierSend, "Request-Ran: no is true");
+    }
+}
+
+/** Carries out an action as far as the rules care. */
+void carryOut(World &world, const RequestAction &action)
+{
+    switch (action.kind) {
+    case ActionKind::Dispatch:
+    case ActionKind::Forward:
+        handOn(world, action);
+        break;
+    case ActionKind::Cancel:
+        // A cancelled attempt may have run, and may still.
+        world.mayHaveRun |= world.handedOn.erase(action.attempt) > 0;
+        break;
+    case ActionKind::Relay:
+    case ActionKind::RelayRecorded:
+    case ActionKind::Refuse:
+        answer(world, action);
+        break;
+    case ActionKind::Record:
+        world.records++;
+        world.released = action.outcome == ClaimEnd::Released;
+        check(world, !world.released || !world.mayHaveRun, "a claim is given back only if nothing ran");
+        break;
+    default:
+        break;
+    }
+}
+
+void checkRules(World &world)
+{
+    check(world, world.answers <= 1, "one answer at most");
+    check(world, world.records <= 1, "one outcome at most");
+    if (!world.hasEnded()) {
+        return;
+    }
+    check(world, world.answers == 1 || world.callerGone, "an ended request was answered");
+    check(world, world.handedOn.empty(), "no attempt outlives its request");
+    check(world, !world.granted || world.records == 1, "a granted claim gets its outcome");
+}
+
+void act(World &world, const RequestEvent &event, const std::string &name)
+{
+    world.story += " " + name;
+    if (event.kind == EventKind::CallerGone) {
+        world.callerGone = true;
+    }
+    if (event.kind == EventKind::ClaimAnswered && event.claim == ClaimAnswer::Granted) {
+        world.granted = true;
+    }
+    if (event.kind == EventKind::AttemptEnded && world.handedOn.erase(event.attempt) > 0) {
+        world.mayHaveRun |= event.mayHaveRun;
+    }
+    const RequestContext context{&world.retries, &world.hedges, &world.random};
+    std::vector<RequestAction> actions = step(world.state, event, world.now, context);
+    // A cancelled or refused attempt counts before the answer that follows from it.
+    for (const RequestAction &action : actions) {
+        carryOut(world, action);
+    }
+    checkRules(world);
+}
+
+struct NamedEvent {
+    RequestEvent event;
+    std::string name;
+};
+
+void addEnds(const World &world, std::vector<NamedEvent> &events)
+{
+    for (const auto &entry : world.handedOn) {
+        const unsigned attempt = entry.first;
+        const std::string id = std::to_string(attempt);
+        const auto add = [&](AttemptEnd end, bool ran) {
+            events.push_back({{.kind = EventKind::AttemptEnded, .attempt = attempt, .end = end, .mayHaveRun = ran},
+                              std::string(toText(end)) + (ran ? "!" : "") + id});
+        };
+        add(AttemptEnd::Answered, true);
+        add(AttemptEnd::NotOwner, false);
+        add(AttemptEnd::NoRoom, false);
+        add(AttemptEnd::NotSent, false);
+        add(AttemptEnd::Crashed, true);
+        add(AttemptEnd::ShortAnswer, true);
+    }
+}
+
+/** @return every event that can come up now, faults included */
+std::vector<NamedEvent> possible(const World &world)
+{
+    std::vector<NamedEvent> events{{{.kind = EventKind::DeadlinePassed}, "deadline"},
+                                   {{.kind = EventKind::CallerGone}, "gone"}};
+    if (world.state.stage == Stage::Claiming) {
+        for (const auto claim : {ClaimAnswer::Granted,
+                                 ClaimAnswer::InProgress,
+                                 ClaimAnswer::Recorded,
+                                 ClaimAnswer::Conflict,
+                                 ClaimAnswer::Unknown,
+                                 ClaimAnswer::Unavailable}) {
+            events.push_back({{.kind = EventKind::ClaimAnswered, .claim = claim},
+                              "claim" + std::to_string(static_cast<int>(claim))});
+        }
+    }
+    if (world.state.stage == Stage::Waiting) {
+        events.push_back({{.kind = EventKind::Woken}, "woken"});
+        events.push_back({{.kind = EventKind::WaitRefused}, "crowded"});
+    }
+    if (world.state.stage == Stage::Running && (world.state.live.empty() || world.state.routingHedge)) {
+        events.push_back({{.kind = EventKind::Routed}, "nowhere"});
+        events.push_back({{.kind = EventKind::Routed, .upstream = Near, .local = true}, "near"});
+        events.push_back({{.kind = EventKind::Routed, .upstream = Far}, "far"});
+    }
+    for (const Attempt &attempt : world.state.live) {
+        if (attempt.stage == AttemptStage::Queued) {
+            events.push_back({{.kind = EventKind::Admitted, .attempt = attempt.id}, "admitted"});
+            events.push_back(
+                {{.kind = EventKind::AttemptEnded, .attempt = attempt.id, .end = AttemptEnd::NoRoom}, "shed"});
+        }
+    }
+    if (!world.handedOn.empty() && !world.state.hedged) {
+        events.push_back({{.kind = EventKind::HedgeDue}, "hedge"});
+    }
+    addEnds(world, events);
+    return events;
+}
+
+/** Follows every order of events to a depth. @return how many orders were followed */
+unsigned explore(const World &world, unsigned depth)
+{
+    if (depth == 0 || world.hasEnded()) {
+        World late = world;
+        act(late, {.kind = EventKind::ClaimAnswered, .claim = ClaimAnswer::Unavailable}, "late-claim");
+        act(late, {.kind = EventKind::AttemptEnded, .attempt = 1, .end = AttemptEnd::Answered}, "late-answer");
+        return 1;
+    }
+    unsigned orders = 0;
+    for (const NamedEvent &next : possible(world)) {
+        World branch = world;
+        act(branch, next.event, next.name);
+        orders += explore(branch, depth - 1);
+    }
+    return orders;
+}
+
+World accepted(const std::string &method, bool keyed, bool claimed, bool forwarded = false)
+{
+    World world;
+    world.state.facts = {.service = "enrolments",
+                         .method = method,
+                         .keyed = keyed,
+                         .hash = 5,
+                         .claimed = claimed,
+                         .forwarded = forwarded,
+                         .deadline = Start + 1s};
+    act(world, {.kind = EventKind::Accepted}, "accepted");
+    return world;
+}
+
+RequestEvent endOf(unsigned attempt, AttemptEnd end, bool ran)
+{
+    return {.kind = EventKind::AttemptEnded, .attempt = attempt, .end = end, .mayHaveRun = ran};
+}
+
+} // namespace
+
+// A learner pays twice, gets no answer, or is told "it did not run" of a payment that did: some fault came between two
+// steps of the request's life in an order that nobody had thought of. Here every order of events comes up.
+TEST_CASE("every fault at every step keeps the rules of a request")
+{
+    constexpr unsigned Depth = 9;
+    unsigned orders = 0;
+    orders += explore(accepted("POST", true, false), Depth);
+    orders += explore(accepted("POST", true, true), Depth);
+    orders += explore(accepted("POST", false, false), Depth);
+    orders += explore(accepted("GET", false, false), Depth);
+    orders += explore(accepted("PUT", true, false, true), Depth);
+    REQUIRE(orders > 10000);
+}
+
+// A granted claim is lost: the caller went away while control decided, and the id could never be used again.
+TEST_CASE("a claim granted to a request that has ended is given back")
+{
+    World world = accepted("POST", true, true);
+    act(world, {.kind = EventKind::CallerGone}, "gone");
+    act(world, {.kind = EventKind::ClaimAnswered, .claim = ClaimAnswer::Granted}, "granted");
+    REQUIRE(world.records == 1);
+    REQUIRE(world.released);
+}
+
+// Requests are refused during a planned move: the old owner has stopped, the new one isn't known yet.
+TEST_CASE("a request waits through a move as long as its deadline allows")
+{
+    World world = accepted("POST", true, false);
+    act(world, {.kind = EventKind::Routed, .upstream = Far}, "far");
+    for (unsigned attempt = 1; attempt <= 20; attempt++) {
+        act(world, endOf(attempt, AttemptEnd::NotOwner, false), "not-owner");
+        REQUIRE(world.state.stage == Stage::Waiting);
+        world.now += 25ms;
+        act(world, {.kind = EventKind::Woken}, "woken");
+        act(world, {.kind = EventKind::Routed, .upstream = Far}, "far");
+    }
+    act(world, endOf(21, AttemptEnd::Answered, true), "answered");
+    REQUIRE(world.answers == 1);
+    REQUIRE(world.state.ran == Ran::Yes);
+}
+
+TEST_CASE("a request that can't wait any longer is refused at once and truly")
+{
+    World world = accepted("POST", true, false);
+    world.now = Start + 990ms;
+    const RequestContext context{&world.retries, &world.hedges, &world.random};
+    const auto actions = step(world.state, {.kind = EventKind::Routed}, world.now, context);
+    REQUIRE(actions.size() == 1);
+    REQUIRE(actions[0].refusal.status == 503);
+    REQUIRE(actions[0].refusal.ran == Ran::No);
+    REQUIRE(actions[0].refusal.retryAfter);
+}
+
+// A slow service gets several times its load: each failed read is sent again, by every agent.
+TEST_CASE("retries and hedges end with their budgets")
+{
+    World world = accepted("GET", false, false);
+    world.retries.tokens = 1;
+    world.hedges.tokens = 0;
+    act(world, {.kind = EventKind::Routed, .upstream = Far}, "far");
+    act(world, {.kind = EventKind::HedgeDue}, "hedge");
+    REQUIRE_FALSE(world.state.hedged);
+    act(world, endOf(1, AttemptEnd::Broken, true), "broken");
+    REQUIRE_FALSE(world.hasEnded());
+    act(world, {.kind = EventKind::Routed, .upstream = Near, .local = true}, "near");
+    act(world, endOf(2, AttemptEnd::NoRoom, false), "shed");
+    REQUIRE(world.hasEnded());
+    REQUIRE(world.state.ran == Ran::Unknown);
+}
+
+TEST_CASE("the first answer of a hedged read wins and the loser is cancelled")
+{
+    World world = accepted("GET", false, false);
+    act(world, {.kind = EventKind::Routed, .upstream = Far}, "far");
+    act(world, {.kind = EventKind::HedgeDue}, "hedge");
+    REQUIRE(world.state.hedged);
+    act(world, {.kind = EventKind::Routed, .upstream = Near, .local = true}, "near");
+    act(world, {.kind = EventKind::Admitted, .attempt = 2}, "admitted");
+    act(world, endOf(2, AttemptEnd::Answered, true), "answered");
+    REQUIRE(world.answers == 1);
+    REQUIRE(world.handedOn.empty());
+    REQUIRE(world.mayHaveRun);
+}
+
+// A caller's resend of a payment that ran is told "unknown" though the answer was there: the first send was cancelled
+// when its caller lost the connection.
+TEST_CASE("a claimed request that may be running goes on without its caller")
+{
+    World world = accepted("POST", true, true);
+    act(world, {.kind = EventKind::ClaimAnswered, .claim = ClaimAnswer::Granted}, "granted");
+    act(world, {.kind = EventKind::Routed, .upstream = Far}, "far");
+    act(world, {.kind = EventKind::CallerGone}, "gone");
+    REQUIRE(world.handedOn.size() == 1);
+    act(world, endOf(1, AttemptEnd::Answered, true), "answered");
+    REQUIRE(world.records == 1);
+    REQUIRE_FALSE(world.released);
+}
--- /dev/null
+++ b/tests/RouterTest.cpp
@@ -0,0 +1,122 @@
+#include "agent/Router.h"
+
+#include <catch2/catch.hpp>
+
+using namespace bergamotweir;
+using namespace bergamotweir::agent;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr BootTime Start{100s};
+
+std::vector<Candidate> fourAlike()
+{
+    return {{1, 1, false}, {2, 1, false}, {3, 1, false}, {4, 1, false}};
+}
+
+std::map<std::uint32_t, unsigned>
+draw(ServiceRouting &routing, const std::vector<Candidate> &candidates, unsigned times, BootTime now)
+{
+    pcg32 random(7);
+    std::map<std::uint32_t, unsigned> counts;
+    for (unsigned turn = 0; turn < times; turn++) {
+        counts[choose(routing, candidates, {}, random, now)]++;
+    }
+    return counts;
+}
+
+void answerAll(ServiceRouting &routing, unsigned rounds, std::chrono::milliseconds slow, BootTime now)
+{
+    for (unsigned round = 0; round < rounds; round++) {
+        for (std::uint32_t upstream = 1; upstream <= 4; upstream++) {
+            noteSent(routing, upstream);
+            noteAnswered(routing, upstream, upstream == 1 ? slow : 5ms, 0, now);
+        }
+    }
+}
+
+} // namespace
+
+TEST_CASE("idle upstreams get load by their weights")
+{
+    ServiceRouting routing;
+    const std::vector<Candidate> candidates{{1, 3, false}, {2, 1, false}};
+    const auto counts = draw(routing, candidates, 10000, Start);
+    REQUIRE(counts.at(1) > 7300);
+    REQUIRE(counts.at(1) < 7700);
+}
+
+// One in four lookups is slow for half a minute: the straggler's own report still says that it is idle.
+TEST_CASE("a straggler is found by the latency seen, whatever it reports, and probed back")
+{
+    ServiceRouting routing;
+    answerAll(routing, 5, 5ms, Start);
+    answerAll(routing, 5, 50ms, Start);
+    REQUIRE(isEjected(routing, 1, Start));
+    REQUIRE(draw(routing, fourAlike(), 1000, Start).count(1) == 0);
+    const BootTime back = Start + 300ms;
+    REQUIRE(draw(routing, fourAlike(), 1000, back).at(1) > 0);
+    noteSent(routing, 1);
+    REQUIRE(draw(routing, fourAlike(), 1000, back).count(1) == 0);
+    noteAnswered(routing, 1, 50ms, 0, back);
+    REQUIRE(isEjected(routing, 1, back + 300ms));
+    for (unsigned probe = 0; probe < 3; probe++) {
+        noteSent(routing, 1);
+        noteAnswered(routing, 1, 5ms, 0, back + 500ms);
+    }
+    REQUIRE(routing.health.at(1).probesLeft == 0);
+    REQUIRE(routing.health.at(1).ejections == 0);
+}
+
+// Every upstream of a service is out at once: all of them failed for a moment.
+TEST_CASE("ejection takes out a third at most")
+{
+    ServiceRouting routing;
+    answerAll(routing, 5, 5ms, Start);
+    for (std::uint32_t upstream = 1; upstream <= 4; upstream++) {
+        for (unsigned failure = 0; failure < 5; failure++) {
+            noteSent(routing, upstream);
+            noteFailed(routing, upstream, 1ms, Start);
+        }
+    }
+    unsigned out = 0;
+    for (std::uint32_t upstream = 1; upstream <= 4; upstream++) {
+        out += isEjected(routing, upstream, Start) ? 1 : 0;
+    }
+    REQUIRE(out == 1);
+}
+
+TEST_CASE("an upstream that sheds is avoided for a moment, not ejected")
+{
+    ServiceRouting routing;
+    answerAll(routing, 5, 5ms, Start);
+    for (unsigned shed = 0; shed < 5; shed++) {
+        noteSent(routing, 1);
+        noteShed(routing, 1, Start);
+    }
+    REQUIRE_FALSE(isEjected(routing, 1, Start));
+    const auto counts = draw(routing, fourAlike(), 1000, Start);
+    REQUIRE((counts.count(1) == 0 || counts.at(1) < 100));
+    REQUIRE(draw(routing, fourAlike(), 1000, Start + 1s).at(1) > 150);
+}
+
+TEST_CASE("the local failure domain is preferred among upstreams alike, and not once it is busy")
+{
+    ServiceRouting routing;
+    const std::vector<Candidate> candidates{{1, 1, true}, {2, 1, false}};
+    REQUIRE(draw(routing, candidates, 1000, Start).at(1) > 700);
+    for (std::uint32_t upstream = 1; upstream <= 2; upstream++) {
+        noteSent(routing, upstream);
+        noteAnswered(routing, upstream, 5ms, 0.9, Start);
+    }
+    REQUIRE(draw(routing, candidates, 1000, Start).at(1) < 600);
+}
+
+TEST_CASE("a retry goes to another upstream, and nowhere when all were tried")
+{
+    ServiceRouting routing;
+    pcg32 random(7);
+    REQUIRE(choose(routing, {{1, 1, false}, {2, 1, false}}, {1}, random, Start) == 2);
+    REQUIRE(choose(routing, {{1, 1, false}}, {1}, random, Start) == 0);
+}
