--- a/include/control/ClaimStore.h
+++ b/include/control/ClaimStore.h
@@ -43,6 +43,9 @@
 
     std::size_t size() const;
 
+    /** @return when the oldest claim was taken, 0 when there is none */
+    std::uint64_t oldestUnixMs() const;
+
     /** Adds all claims to a snapshot. */
     void save(wire::StateSnapshot &to) const;
 
--- /dev/null
+++ b/include/control/LoadBook.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "base/BootClock.h"
+#include "control.pb.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace bergamotweir::control {
+
+class SliceMap;
+struct LoadedSlice;
+
+/**
+ * The loads that owners report, smoothed. Volatile: a new leader starts from the widths of slices and learns again.
+ * Owned by the coordinator.
+ */
+class LoadBook
+{
+public:
+    /** Share of a new report in the smoothed rate. */
+    static constexpr double Weight = 0.1;
+    /** Hot keys remembered for a service; the coldest one makes room. */
+    static constexpr std::size_t MostHotKeys = 1024;
+
+    /** Takes in what one heartbeat told. */
+    void report(const wire::Renew &renew, BootTime now);
+
+    /**
+     * Gives every slice its share of the service's load: half by measured rate and half by width, so that noise on
+     * quiet services moves nothing; by width alone where too little was measured.
+     */
+    void weigh(const std::string &service, const SliceMap &map, std::vector<LoadedSlice> &slices) const;
+
+    /** @return hashes of the keys which carry at least @p share of the service's rate, reported lately */
+    std::vector<std::uint64_t> hotKeys(const std::string &service, double share, BootTime now) const;
+
+    /** Forgets everything. */
+    void clear();
+
+private:
+    struct HotKey {
+        double rate = 0;
+        BootTime reported;
+    };
+
+    struct Service {
+        std::map<std::uint64_t, double> rates;
+        std::map<std::uint64_t, HotKey> hotKeys;
+    };
+
+    double totalRate(const Service &service) const;
+
+    std::map<std::string, Service> services;
+};
+
+} // namespace bergamotweir::control
--- a/include/control/SliceMap.h
+++ b/include/control/SliceMap.h
@@ -42,15 +42,16 @@
 
     /**
      * Changes an owner, or splits a slice when begin lies inside one.
-     * Refuses everything that is neither the holding there (a mere split) nor its direct successor in epoch: a proposal
-     * made from an older assignment must not undo a newer one.
+     * Refuses everything that is neither the holding there (a mere split) nor the direct successor in epoch of a slice
+     * that begins just there: a proposal made from an older assignment, or from slices since merged, must not undo a
+     * newer one.
      * @return false when refused; nothing changed then
      */
     bool put(const wire::SliceOwner &change);
 
     /**
-     * Merges a slice into the one before it; both must have the same owner. The merged slice takes the higher epoch,
-     * so that the next change of owner still grows beyond both.
+     * Merges a slice into the one before it; both must have the same owner. The merged slice takes an epoch beyond
+     * both: a Released said for either of them before must not count for the whole.
      * @return false when refused; nothing changed then
      */
     bool merge(std::uint64_t begin);
--- a/include/control/UpstreamRegistry.h
+++ b/include/control/UpstreamRegistry.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -30,12 +31,22 @@
     /** @return the upstream of that name in a service, or nullptr */
     const wire::UpstreamInfo *find(const std::string &service, const std::string &name) const;
 
+    /** @return ids of the upstreams beside an agent */
+    const std::set<std::uint32_t> &ofAgent(const std::string &agent) const;
+
+    /** @return ids of the upstreams of a service */
+    const std::set<std::uint32_t> &ofService(const std::string &service) const;
+
     /** Replaces everything by a snapshot's upstreams. */
     void restore(const wire::StateSnapshot &from);
 
 private:
+    void store(std::uint32_t id, const wire::UpstreamInfo &upstream);
+
     Upstreams upstreams;
     std::map<std::pair<std::string, std::string>, std::uint32_t> ids;
+    std::map<std::string, std::set<std::uint32_t>> agents;
+    std::map<std::string, std::set<std::uint32_t>> services;
 };
 
 /** @return true when two announcements of one upstream say the same, whatever id they carry */
--- a/src/control/ClaimStore.cpp
+++ b/src/control/ClaimStore.cpp
@@ -96,6 +96,11 @@
     return this->claims.size();
 }
 
+std::uint64_t ClaimStore::oldestUnixMs() const
+{
+    return this->byTime.empty() ? 0 : this->byTime.begin()->first;
+}
+
 void ClaimStore::save(wire::StateSnapshot &to) const
 {
     for (const auto &[name, record] : this->claims) {
--- /dev/null
+++ b/src/control/Coordinator.cpp
@@ -0,0 +1,435 @@
+#include "control/Coordinator.h"
+
+#include "control/Assignment.h"
+#include "control/State.h"
+#include "control/VersionOrder.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace bergamotweir::control {
+
+Coordinator::Coordinator(const CoordinatorSettings &settings, const State &state)
+    : settings(settings)
+    , state(state)
+{
+}
+
+void Coordinator::lead(BootTime now)
+{
+    this->follow();
+    this->leading = true;
+    // The leader before may have renewed any lease up to the moment a quorum elected this one, and a grant made by
+    // this one must not overlap with it: every known agent counts as renewed now.
+    for (const auto &[id, upstream] : this->state.upstreams().all()) {
+        AgentRecord &agent = this->book.get(upstream.agent());
+        agent.failureDomain = upstream.failure_domain();
+        agent.peerAddress = upstream.peer_address();
+        agent.incarnation = upstream.agent_incarnation();
+        agent.leaseEnd = now + this->settings.lease + this->settings.drift;
+        agent.heardUntil = agent.leaseEnd + this->settings.takeoverGrace;
+    }
+}
+
+void Coordinator::follow()
+{
+    for (const auto &[name, agent] : this->book.agents) {
+        if (agent.session != 0) {
+            this->actions.emplace_back(CloseAction{agent.session});
+        }
+    }
+    this->leading = false;
+    this->roundInFlight = false;
+    this->book.clear();
+    this->moveBook.moves.clear();
+    this->loads.clear();
+    this->waiting = {};
+    this->inRound = {};
+    this->proposals.clear();
+    this->upstreamsInFlight.clear();
+    this->watches.clear();
+}
+
+void Coordinator::opened(SessionId session, const wire::Hello &hello, BootTime now)
+{
+    // An agent that has seen a newer version than this replica would go back to an older one.
+    if (!this->leading || isBefore(this->state.version(), hello.seen())) {
+        this->actions.emplace_back(CloseAction{session});
+        return;
+    }
+    AgentRecord &agent = this->book.get(hello.agent());
+    if (agent.session != 0) {
+        this->actions.emplace_back(CloseAction{agent.session});
+    }
+    if (agent.incarnation != hello.incarnation()) {
+        // Two processes under one name: a VM was replaced while its predecessor is frozen and may return.
+        agent.heldUntil = agent.leaseEnd;
+        const bool movedVm = agent.peerAddress != hello.peer_address();
+        for (const std::uint32_t id : this->state.upstreams().ofAgent(agent.name)) {
+            const auto work = movedVm ? this->longestWork(*this->state.upstreams().find(id)) : BootClock::duration(0);
+            agent.heldUntil = std::max(agent.heldUntil, agent.leaseEnd + work);
+        }
+    }
+    this->book.bind(agent, session);
+    agent.failureDomain = hello.failure_domain();
+    agent.peerAddress = hello.peer_address();
+    agent.incarnation = hello.incarnation();
+    agent.heardUntil = std::max(agent.heardUntil, now + this->settings.lease);
+    agent.announceBy = now + this->settings.announceGrace;
+    agent.started = now - std::chrono::milliseconds(hello.uptime_ms());
+    this->waiting.opened.push_back(session);
+    this->startRound();
+}
+
+void Coordinator::closed(SessionId session)
+{
+    this->book.unbind(session);
+}
+
+void Coordinator::received(SessionId session, const wire::AgentMessage &message, BootTime now)
+{
+    AgentRecord *const agent = this->book.bySession(session);
+    if (agent == nullptr) {
+        return;
+    }
+    agent->heardUntil = std::max(agent->heardUntil, now + this->settings.lease);
+    switch (message.body_case()) {
+    case wire::AgentMessage::kRenew:
+        this->loads.report(message.renew(), now);
+        if (isBefore(agent->inForce, message.renew().in_force())) {
+            agent->inForce = message.renew().in_force();
+        }
+        this->waiting.heartbeats[session] = {.sequence = message.renew().sequence(), .arrival = now};
+        this->startRound();
+        break;
+    case wire::AgentMessage::kUpstream:
+        this->receivedUpstream(*agent, message.upstream());
+        this->reconcile(*agent, now);
+        break;
+    case wire::AgentMessage::kReleased:
+        this->receivedReleased(*agent, message.released());
+        this->commitReleased(now);
+        break;
+    case wire::AgentMessage::kCrash: {
+        wire::Command command;
+        *command.mutable_report_crash() = message.crash();
+        this->propose(std::move(command), {});
+        break;
+    }
+    case wire::AgentMessage::kHello:
+    case wire::AgentMessage::BODY_NOT_SET:
+        break;
+    }
+}
+
+void Coordinator::applied(const Applied &applied)
+{
+    if (!this->leading || !applied.visible) {
+        return;
+    }
+    wire::ControlMessage message;
+    *message.mutable_update() = applied.update;
+    const auto shared = std::make_shared<const wire::ControlMessage>(std::move(message));
+    for (const auto &[name, agent] : this->book.agents) {
+        if (agent.informed) {
+            this->actions.emplace_back(SendAction{agent.session, shared});
+        }
+    }
+    for (const wire::UpstreamInfo &upstream : applied.update.upstreams()) {
+        this->watches[upstream.service()].dirty = true;
+    }
+    if (applied.update.has_table()) {
+        for (const auto &[service, map] : this->state.services()) {
+            this->watches[service].dirty = true;
+        }
+    }
+}
+
+void Coordinator::proposed(std::uint64_t proposal, ProposalEnd end)
+{
+    const auto found = this->proposals.find(proposal);
+    if (found == this->proposals.end()) {
+        return;
+    }
+    const Proposal ended = std::move(found->second);
+    this->proposals.erase(found);
+    if (!ended.takenFrom.empty()) {
+        --this->book.get(ended.takenFrom).takes;
+    }
+    this->upstreamsInFlight.erase(ended.upstream);
+    if (!ended.splits.empty()) {
+        this->watches[ended.splits].splitting = false;
+        this->watches[ended.splits].dirty = true;
+    }
+    for (const SliceName &slice : ended.slices) {
+        this->endMove(slice, end);
+    }
+}
+
+void Coordinator::endMove(const SliceName &slice, ProposalEnd end)
+{
+    Move &move = this->moveBook.moves.at(slice);
+    if (end != ProposalEnd::Applied) {
+        // The lease of an agent that it's taken from stays held back: the change is proposed again.
+        move.phase = MovePhase::Released;
+        return;
+    }
+    if (!move.takenFrom.empty()) {
+        --this->book.get(move.takenFrom).takes;
+    }
+    this->moveBook.moves.erase(slice);
+}
+
+void Coordinator::confirmed(bool leads, BootTime now)
+{
+    if (!this->roundInFlight) {
+        return;
+    }
+    this->roundInFlight = false;
+    const Round round = std::exchange(this->inRound, {});
+    if (!leads) {
+        // Heartbeats come again by themselves; the next round is for tick() to begin.
+        this->waiting.opened.insert(this->waiting.opened.end(), round.opened.begin(), round.opened.end());
+        return;
+    }
+    for (const SessionId session : round.opened) {
+        if (AgentRecord *const agent = this->book.bySession(session); agent != nullptr) {
+            this->inform(*agent);
+        }
+    }
+    for (const auto &[session, heartbeat] : round.heartbeats) {
+        if (AgentRecord *const agent = this->book.bySession(session); agent != nullptr) {
+            this->renew(*agent, heartbeat, now);
+        }
+    }
+    this->startRound();
+}
+
+void Coordinator::tick(BootTime now)
+{
+    if (!this->leading) {
+        return;
+    }
+    this->startRound();
+    this->retireLost(now);
+    for (auto &[name, agent] : this->book.agents) {
+        if (agent.session != 0 && !isLost(agent, now)) {
+            this->reconcile(agent, now);
+            this->retireUnannounced(agent, now);
+        }
+    }
+    this->endRevokesOfLost(now);
+    this->planAll(now);
+    this->commitReleased(now);
+}
+
+std::vector<Action> Coordinator::takeActions()
+{
+    return std::exchange(this->actions, {});
+}
+
+bool Coordinator::isLeading() const
+{
+    return this->leading;
+}
+
+const AgentBook &Coordinator::agents() const
+{
+    return this->book;
+}
+
+const MoveBook &Coordinator::moves() const
+{
+    return this->moveBook;
+}
+
+wire::InForceReport Coordinator::inForce(const wire::Version &version) const
+{
+    std::set<std::string> expected;
+    for (const auto &[id, upstream] : this->state.upstreams().all()) {
+        if (upstream.serving()) {
+            expected.insert(upstream.agent());
+        }
+    }
+    for (const auto &[name, agent] : this->book.agents) {
+        if (agent.session != 0) {
+            expected.insert(name);
+        }
+    }
+    wire::InForceReport report;
+    for (const std::string &name : expected) {
+        const AgentRecord *const agent = this->book.find(name);
+        const bool reached = agent != nullptr && !isBefore(agent->inForce, version);
+        *(reached ? report.add_confirmed() : report.add_missing()) = name;
+    }
+    return report;
+}
+
+void Coordinator::send(SessionId session, wire::ControlMessage message)
+{
+    this->actions.emplace_back(SendAction{session, std::make_shared<const wire::ControlMessage>(std::move(message))});
+}
+
+std::uint64_t Coordinator::propose(wire::Command command, Proposal proposal)
+{
+    const std::uint64_t name = ++this->lastProposal;
+    if (!proposal.takenFrom.empty()) {
+        ++this->book.get(proposal.takenFrom).takes;
+    }
+    if (!proposal.upstream.second.empty()) {
+        this->upstreamsInFlight.insert(proposal.upstream);
+    }
+    this->proposals.emplace(name, std::move(proposal));
+    this->actions.emplace_back(ProposeAction{name, std::move(command)});
+    return name;
+}
+
+void Coordinator::startRound()
+{
+    if (!this->leading || this->roundInFlight || this->waiting.empty()) {
+        return;
+    }
+    this->inRound = std::exchange(this->waiting, {});
+    this->roundInFlight = true;
+    this->actions.emplace_back(ConfirmAction{});
+}
+
+void Coordinator::inform(AgentRecord &agent)
+{
+    wire::ControlMessage message;
+    *message.mutable_update() = this->state.fullUpdate();
+    this->send(agent.session, std::move(message));
+    agent.informed = true;
+    this->resendRevokes(agent);
+}
+
+void Coordinator::renew(AgentRecord &agent, const Heartbeat &heartbeat, BootTime now)
+{
+    // The first full state goes ahead of every Renewed of a session: an agent must not serve by what it knew before.
+    if (!agent.informed) {
+        return;
+    }
+    wire::ControlMessage message;
+    message.mutable_renewed()->set_sequence(heartbeat.sequence);
+    if (this->mayRenew(agent, now)) {
+        message.mutable_renewed()->set_lease_ms(static_cast<std::uint32_t>(this->settings.lease.count()));
+        const BootTime end = heartbeat.arrival + this->settings.lease + this->settings.drift;
+        if (!mayHoldLease(agent, now)) {
+            // It counts as a member again.
+            for (const auto &[upstream, info] : agent.announced) {
+                this->watches[info.service()].dirty = true;
+            }
+        }
+        agent.leaseEnd = std::max(agent.leaseEnd, end);
+    }
+    this->send(agent.session, std::move(message));
+}
+
+bool Coordinator::mayRenew(const AgentRecord &agent, BootTime now) const
+{
+    // Slices are being taken from it: it would go on serving them until it hears of the commit.
+    if (agent.takes > 0 || now < agent.heldUntil) {
+        return false;
+    }
+    // The log must know which process serves under this name before that process gets a lease: a later leader holds
+    // back any other one.
+    const std::set<std::uint32_t> &own = this->state.upstreams().ofAgent(agent.name);
+    return std::all_of(own.begin(), own.end(), [&](std::uint32_t id) {
+        return this->state.upstreams().find(id)->agent_incarnation() == agent.incarnation;
+    });
+}
+
+void Coordinator::receivedUpstream(AgentRecord &agent, const wire::UpstreamInfo &announced)
+{
+    wire::UpstreamInfo upstream = announced;
+    upstream.clear_id();
+    upstream.set_agent(agent.name);
+    upstream.set_failure_domain(agent.failureDomain);
+    upstream.set_agent_incarnation(agent.incarnation);
+    agent.announced[{upstream.service(), upstream.name()}] = std::move(upstream);
+}
+
+bool Coordinator::mayMoveHere(const wire::UpstreamInfo &registered, const AgentRecord &agent, BootTime now) const
+{
+    if (registered.agent() == agent.name) {
+        // Until the process before it under this name surely holds no lease, the log goes on naming that one.
+        return registered.agent_incarnation() == agent.incarnation || now >= agent.heldUntil;
+    }
+    // Taking an upstream over from another agent hands on all its slices.
+    const AgentRecord *const other = this->book.find(registered.agent());
+    return other == nullptr || (isLost(*other, now) && now >= other->leaseEnd + this->longestWork(registered));
+}
+
+void Coordinator::reconcile(AgentRecord &agent, BootTime now)
+{
+    for (const auto &[name, announced] : agent.announced) {
+        const wire::UpstreamInfo *const registered = this->state.upstreams().find(name.first, name.second);
+        if (this->upstreamsInFlight.contains(name)) {
+            continue;
+        }
+        if (registered != nullptr
+            && (sameAnnouncement(*registered, announced) || !this->mayMoveHere(*registered, agent, now))) {
+            continue;
+        }
+        const bool takenOver = registered != nullptr && registered->agent() != agent.name;
+        this->proposeUpstream(announced, takenOver ? registered->agent() : std::string());
+    }
+}
+
+void Coordinator::proposeUpstream(const wire::UpstreamInfo &upstream, const std::string &takenFrom)
+{
+    wire::Command command;
+    *command.mutable_put_upstream()->mutable_upstream() = upstream;
+    Proposal proposal;
+    proposal.upstream = {upstream.service(), upstream.name()};
+    proposal.takenFrom = takenFrom;
+    this->propose(std::move(command), std::move(proposal));
+}
+
+void Coordinator::retireUnannounced(AgentRecord &agent, BootTime now)
+{
+    if (now < agent.announceBy || now < agent.heldUntil) {
+        return;
+    }
+    for (const std::uint32_t id : this->state.upstreams().ofAgent(agent.name)) {
+        wire::UpstreamInfo upstream = *this->state.upstreams().find(id);
+        const std::pair name(upstream.service(), upstream.name());
+        const bool gone = !upstream.serving() && upstream.agent_incarnation() == agent.incarnation;
+        if (gone || agent.announced.contains(name) || this->upstreamsInFlight.contains(name)) {
+            continue;
+        }
+        upstream.set_serving(false);
+        upstream.set_agent_incarnation(agent.incarnation);
+        this->proposeUpstream(upstream, {});
+    }
+}
+
+void Coordinator::retireLost(BootTime now)
+{
+    for (const auto &[agentName, agent] : this->book.agents) {
+        if (!isLost(agent, now)) {
+            continue;
+        }
+        for (const std::uint32_t id : this->state.upstreams().ofAgent(agentName)) {
+            wire::UpstreamInfo upstream = *this->state.upstreams().find(id);
+            if (!upstream.serving() || this->upstreamsInFlight.contains({upstream.service(), upstream.name()})) {
+                continue;
+            }
+            this->watches[upstream.service()].dirty = true;
+            upstream.set_serving(false);
+            this->proposeUpstream(upstream, {});
+        }
+    }
+}
+
+std::chrono::nanoseconds Coordinator::longestWork(const wire::UpstreamInfo &upstream) const
+{
+    // An upstream that checks grants refuses what comes after the grant's end; any other may still be running what
+    // its agent dispatched just before the lease ended.
+    if (upstream.checks_grants()) {
+        return std::chrono::nanoseconds(0);
+    }
+    return this->state.tables().table().service(upstream.service()).timeout;
+}
+
+} // namespace bergamotweir::control
--- /dev/null
+++ b/src/control/CoordinatorMoves.cpp
@@ -0,0 +1,340 @@
+#include "control/Assignment.h"
+#include "control/Coordinator.h"
+#include "control/SliceSplits.h"
+#include "control/State.h"
+
+#include <algorithm>
+#include <cassert>
+#include <unordered_map>
+
+namespace bergamotweir::control {
+
+namespace {
+
+/** A key gets a slice of its own from this part of an upstream's rightful load on. */
+constexpr double HotKeyPart = 0.25;
+
+wire::SliceRef refTo(const SliceName &slice, std::uint64_t epoch)
+{
+    wire::SliceRef ref;
+    ref.set_service(slice.first);
+    ref.set_begin(slice.second);
+    ref.set_epoch(epoch);
+    return ref;
+}
+
+bool contains(const std::vector<Member> &members, std::uint32_t id)
+{
+    return std::any_of(members.begin(), members.end(), [&](const Member &member) {
+        return member.id == id;
+    });
+}
+
+} // namespace
+
+void Coordinator::sendRevokes(const std::vector<SliceName> &slices)
+{
+    std::map<SessionId, wire::ControlMessage> messages;
+    for (const SliceName &slice : slices) {
+        const Move &move = this->moveBook.moves.at(slice);
+        const wire::UpstreamInfo *const owner = this->state.upstreams().find(move.from);
+        const AgentRecord *const agent = owner == nullptr ? nullptr : this->book.find(owner->agent());
+        if (agent != nullptr && agent->informed) {
+            *messages[agent->session].mutable_revoke()->add_slices() = refTo(slice, move.epoch);
+        }
+    }
+    for (auto &[session, message] : messages) {
+        this->send(session, std::move(message));
+    }
+}
+
+void Coordinator::resendRevokes(const AgentRecord &agent)
+{
+    std::vector<SliceName> slices;
+    for (const auto &[slice, move] : this->moveBook.moves) {
+        const wire::UpstreamInfo *const owner = this->state.upstreams().find(move.from);
+        if (move.phase == MovePhase::Revoking && owner != nullptr && owner->agent() == agent.name) {
+            slices.push_back(slice);
+        }
+    }
+    this->sendRevokes(slices);
+}
+
+void Coordinator::receivedReleased(const AgentRecord &agent, const wire::Released &released)
+{
+    for (const wire::SliceRef &ref : released.slices()) {
+        const auto service = this->state.services().find(ref.service());
+        if (service == this->state.services().end()) {
+            continue;
+        }
+        const auto slice = service->second.slices().find(ref.begin());
+        if (slice == service->second.slices().end() || slice->second.epoch != ref.epoch()) {
+            continue;
+        }
+        const wire::UpstreamInfo *const owner = this->state.upstreams().find(slice->second.owner);
+        if (owner == nullptr || owner->agent() != agent.name) {
+            continue;
+        }
+        const SliceName name(ref.service(), ref.begin());
+        if (this->moveBook.find(name) == nullptr) {
+            // Revoked by a leader that is gone: nobody serves it until it gets a new epoch, its owner or another.
+            this->moveBook.moves[name] = {
+                .epoch = ref.epoch(), .from = owner->id(), .to = owner->id(), .takenFrom = {}, .notBefore = {}};
+        }
+        Move &move = this->moveBook.moves.at(name);
+        if (move.phase == MovePhase::Revoking) {
+            move.phase = MovePhase::Released;
+            // A restarted agent says Released for what it knows of; its predecessor may have sent more.
+            move.notBefore = agent.started + this->longestWork(*owner);
+        }
+    }
+}
+
+bool Coordinator::isFree(std::uint32_t owner, BootTime now) const
+{
+    if (owner == 0) {
+        return true;
+    }
+    const wire::UpstreamInfo *const upstream = this->state.upstreams().find(owner);
+    assert(upstream != nullptr);
+    const AgentRecord *const agent = this->book.find(upstream->agent());
+    return agent == nullptr || (isLost(*agent, now) && now >= agent->leaseEnd + this->longestWork(*upstream));
+}
+
+void Coordinator::planAll(BootTime now)
+{
+    if (!this->leading) {
+        return;
+    }
+    for (const auto &[service, map] : this->state.services()) {
+        if (this->state.tables().table().service(service).keyed) {
+            this->planService(service, map, now);
+        }
+    }
+}
+
+std::vector<Member> Coordinator::membersOf(const std::string &service, BootTime now) const
+{
+    std::vector<Member> members;
+    const std::set<std::uint32_t> &ids = this->state.upstreams().ofService(service);
+    members.reserve(ids.size());
+    for (const std::uint32_t id : ids) {
+        const double weight = this->weightOf(*this->state.upstreams().find(id), now);
+        if (weight > 0) {
+            members.push_back({id, weight});
+        }
+    }
+    return members;
+}
+
+double Coordinator::weightOf(const wire::UpstreamInfo &upstream, BootTime now) const
+{
+    const AgentRecord *const agent = this->book.find(upstream.agent());
+    if (!upstream.serving() || agent == nullptr || !mayHoldLease(*agent, now) || agent->takes > 0) {
+        return 0;
+    }
+    const TableHistory &tables = this->state.tables();
+    const table::KnownUpstream known{upstream.service(), upstream.failure_domain(), upstream.name()};
+    if (!table::inService(tables.table(), tables.marks(), known)) {
+        return 0;
+    }
+    return tables.table().upstream(known.service, known.failureDomain, known.name).weight;
+}
+
+void Coordinator::noteMembers(Watch &watch, const std::vector<Member> &members, BootTime now) const
+{
+    std::vector<std::uint32_t> ids;
+    for (const Member &member : members) {
+        ids.push_back(member.id);
+    }
+    if (ids != watch.memberIds) {
+        watch.memberIds = std::move(ids);
+        watch.membersChanged = now;
+    }
+}
+
+bool Coordinator::proposeSplits(const std::string &service, const SliceMap &map, std::size_t memberCount, BootTime now)
+{
+    Watch &watch = this->watches[service];
+    if (watch.splitting || memberCount == 0) {
+        return watch.splitting;
+    }
+    const double rightful = 1.0 / static_cast<double>(memberCount);
+    const SliceSplits splits = planSplits(map,
+                                          memberCount * this->settings.slicesPerUpstream,
+                                          this->loads.hotKeys(service, HotKeyPart * rightful, now),
+                                          this->moveBook.begins(service));
+    if (splits.empty()) {
+        return false;
+    }
+    wire::Command command;
+    command.mutable_assign()->set_service(service);
+    for (const std::uint64_t begin : splits.added) {
+        wire::SliceOwner slice = toWire(map.at(begin));
+        slice.set_begin(begin);
+        *command.mutable_assign()->add_slices() = slice;
+    }
+    for (const std::uint64_t begin : splits.merged) {
+        command.mutable_assign()->add_merged(begin);
+    }
+    watch.splitting = true;
+    Proposal proposal;
+    proposal.splits = service;
+    this->propose(std::move(command), std::move(proposal));
+    return true;
+}
+
+std::vector<SliceMove> Coordinator::wantedMoves(const std::string &service,
+                                                const SliceMap &map,
+                                                const std::vector<Member> &members,
+                                                BootTime now)
+{
+    std::vector<LoadedSlice> slices;
+    slices.reserve(map.slices().size());
+    for (const auto &[begin, holding] : map.slices()) {
+        LoadedSlice slice{.begin = begin, .owner = holding.owner, .load = 0, .moving = false};
+        if (const Move *const move = this->moveBook.find({service, begin}); move != nullptr) {
+            // A target that left is replaced; the revocation stands.
+            slice.owner = move->to;
+            slice.moving = contains(members, move->to) || move->phase == MovePhase::Committing;
+        }
+        slices.push_back(slice);
+    }
+    this->loads.weigh(service, map, slices);
+    if (members.empty()) {
+        // Out of service means no new work, also where nobody is left to take the keys.
+        std::vector<SliceMove> moves;
+        for (const LoadedSlice &slice : slices) {
+            if (slice.owner != 0 && !slice.moving) {
+                moves.push_back({slice.begin, slice.owner, 0});
+            }
+        }
+        return moves;
+    }
+    const Watch &watch = this->watches[service];
+    const bool settled = now >= watch.membersChanged + this->settings.settle;
+    // Before it has settled only orphans move: any imbalance is tolerated.
+    constexpr double AnyImbalance = 1e9;
+    return assign(members, slices, settled ? this->settings.tolerance : AnyImbalance);
+}
+
+void Coordinator::planService(const std::string &service, const SliceMap &map, BootTime now)
+{
+    Watch &watch = this->watches[service];
+    if (!watch.dirty && now < watch.evened + this->settings.evenInterval) {
+        return;
+    }
+    const std::vector<Member> members = this->membersOf(service, now);
+    this->noteMembers(watch, members, now);
+    watch.dirty = false;
+    watch.evened = now;
+    if (this->proposeSplits(service, map, members.size(), now)) {
+        // The slices change under the plan; it's made again once they have.
+        return;
+    }
+    this->beginMoves(service, map, this->wantedMoves(service, map, members, now), members, now);
+}
+
+void Coordinator::beginMoves(const std::string &service,
+                             const SliceMap &map,
+                             const std::vector<SliceMove> &wanted,
+                             const std::vector<Member> &members,
+                             BootTime now)
+{
+    std::unordered_map<std::uint32_t, std::size_t> busy = this->moveBook.countByUpstream();
+    std::vector<SliceName> revoked;
+    for (const SliceMove &want : wanted) {
+        const SliceName name(service, want.begin);
+        const SliceHolding holding = map.slices().at(want.begin);
+        if (Move *const begun = this->moveBook.find(name); begun != nullptr) {
+            begun->to = want.to;
+            continue;
+        }
+        if (this->isFree(holding.owner, now)) {
+            Move &move = this->moveBook.moves[name];
+            move = {.epoch = holding.epoch, .from = holding.owner, .to = want.to, .takenFrom = {}, .notBefore = {}};
+            this->takeFromLost(move);
+            continue;
+        }
+        const AgentRecord *const agent = this->book.find(this->state.upstreams().find(holding.owner)->agent());
+        if (agent == nullptr || !agent->informed || !mayHoldLease(*agent, now)) {
+            continue;
+        }
+        if (contains(members, holding.owner)) {
+            // Both stay: nothing presses, and a cold upstream should get its load step by step.
+            if (std::max(busy[holding.owner], busy[want.to]) >= this->settings.movesPerUpstream) {
+                continue;
+            }
+        }
+        ++busy[holding.owner];
+        ++busy[want.to];
+        this->moveBook.moves[name] = {
+            .epoch = holding.epoch, .from = holding.owner, .to = want.to, .takenFrom = {}, .notBefore = {}};
+        revoked.push_back(name);
+    }
+    this->sendRevokes(revoked);
+    this->commitReleased(now);
+}
+
+void Coordinator::endRevokesOfLost(BootTime now)
+{
+    for (auto &[slice, move] : this->moveBook.moves) {
+        if (move.phase == MovePhase::Revoking && this->isFree(move.from, now)) {
+            this->takeFromLost(move);
+        }
+    }
+}
+
+void Coordinator::takeFromLost(Move &move)
+{
+    move.phase = MovePhase::Released;
+    if (move.from == 0) {
+        return;
+    }
+    // An agent that was frozen may return between this decision and its commit. Renewed before it hears of the commit,
+    // it would serve beside the new owner.
+    move.takenFrom = this->state.upstreams().find(move.from)->agent();
+    ++this->book.get(move.takenFrom).takes;
+}
+
+bool Coordinator::isFitTarget(std::uint32_t upstream, BootTime now) const
+{
+    if (upstream == 0) {
+        return true;
+    }
+    const wire::UpstreamInfo *const target = this->state.upstreams().find(upstream);
+    return target != nullptr && this->weightOf(*target, now) > 0;
+}
+
+void Coordinator::commitReleased(BootTime now)
+{
+    std::map<std::string, wire::AssignSlices> changes;
+    Proposal proposal;
+    for (auto &[slice, move] : this->moveBook.moves) {
+        if (move.phase != MovePhase::Released || now < move.notBefore) {
+            continue;
+        }
+        if (!this->isFitTarget(move.to, now)) {
+            this->watches[slice.first].dirty = true;
+            continue;
+        }
+        wire::AssignSlices &change = changes[slice.first];
+        change.set_service(slice.first);
+        wire::SliceOwner &next = *change.add_slices();
+        next.set_begin(slice.second);
+        next.set_owner(move.to);
+        next.set_epoch(move.epoch + 1);
+        move.phase = MovePhase::Committing;
+        proposal.slices.push_back(slice);
+    }
+    if (changes.empty()) {
+        return;
+    }
+    wire::Command command;
+    for (auto &[service, change] : changes) {
+        *command.mutable_batch()->add_commands()->mutable_assign() = std::move(change);
+    }
+    this->propose(std::move(command), std::move(proposal));
+}
+
+} // namespace bergamotweir::control
--- /dev/null
+++ b/src/control/LoadBook.cpp
@@ -0,0 +1,88 @@
+#include "control/LoadBook.h"
+
+#include "control/Assignment.h"
+#include "control/SliceMap.h"
+
+#include <algorithm>
+
+namespace bergamotweir::control {
+
+namespace {
+
+/** Below this many requests a second in all, a slice's rate says little about the next minute. */
+constexpr double LeastMeasuredRate = 50;
+constexpr double MeasuredPart = 0.5;
+constexpr std::chrono::seconds HotKeyAge{10};
+
+} // namespace
+
+void LoadBook::report(const wire::Renew &renew, BootTime now)
+{
+    for (const wire::SliceLoad &load : renew.loads()) {
+        double &rate = this->services[load.service()].rates[load.begin()];
+        rate += Weight * (load.rate() - rate);
+    }
+    for (const wire::HotKey &key : renew.hot_keys()) {
+        Service &service = this->services[key.service()];
+        if (service.hotKeys.size() >= MostHotKeys && !service.hotKeys.contains(key.hash())) {
+            service.hotKeys.erase(std::min_element(
+                service.hotKeys.begin(), service.hotKeys.end(), [](const auto &left, const auto &right) {
+                    return left.second.rate < right.second.rate;
+                }));
+        }
+        service.hotKeys[key.hash()] = {key.rate(), now};
+    }
+}
+
+void LoadBook::weigh(const std::string &service, const SliceMap &map, std::vector<LoadedSlice> &slices) const
+{
+    const auto found = this->services.find(service);
+    double total = 0;
+    std::vector<double> rates(slices.size());
+    for (std::size_t number = 0; found != this->services.end() && number < slices.size(); ++number) {
+        const auto rate = found->second.rates.find(slices[number].begin);
+        rates[number] = rate == found->second.rates.end() ? 0 : rate->second;
+        total += rates[number];
+    }
+    const double measured = total < LeastMeasuredRate ? 0 : MeasuredPart;
+    for (std::size_t number = 0; number < slices.size(); ++number) {
+        const double width = map.width(map.at(slices[number].begin));
+        const double rate = measured > 0 ? rates[number] / total : 0;
+        slices[number].load = measured * rate + (1 - measured) * width;
+    }
+}
+
+std::vector<std::uint64_t> LoadBook::hotKeys(const std::string &service, double share, BootTime now) const
+{
+    std::vector<std::uint64_t> hot;
+    const auto found = this->services.find(service);
+    if (found == this->services.end()) {
+        return hot;
+    }
+    const double total = this->totalRate(found->second);
+    if (total < LeastMeasuredRate) {
+        return hot;
+    }
+    for (const auto &[hash, key] : found->second.hotKeys) {
+        if (key.reported + HotKeyAge > now && key.rate >= share * total) {
+            hot.push_back(hash);
+        }
+    }
+    return hot;
+}
+
+void LoadBook::clear()
+{
+    this->services.clear();
+}
+
+double LoadBook::totalRate(const Service &service) const
+{
+    double total = 0;
+    for (const auto &[begin, rate] : service.rates) {
+        total += rate;
+    }
+    return total;
+}
+
+} // namespace bergamotweir::control
--- /dev/null
+++ b/src/control/MoveBook.cpp
@@ -0,0 +1,33 @@
+#include "control/MoveBook.h"
+
+namespace bergamotweir::control {
+
+Move *MoveBook::find(const SliceName &slice)
+{
+    const auto found = this->moves.find(slice);
+    return found == this->moves.end() ? nullptr : &found->second;
+}
+
+std::unordered_map<std::uint32_t, std::size_t> MoveBook::countByUpstream() const
+{
+    std::unordered_map<std::uint32_t, std::size_t> counts;
+    for (const auto &[slice, move] : this->moves) {
+        ++counts[move.from];
+        ++counts[move.to];
+    }
+    return counts;
+}
+
+std::set<std::uint64_t> MoveBook::begins(const std::string &service) const
+{
+    std::set<std::uint64_t> found;
+    for (auto move = this->moves.lower_bound({service, 0}); move != this->moves.end(); ++move) {
+        if (move->first.first != service) {
+            break;
+        }
+        found.insert(move->first.second);
+    }
+    return found;
+}
+
+} // namespace bergamotweir::control
--- a/src/control/SliceMap.cpp
+++ b/src/control/SliceMap.cpp
@@ -44,9 +44,10 @@
 
 bool SliceMap::put(const wire::SliceOwner &change)
 {
-    const SliceHolding present = this->at(change.begin())->second;
+    const auto found = this->at(change.begin());
+    const SliceHolding present = found->second;
     const bool split = change.owner() == present.owner && change.epoch() == present.epoch;
-    const bool successor = change.epoch() == present.epoch + 1;
+    const bool successor = found->first == change.begin() && change.epoch() == present.epoch + 1;
     if (!split && !successor) {
         return false;
     }
@@ -64,7 +65,7 @@
     if (before->second.owner != found->second.owner) {
         return false;
     }
-    before->second.epoch = std::max(before->second.epoch, found->second.epoch);
+    before->second.epoch = std::max(before->second.epoch, found->second.epoch) + 1;
     this->entries.erase(found);
     return true;
 }
--- /dev/null
+++ b/src/control/SliceSplits.cpp
@@ -0,0 +1,108 @@
+#include "control/SliceSplits.h"
+
+#include "control/SliceMap.h"
+
+#include <algorithm>
+#include <iterator>
+#include <limits>
+
+namespace bergamotweir::control {
+
+namespace {
+
+constexpr std::uint64_t LastHash = std::numeric_limits<std::uint64_t>::max();
+
+/** @return the last hash of a slice */
+std::uint64_t lastOf(const SliceMap &map, SliceMap::Slices::const_iterator slice)
+{
+    const auto next = std::next(slice);
+    return next == map.slices().end() ? LastHash : next->first - 1;
+}
+
+/** @return true for a slice that holds a single hash: one made for a hot key */
+bool isSingle(const SliceMap &map, SliceMap::Slices::const_iterator slice)
+{
+    return lastOf(map, slice) == slice->first;
+}
+
+void halveWidest(const SliceMap &map, const std::set<std::uint64_t> &moving, SliceSplits &splits)
+{
+    double widest = 0;
+    for (auto slice = map.slices().begin(); slice != map.slices().end(); ++slice) {
+        widest = std::max(widest, map.width(slice));
+    }
+    // Slices cut round a hot key are a little narrower than their sisters and are halved with them.
+    constexpr double SameWidth = 0.75;
+    for (auto slice = map.slices().begin(); slice != map.slices().end(); ++slice) {
+        if (map.width(slice) < widest * SameWidth || isSingle(map, slice) || moving.contains(slice->first)) {
+            continue;
+        }
+        const std::uint64_t half = (lastOf(map, slice) - slice->first) / 2;
+        splits.added.push_back(slice->first + half + 1);
+    }
+}
+
+void isolate(const SliceMap &map, std::uint64_t hash, const std::set<std::uint64_t> &moving, SliceSplits &splits)
+{
+    const auto slice = map.at(hash);
+    if (moving.contains(slice->first) || isSingle(map, slice)) {
+        return;
+    }
+    if (slice->first != hash) {
+        splits.added.push_back(hash);
+    }
+    if (hash != lastOf(map, slice)) {
+        splits.added.push_back(hash + 1);
+    }
+}
+
+/** Merges single-hash slices that are no longer hot, and what follows them, back into the slice before. */
+void mergeCooled(const SliceMap &map,
+                 const std::vector<std::uint64_t> &hot,
+                 const std::set<std::uint64_t> &moving,
+                 SliceSplits &splits)
+{
+    for (auto slice = map.slices().begin(); slice != map.slices().end(); ++slice) {
+        if (slice == map.slices().begin() || !isSingle(map, slice)) {
+            continue;
+        }
+        const auto before = std::prev(slice);
+        const bool stillHot = std::binary_search(hot.begin(), hot.end(), slice->first);
+        const bool onTheMove = moving.contains(slice->first) || moving.contains(before->first);
+        if (stillHot || onTheMove || isSingle(map, before) || before->second.owner != slice->second.owner) {
+            continue;
+        }
+        splits.merged.push_back(slice->first);
+        const auto after = std::next(slice);
+        if (after != map.slices().end() && after->second.owner == slice->second.owner && !moving.contains(after->first)
+            && !isSingle(map, after)
+            && map.width(before) + map.width(after) <= 1.0 / static_cast<double>(map.slices().size())) {
+            splits.merged.push_back(after->first);
+        }
+    }
+}
+
+} // namespace
+
+SliceSplits planSplits(const SliceMap &map,
+                       std::size_t wanted,
+                       const std::vector<std::uint64_t> &hot,
+                       const std::set<std::uint64_t> &moving)
+{
+    SliceSplits splits;
+    if (map.slices().size() < std::min(wanted, MostSlices)) {
+        halveWidest(map, moving, splits);
+        return splits;
+    }
+    if (map.slices().size() + 2 * hot.size() <= MostSlices) {
+        for (const std::uint64_t hash : hot) {
+            isolate(map, hash, moving, splits);
+        }
+    }
+    std::sort(splits.added.begin(), splits.added.end());
+    splits.added.erase(std::unique(splits.added.begin(), splits.added.end()), splits.added.end());
+    mergeCooled(map, hot, moving, splits);
+    return splits;
+}
+
+} // namespace bergamotweir::control
--- a/src/control/State.cpp
+++ b/src/control/State.cpp
@@ -125,7 +125,7 @@
             continue;
         }
         changed.add_merged(begin);
-        // The slice before it may have taken on the merged one's epoch.
+        // The slice before it has a new epoch.
         *changed.add_slices() = toWire(map.at(begin));
     }
     if (changed.slices_size() + changed.merged_size() == 0) {
--- a/src/control/UpstreamRegistry.cpp
+++ b/src/control/UpstreamRegistry.cpp
@@ -11,8 +11,7 @@
     if (id == 0) {
         id = static_cast<std::uint32_t>(this->ids.size());
     }
-    this->upstreams[id] = upstream;
-    this->upstreams[id].set_id(id);
+    this->store(id, upstream);
     return id;
 }
 
@@ -33,12 +32,35 @@
     return found == this->ids.end() ? nullptr : this->find(found->second);
 }
 
+const std::set<std::uint32_t> &UpstreamRegistry::ofAgent(const std::string &agent) const
+{
+    static const std::set<std::uint32_t> none;
+    const auto found = this->agents.find(agent);
+    return found == this->agents.end() ? none : found->second;
+}
+
+const std::set<std::uint32_t> &UpstreamRegistry::ofService(const std::string &service) const
+{
+    static const std::set<std::uint32_t> none;
+    const auto found = this->services.find(service);
+    return found == this->services.end() ? none : found->second;
+}
+
+void UpstreamRegistry::store(std::uint32_t id, const wire::UpstreamInfo &upstream)
+{
+    wire::UpstreamInfo &stored = this->upstreams[id];
+    this->agents[stored.agent()].erase(id);
+    stored = upstream;
+    stored.set_id(id);
+    this->agents[stored.agent()].insert(id);
+    this->services[stored.service()].insert(id);
+}
+
 void UpstreamRegistry::restore(const wire::StateSnapshot &from)
 {
-    this->upstreams.clear();
-    this->ids.clear();
+    *this = UpstreamRegistry();
     for (const wire::UpstreamInfo &upstream : from.upstreams()) {
-        this->upstreams[upstream.id()] = upstream;
+        this->store(upstream.id(), upstream);
         this->ids[{upstream.service(), upstream.name()}] = upstream.id();
     }
 }
@@ -50,7 +72,8 @@
            && left.peer_address() == right.peer_address() && left.incarnation() == right.incarnation()
            && left.slots() == right.slots() && left.connections() == right.connections()
            && left.checks_grants() == right.checks_grants() && left.serving() == right.serving()
-           && left.operator_address() == right.operator_address();
+           && left.operator_address() == right.operator_address()
+           && left.agent_incarnation() == right.agent_incarnation();
 }
 
 } // namespace bergamotweir::control
