Session and claim clients: no channel ends on a gRPC thread

The stream owned its channel and freed itself in OnDone, so the last reference to a channel went on one of gRPC's own callback threads. Ruled out: holds and cancellation order (the abort stays without any cancel from the loop's thread); memory of the context (it keeps its own reference to the call). Change: the session keeps one stub per address and owns every stream; a stream is freed on the loop's thread after OnDone. A claim call moves to the loop before it is freed; the client's destructor waits for calls in progress. Also: the event loop's test posted from a thread that could come too late; it is joined before the loop runs.

--- a/include/rpc/ControlSession.h
+++ b/include/rpc/ControlSession.h
@@ -1,12 +1,13 @@
 #pragma once
 
 #include "base/BootClock.h"
-#include "control.pb.h"
+#include "control.grpc.pb.h"
 #include "loop/EventLoop.h"
 
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -85,9 +86,10 @@
     std::vector<std::string> addresses;
     ControlSessionEvents events;
     ControlSessionPatience patience;
-    std::shared_ptr<Stream> stream;
+    std::map<std::string, std::unique_ptr<wire::Control::Stub>> stubs;
+    std::unique_ptr<Stream> stream;
     /** Cancelled streams that gRPC has not finished with. */
-    std::vector<std::shared_ptr<Stream>> leaving;
+    std::vector<std::unique_ptr<Stream>> leaving;
     SessionId session = 0;
     bool opened = false;
     std::size_t nextAddress = 0;
--- a/src/rpc/ClaimClient.cpp
+++ b/src/rpc/ClaimClient.cpp
@@ -7,7 +7,10 @@
 #include <grpcpp/channel.h>
 
 #include <algorithm>
+#include <condition_variable>
 #include <map>
+#include <mutex>
+#include <set>
 
 namespace bergamotweir::rpc {
 
@@ -103,18 +106,40 @@
                                     + std::chrono::duration_cast<std::chrono::microseconds>(
                                         std::min<std::chrono::nanoseconds>(left, LongestTry)));
         call->reply.Clear();
-        const std::weak_ptr<Parts> self = this->weak_from_this();
-        start(this->stub(this->target), call, [self, call](const grpc::Status &status) {
-            const std::shared_ptr<Parts> parts = self.lock();
-            if (!parts) {
-                return;
+        {
+            const std::lock_guard guard(this->mutex);
+            this->running.insert(call->context.get());
+        }
+        start(this->stub(this->target), call, [this, last = call](const grpc::Status &status) mutable {
+            this->finished(std::move(last), status.ok());
+        });
+    }
+
+    // On one of gRPC's threads. The call, and with it a reference to the channel, moves to the loop: a channel
+    // whose last reference goes on one of gRPC's callback threads makes gRPC abort the process.
+    template<typename Request, typename Reply>
+    void finished(std::shared_ptr<Call<Request, Reply>> call, bool ok)
+    {
+        grpc::ClientContext *const context = call->context.get();
+        this->loop.post([self = this->weak_from_this(), last = std::move(call), ok] {
+            const std::shared_ptr<Parts> still = self.lock();
+            if (still) {
+                still->ended(last, ok);
             }
-            parts->loop.post([self, call, ok = status.ok()] {
-                const std::shared_ptr<Parts> still = self.lock();
-                if (still) {
-                    still->ended(call, ok);
-                }
-            });
+        });
+        const std::lock_guard guard(this->mutex);
+        this->running.erase(context);
+        this->idle.notify_all();
+    }
+
+    void cancelAndWait()
+    {
+        std::unique_lock guard(this->mutex);
+        for (grpc::ClientContext *context : this->running) {
+            context->TryCancel();
+        }
+        this->idle.wait(guard, [this] {
+            return this->running.empty();
         });
     }
 
@@ -149,6 +174,9 @@
     std::string target;
     std::size_t nextAddress = 1;
     std::map<std::string, std::unique_ptr<wire::Control::Stub>> stubs;
+    std::mutex mutex;
+    std::condition_variable idle;
+    std::set<grpc::ClientContext *> running;
 };
 
 ClaimClient::ClaimClient(loop::EventLoop &loop, std::vector<std::string> addresses)
@@ -156,7 +184,10 @@
 {
 }
 
-ClaimClient::~ClaimClient() = default;
+ClaimClient::~ClaimClient()
+{
+    this->parts->cancelAndWait();
+}
 
 void ClaimClient::claim(const wire::ClaimRequest &request,
                         std::chrono::milliseconds timeout,
--- a/src/rpc/ControlSession.cpp
+++ b/src/rpc/ControlSession.cpp
@@ -21,22 +21,23 @@
 
 /**
  * One gRPC stream. gRPC calls it on its own threads; what it hears is posted to the loop.
- * Kept alive by itself until gRPC is done with it.
+ * Owned by the session alone, which frees it on the loop's thread once gRPC is done with it: a channel whose last
+ * reference goes on one of gRPC's callback threads makes gRPC abort the process (a failed reference count in its
+ * callback queue, one start in fifteen under load).
  */
 class ControlSession::Stream : public grpc::ClientBidiReactor<wire::AgentMessage, wire::ControlMessage>
 {
 public:
-    Stream(const std::string &address, std::function<void(wire::ControlMessage)> received, std::function<void()> ended)
-        : stub(wire::Control::NewStub(openChannel(address)))
+    Stream(wire::Control::Stub &stub, std::function<void(wire::ControlMessage)> received, std::function<void()> ended)
+        : stub(stub)
         , received(std::move(received))
         , ended(std::move(ended))
     {
     }
 
-    void start(std::shared_ptr<Stream> itself, const wire::AgentMessage &first)
+    void start(const wire::AgentMessage &first)
     {
-        this->self = std::move(itself);
-        this->stub->async()->Session(&this->context, this);
+        this->stub.async()->Session(&this->context, this);
         this->AddHold();
         this->send(first);
         this->StartRead(&this->incoming);
@@ -113,7 +114,6 @@
 
     void OnDone(const grpc::Status &) override
     {
-        const std::shared_ptr<Stream> last = std::move(this->self);
         this->ended();
         const std::lock_guard guard(this->mutex);
         this->isDone = true;
@@ -129,7 +129,7 @@
         this->StartWrite(&this->outgoing.front());
     }
 
-    std::unique_ptr<wire::Control::Stub> stub;
+    wire::Control::Stub &stub;
     grpc::ClientContext context;
     std::function<void(wire::ControlMessage)> received;
     std::function<void()> ended;
@@ -140,7 +140,6 @@
     bool writing = false;
     bool closing = false;
     bool isDone = false;
-    std::shared_ptr<Stream> self;
 };
 
 ControlSession::ControlSession(loop::EventLoop &loop,
@@ -172,7 +171,7 @@
         this->stream->cancel();
         this->leaving.push_back(std::move(this->stream));
     }
-    for (const std::shared_ptr<Stream> &left : this->leaving) {
+    for (const std::unique_ptr<Stream> &left : this->leaving) {
         left->waitDone();
     }
 }
@@ -209,8 +208,12 @@
     this->currentAddress = address;
     this->lastHeard = BootClock::now();
     const std::weak_ptr<bool> life = this->alive;
-    this->stream = std::make_shared<Stream>(
-        address,
+    std::unique_ptr<wire::Control::Stub> &stub = this->stubs[address];
+    if (!stub) {
+        stub = wire::Control::NewStub(openChannel(address));
+    }
+    this->stream = std::make_unique<Stream>(
+        *stub,
         [this, life, name, &target = this->loop](wire::ControlMessage message) {
             target.post([this, life, name, message = std::move(message)]() mutable {
                 if (!life.expired()) {
@@ -227,7 +230,7 @@
         });
     wire::AgentMessage first;
     *first.mutable_hello() = this->events.hello();
-    this->stream->start(this->stream, first);
+    this->stream->start(first);
 }
 
 void ControlSession::leave()
@@ -236,7 +239,7 @@
         return;
     }
     this->stream->cancel();
-    std::erase_if(this->leaving, [](const std::shared_ptr<Stream> &left) {
+    std::erase_if(this->leaving, [](const std::unique_ptr<Stream> &left) {
         return left->hasEnded();
     });
     this->leaving.push_back(std::move(this->stream));
--- a/tests/EventLoopTest.cpp
+++ b/tests/EventLoopTest.cpp
@@ -42,8 +42,8 @@
             order += 'p';
         });
     });
-    loop->run();
     other.join();
+    loop->run();
     close(ends[0]);
     close(ends[1]);
     REQUIRE(order.size() == 4);
