--- a/tests/Deployment.cpp
+++ b/tests/Deployment.cpp
@@ -60,6 +60,11 @@
     return std::to_string(port);
 }
 
+std::string addressOf(const std::string &port)
+{
+    return Loopback + ":" + port;
+}
+
 std::size_t appendBytes(char *data, std::size_t size, std::size_t count, void *target)
 {
     static_cast<std::string *>(target)->append(data, size * count);
@@ -231,6 +236,7 @@
             vm.upstreamPort = takePort();
             vm.ledger = this->folder + "/" + vm.name + ".ledger";
             const std::string announcePort = portText(takePort());
+            const std::string announceAddress = addressOf(announcePort);
             vm.agent.logFile = this->folder + "/" + vm.name + "-agent.log";
             vm.agent.arguments = {std::string(TEST_BINARY_FOLDER) + "/bergamotweir",
                                   "agent",
@@ -259,7 +265,7 @@
                                      "--port",
                                      portText(vm.upstreamPort),
                                      "--agent",
-                                     Loopback + ":" + announcePort,
+                                     announceAddress,
                                      "--ledger",
                                      vm.ledger};
             vm.upstream.arguments.insert(
@@ -331,7 +337,7 @@
 
 std::string Deployment::writeFile(const std::string &name, const std::string &content) const
 {
-    const std::string path = this->folder + "/" + name;
+    std::string path = this->folder + "/" + name;
     std::ofstream(path) << content;
     return path;
 }
