--- /dev/null
+++ b/src/process/ControlProcess.cpp
@@ -0,0 +1,472 @@
+#include "process/ControlProcess.h"
+
+#include "control/OperatorReads.h"
+#include "loop/EventLoop.h"
+#include "loop/Log.h"
+#include "net/HttpServer.h"
+#include "process/ReplicaSettings.h"
+
+#include <chrono>
+#include <variant>
+
+namespace bergamotweir::process {
+
+namespace {
+
+constexpr loop::Log Log("control");
+
+constexpr std::chrono::milliseconds TickInterval{10};
+constexpr std::chrono::seconds ExpiryInterval{1};
+/** A resend of a request after that long is a new request; told in docs/design/ownership.md. */
+constexpr std::chrono::hours ClaimWindow{24};
+constexpr std::chrono::minutes QuarantineWindow{10};
+constexpr std::size_t MostClaimName = 512;
+
+std::uint64_t unixMilliseconds()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
+/** Replaces the times that others claim by the leader's: replicas and agents may have clocks that are off. */
+void stamp(wire::Command &command)
+{
+    const std::uint64_t now = unixMilliseconds();
+    if (command.has_put_table()) {
+        command.mutable_put_table()->set_unix_ms(now);
+    } else if (command.has_mark()) {
+        command.mutable_mark()->set_unix_ms(now);
+    } else if (command.has_claim()) {
+        command.mutable_claim()->set_unix_ms(now);
+    } else if (command.has_report_crash()) {
+        for (wire::CrashSuspect &suspect : *command.mutable_report_crash()->mutable_suspects()) {
+            suspect.set_unix_ms(now);
+        }
+    }
+}
+
+wire::CommandResult resultOf(const ProposeResult &result)
+{
+    wire::CommandResult parsed;
+    if (result.kind == ProposeEnd::Applied) {
+        parsed.ParseFromString(result.result);
+    }
+    return parsed;
+}
+
+std::string endpoint(const std::string &address, std::uint16_t port)
+{
+    return address + ":" + std::to_string(port);
+}
+
+} // namespace
+
+ControlProcess::ControlProcess(loop::EventLoop &loop, const ControlSettings &settings)
+    : loop(loop)
+    , settings(settings)
+    , coordinator(control::CoordinatorSettings{}, this->state)
+{
+}
+
+Result<std::unique_ptr<ControlProcess>>
+ControlProcess::start(loop::EventLoop &loop, const ControlSettings &settings, std::function<void()> failed)
+{
+    std::unique_ptr<ControlProcess> process(new ControlProcess(loop, settings));
+    Findings findings = process->open(std::move(failed));
+    if (!findings.empty()) {
+        return findings;
+    }
+    return process;
+}
+
+ControlProcess::~ControlProcess()
+{
+    *this->alive = false;
+    this->loop.cancel(this->tickTimer);
+    this->loop.cancel(this->expiryTimer);
+}
+
+Findings ControlProcess::open(std::function<void()> failed)
+{
+    Result<std::unique_ptr<rpc::ControlService>> listening = rpc::ControlService::listen(
+        this->loop, this->settings.address, this->settings.controlPort, this->serviceEvents());
+    if (!listening) {
+        return listening.error();
+    }
+    this->service = std::move(listening).value();
+    Findings findings = this->openNode(std::move(failed));
+    if (findings.empty()) {
+        findings = this->openOperatorPort();
+    }
+    if (!findings.empty()) {
+        return findings;
+    }
+    this->tickTimer = this->loop.every(TickInterval, [this] {
+        this->coordinator.tick(BootClock::now());
+        this->scheduleActions();
+    });
+    this->expiryTimer = this->loop.every(ExpiryInterval, [this] {
+        this->expire();
+    });
+    Log.info("replica " + this->settings.replicaId + " listens on control port " + std::to_string(this->service->port())
+             + ", replica port " + std::to_string(this->node->raftPort()) + ", operator port "
+             + std::to_string(this->operatorServer->port()));
+    return {};
+}
+
+Findings ControlProcess::openNode(std::function<void()> failed)
+{
+    Result<ReplicaSettings> replica = ReplicaSettingsBuilder()
+                                          .id(this->settings.replicaId)
+                                          .listen(this->settings.address, this->settings.raftPort)
+                                          .controlAddress(endpoint(this->settings.address, this->service->port()))
+                                          .dataFolder(this->settings.dataFolder)
+                                          .initial(this->settings.initial)
+                                          .join(this->settings.join)
+                                          .seed(this->settings.seed)
+                                          .build();
+    if (!replica) {
+        return replica.error();
+    }
+    ReplicaHooks hooks;
+    hooks.apply = [this](const wire::Version &version, std::string_view command) {
+        return this->apply(version, command);
+    };
+    hooks.snapshot = [this] {
+        return this->state.snapshot();
+    };
+    hooks.restore = [this](const wire::Version &, std::string_view bytes) {
+        if (!this->state.restore(bytes)) {
+            Log.error("a snapshot can't be read");
+        }
+    };
+    hooks.leadershipChanged = [this](bool leader, std::uint64_t) {
+        this->leadershipChanged(leader);
+    };
+    hooks.stopped = [failed = std::move(failed)](const Findings &findings) {
+        Log.error(findings);
+        failed();
+    };
+    Result<std::unique_ptr<ReplicaNode>> opened =
+        ReplicaNode::open(this->loop, std::move(replica).value(), std::move(hooks));
+    if (!opened) {
+        return opened.error();
+    }
+    this->node = std::move(opened).value();
+    return {};
+}
+
+Findings ControlProcess::openOperatorPort()
+{
+    Result<net::HttpServerSettings> http =
+        net::HttpServerSettingsBuilder().address(this->settings.address).port(this->settings.operatorPort).build();
+    if (!http) {
+        return http.error();
+    }
+    Result<std::unique_ptr<net::HttpServer>> listening =
+        net::HttpServer::listen(this->loop, http.value(), [this](const std::shared_ptr<net::Exchange> &exchange) {
+            this->answerHttp(*exchange);
+        });
+    if (!listening) {
+        return listening.error();
+    }
+    this->operatorServer = std::move(listening).value();
+    return {};
+}
+
+rpc::ControlServiceEvents ControlProcess::serviceEvents()
+{
+    rpc::ControlServiceEvents events;
+    events.opened = [this](std::uint64_t session, const wire::Hello &hello) {
+        this->coordinator.opened(session, hello, BootClock::now());
+        this->scheduleActions();
+    };
+    events.message = [this](std::uint64_t session, const wire::AgentMessage &message) {
+        this->coordinator.received(session, message, BootClock::now());
+        this->scheduleActions();
+    };
+    events.closed = [this](std::uint64_t session) {
+        this->coordinator.closed(session);
+    };
+    events.claim = [this](const wire::ClaimRequest &request, const std::function<void(wire::ClaimReply)> &answer) {
+        this->claim(request, answer);
+    };
+    events.recordOutcome = [this](const wire::ClaimOutcome &outcome,
+                                  const std::function<void(wire::OutcomeReply)> &answer) {
+        this->recordOutcome(outcome, answer);
+    };
+    events.operate = [this](const wire::OperatorRequest &request,
+                            const std::function<void(wire::OperatorReply)> &answer) {
+        this->operate(request, answer);
+    };
+    return events;
+}
+
+void ControlProcess::stop(std::function<void()> done)
+{
+    if (std::exchange(this->stopping, true)) {
+        return;
+    }
+    Log.info("stopping");
+    this->node->handOver(std::move(done));
+}
+
+std::uint16_t ControlProcess::controlPort() const
+{
+    return this->service->port();
+}
+
+std::string ControlProcess::apply(const wire::Version &version, std::string_view bytes)
+{
+    wire::Command command;
+    if (!command.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        Log.error("a command in the log can't be read; it changes nothing");
+        return {};
+    }
+    const control::Applied applied = this->state.apply(version, command);
+    this->coordinator.applied(applied);
+    this->scheduleActions();
+    return applied.result.SerializeAsString();
+}
+
+void ControlProcess::leadershipChanged(bool leader)
+{
+    Log.info(leader ? "leads" : "follows");
+    if (leader) {
+        this->coordinator.lead(BootClock::now());
+    } else {
+        this->coordinator.follow();
+    }
+    this->scheduleActions();
+}
+
+void ControlProcess::scheduleActions()
+{
+    if (std::exchange(this->actionsScheduled, true)) {
+        return;
+    }
+    this->loop.post([this, alive = this->alive] {
+        if (!*alive) {
+            return;
+        }
+        this->actionsScheduled = false;
+        for (control::Action &action : this->coordinator.takeActions()) {
+            std::visit(
+                [this](auto &one) {
+                    this->perform(std::move(one));
+                },
+                action);
+        }
+    });
+}
+
+void ControlProcess::perform(control::ProposeAction action)
+{
+    stamp(action.command);
+    this->node->propose(
+        action.command.SerializeAsString(), [this, proposal = action.proposal](const ProposeResult &result) {
+            const bool applied = result.kind == ProposeEnd::Applied;
+            this->coordinator.proposed(proposal, applied ? control::ProposalEnd::Applied : control::ProposalEnd::Lost);
+            this->scheduleActions();
+        });
+}
+
+void ControlProcess::perform(const control::SendAction &action)
+{
+    this->service->send(action.session, action.message);
+}
+
+void ControlProcess::perform(const control::CloseAction &action)
+{
+    wire::ControlMessage redirect;
+    redirect.mutable_redirect()->set_leader_address(this->node->isLeader() ? "" : this->node->leaderControlAddress());
+    this->service->send(action.session, std::make_shared<const wire::ControlMessage>(std::move(redirect)));
+    this->service->close(action.session);
+}
+
+void ControlProcess::perform(const control::ConfirmAction &)
+{
+    this->node->confirmLeadership([this](bool leads) {
+        this->coordinator.confirmed(leads, BootClock::now());
+        this->scheduleActions();
+    });
+}
+
+void ControlProcess::claim(wire::ClaimRequest request, const std::function<void(wire::ClaimReply)> &answer)
+{
+    if (request.idempotency_key().size() + request.service().size() > MostClaimName) {
+        wire::ClaimReply reply;
+        reply.set_verdict(wire::CLAIM_VERDICT_FULL);
+        answer(std::move(reply));
+        return;
+    }
+    wire::Command command;
+    *command.mutable_claim() = std::move(request);
+    stamp(command);
+    this->node->propose(command.SerializeAsString(), [this, answer](const ProposeResult &result) {
+        wire::ClaimReply reply;
+        reply.set_verdict(wire::CLAIM_VERDICT_UNAVAILABLE);
+        if (result.kind == ProposeEnd::Applied) {
+            reply = resultOf(result).claim();
+        } else {
+            reply.set_leader_address(this->node->leaderControlAddress());
+        }
+        answer(std::move(reply));
+    });
+}
+
+void ControlProcess::recordOutcome(wire::ClaimOutcome outcome, const std::function<void(wire::OutcomeReply)> &answer)
+{
+    if (outcome.body().size() > control::ClaimStore::MostAnswerBytes) {
+        outcome.clear_body();
+        outcome.set_body_dropped(true);
+    }
+    wire::Command command;
+    *command.mutable_claim_outcome() = std::move(outcome);
+    this->node->propose(command.SerializeAsString(), [this, answer](const ProposeResult &result) {
+        wire::OutcomeReply reply = resultOf(result).outcome();
+        if (result.kind != ProposeEnd::Applied) {
+            reply.set_leader_address(this->node->leaderControlAddress());
+        }
+        answer(std::move(reply));
+    });
+}
+
+void ControlProcess::operate(const wire::OperatorRequest &request,
+                             const std::function<void(wire::OperatorReply)> &answer)
+{
+    if (!this->node->isLeader()) {
+        answer(this->notLeader());
+        return;
+    }
+    wire::Command command;
+    switch (request.body_case()) {
+    case wire::OperatorRequest::kPutTable:
+        *command.mutable_put_table() = request.put_table();
+        this->change(std::move(command), answer);
+        break;
+    case wire::OperatorRequest::kMark:
+        *command.mutable_mark() = request.mark();
+        this->change(std::move(command), answer);
+        break;
+    case wire::OperatorRequest::kChangeMember:
+        this->changeMember(request.change_member(), answer);
+        break;
+    default:
+        this->read(request, answer);
+    }
+}
+
+void ControlProcess::change(wire::Command command, const std::function<void(wire::OperatorReply)> &answer)
+{
+    stamp(command);
+    this->node->propose(command.SerializeAsString(), [this, answer](const ProposeResult &result) {
+        answer(result.kind == ProposeEnd::Applied ? resultOf(result).operator_reply() : this->replyTo(result));
+    });
+}
+
+void ControlProcess::changeMember(const wire::ChangeMember &change,
+                                  const std::function<void(wire::OperatorReply)> &answer)
+{
+    this->node->changeMembership(change, [this, answer](const ProposeResult &result) {
+        wire::OperatorReply reply = this->replyTo(result);
+        *reply.mutable_membership() = this->node->membership();
+        answer(std::move(reply));
+    });
+}
+
+void ControlProcess::read(const wire::OperatorRequest &request, const std::function<void(wire::OperatorReply)> &answer)
+{
+    this->node->confirmLeadership([this, request, answer](bool leads) {
+        if (!leads) {
+            answer(this->notLeader());
+            return;
+        }
+        if (request.has_list_members()) {
+            wire::OperatorReply members;
+            *members.mutable_membership() = this->node->membership();
+            answer(std::move(members));
+            return;
+        }
+        wire::OperatorReply reply = control::answerRead(this->state, this->coordinator, request, BootClock::now());
+        if (reply.has_report()) {
+            *reply.mutable_report()->mutable_membership() = this->node->membership();
+            reply.mutable_report()->set_leader(this->node->leaderId());
+            reply.mutable_report()->set_term(this->node->term());
+        }
+        answer(std::move(reply));
+    });
+}
+
+wire::OperatorReply ControlProcess::replyTo(const ProposeResult &result) const
+{
+    wire::OperatorReply reply;
+    switch (result.kind) {
+    case ProposeEnd::Applied:
+        *reply.mutable_version() = result.version;
+        return reply;
+    case ProposeEnd::NotLeader:
+        return this->notLeader();
+    case ProposeEnd::Unknown:
+        reply.set_status(wire::OPERATOR_STATUS_UNKNOWN);
+        reply.set_leader_address(this->node->leaderControlAddress());
+        break;
+    case ProposeEnd::Refused:
+        reply.set_status(wire::OPERATOR_STATUS_REFUSED);
+        break;
+    }
+    for (const Finding &finding : result.findings) {
+        wire::FindingText &text = *reply.add_findings();
+        text.set_place(finding.place);
+        text.set_message(finding.message);
+        text.set_remedy(finding.remedy);
+    }
+    return reply;
+}
+
+wire::OperatorReply ControlProcess::notLeader() const
+{
+    wire::OperatorReply reply;
+    reply.set_status(wire::OPERATOR_STATUS_NOT_LEADER);
+    reply.set_leader_address(this->node->leaderControlAddress());
+    return reply;
+}
+
+void ControlProcess::expire()
+{
+    if (!this->node->isLeader()) {
+        return;
+    }
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+    const std::uint64_t now = unixMilliseconds();
+    const auto claimsBefore = now - static_cast<std::uint64_t>(milliseconds(ClaimWindow).count());
+    const auto quarantineBefore = now - static_cast<std::uint64_t>(milliseconds(QuarantineWindow).count());
+    const std::uint64_t oldestClaim = this->state.claims().oldestUnixMs();
+    const std::uint64_t oldestSuspect = this->state.quarantine().oldestUnixMs();
+    const bool claimDue = oldestClaim != 0 && oldestClaim < claimsBefore;
+    const bool suspectDue = oldestSuspect != 0 && oldestSuspect < quarantineBefore;
+    if (!claimDue && !suspectDue) {
+        return;
+    }
+    wire::Command command;
+    command.mutable_expire_claims()->set_before_unix_ms(claimsBefore);
+    command.mutable_expire_claims()->set_quarantine_before_unix_ms(quarantineBefore);
+    this->node->propose(command.SerializeAsString(), [](const ProposeResult &) {});
+}
+
+void ControlProcess::answerHttp(net::Exchange &exchange) const
+{
+    const std::string &target = exchange.request().target;
+    if (target == "/healthz") {
+        exchange.answer({200, {{"Content-Type", "text/plain"}}, this->node->isLeader() ? "leads\n" : "follows\n"});
+    } else if (target == "/metrics") {
+        exchange.answer({200,
+                         {{"Content-Type", "text/plain; version=0.0.4"}},
+                         control::metricsText(this->state, this->coordinator, BootClock::now())});
+    } else {
+        exchange.answer({404, {{"Content-Type", "text/plain"}}, "no such page\n"});
+    }
+}
+
+} // namespace bergamotweir::process
--- a/src/process/RunControl.cpp
+++ b/src/process/RunControl.cpp
@@ -1,14 +1,45 @@
-#include "process/ControlSettings.h"
+#include "loop/EventLoop.h"
+#include "loop/Log.h"
+#include "process/ControlProcess.h"
 #include "process/Run.h"
 
-#include <iostream>
+#include <csignal>
 
 namespace bergamotweir::process {
 
+namespace {
+
+constexpr loop::Log Log("control");
+
+} // namespace
+
 int runControl(const ControlSettings &settings)
 {
-    std::cerr << "control " << settings.replicaId << ": not built yet\n";
-    return 1;
+    loop::startLogging(settings.logLevel);
+    Result<std::unique_ptr<loop::EventLoop>> created = loop::EventLoop::create();
+    if (!created) {
+        Log.error(created.error());
+        return 1;
+    }
+    const std::unique_ptr<loop::EventLoop> loop = std::move(created).value();
+    int exitCode = 0;
+    Result<std::unique_ptr<ControlProcess>> started = ControlProcess::start(*loop, settings, [&] {
+        exitCode = 1;
+        loop->stop();
+    });
+    if (!started) {
+        Log.error(started.error());
+        return 1;
+    }
+    const auto stop = [&] {
+        started.value()->stop([&] {
+            loop->stop();
+        });
+    };
+    loop->onSignal(SIGTERM, stop);
+    loop->onSignal(SIGINT, stop);
+    loop->run();
+    return exitCode;
 }
 
 } // namespace bergamotweir::process
