table put: a resend with base current names the base of the first try

Ruled out: leaving the base out of the content hash in control (another base is another change; and old histories hold such hashes).

Shown to fail: without it "a table sent again with base current names the base of the first try" fails, 8 == 7.

--- a/src/cli/TableCommands.cpp
+++ b/src/cli/TableCommands.cpp
@@ -41,6 +41,34 @@
     return json;
 }
 
+/** Most changes that the control group keeps to recognise a resend. */
+constexpr std::uint32_t MostChangesKept = 10000;
+
+/**
+ * Finds the version that a change was, or is to be, based on.
+ * Guards against a resend with "--base current" after a lost answer: the first try made a new version current, so that
+ * the resend would name another base than the change it repeats and be refused as another change under the same id.
+ * The history tells the version that the first try made, hence its base.
+ */
+std::uint64_t baseVersion(const Situation &now, const Values &values, Context &context)
+{
+    if (values.text("base") != "current") {
+        return values.number("base");
+    }
+    if (!values.given("change-id")) {
+        return now.tableVersion;
+    }
+    wire::OperatorRequest request;
+    request.mutable_get_history()->set_most(MostChangesKept);
+    const wire::OperatorReply reply = ask(request, values, context);
+    for (const wire::HistoryEntry &entry : reply.history()) {
+        if (entry.change_id() == values.text("change-id") && entry.table_version() > 0) {
+            return entry.table_version() - 1;
+        }
+    }
+    return now.tableVersion;
+}
+
 std::string utc(std::uint64_t unixMs)
 {
     const auto seconds = static_cast<std::time_t>(unixMs / 1000);
@@ -102,7 +130,7 @@
     wire::OperatorRequest request;
     wire::PutTable &put = *request.mutable_put_table();
     put.set_change_id(change.changeId);
-    put.set_base_version(values.text("base") == "current" ? now.tableVersion : values.number("base"));
+    put.set_base_version(baseVersion(now, values, context));
     put.set_csv(file.value().csv);
     put.set_author(change.author);
     put.set_unix_ms(change.unixMs);
--- a/tests/CommandLineTest.cpp
+++ b/tests/CommandLineTest.cpp
@@ -211,6 +211,28 @@
     CHECK(json["findings"][0]["remedy"] == "the same command with --change-id ch-1");
 }
 
+TEST_CASE("a table sent again with base current names the base of the first try")
+{
+    // The leader commits version 8 and its answer is lost. The operator sends the same command again; the version in
+    // force is now its own, and the change would be refused as another one under the same id.
+    Desk desk;
+    desk.files["t.csv"] = "service,weight\nfees,2\n";
+    desk.answer = [](const wire::OperatorRequest &request) {
+        wire::OperatorReply reply = smallGroup(request);
+        reply.set_table_version(8);
+        if (request.has_get_history()) {
+            wire::HistoryEntry &entry = *reply.add_history();
+            entry.set_change_id("mine");
+            entry.set_table_version(8);
+        }
+        return reply;
+    };
+    CHECK(desk.run({"table", "put", "t.csv", "--base", "current", "--change-id", "mine"}) == ExitDone);
+    CHECK(desk.asked.back().put_table().base_version() == 7);
+    CHECK(desk.run({"table", "put", "t.csv", "--base", "current", "--change-id", "other"}) == ExitDone);
+    CHECK(desk.asked.back().put_table().base_version() == 8);
+}
+
 TEST_CASE("marking the last failure domain of a service out needs a flag of its own")
 {
     Desk desk;
