--- /dev/null
+++ b/src/agent/AdaptiveLimit.cpp
@@ -0,0 +1,174 @@
+#include "agent/AdaptiveLimit.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace bergamotweir::agent {
+
+namespace {
+
+using std::chrono::nanoseconds;
+
+/** A window closes with so many answers per allowed request, ... */
+constexpr unsigned AnswersPerSlot = 2;
+constexpr unsigned LeastAnswers = 16;
+/** ... but not before this, and after the longest time with whatever it has. */
+constexpr std::chrono::milliseconds ShortestWindow{10};
+constexpr std::chrono::milliseconds LongestWindow{1000};
+
+/** Latency over the reference that counts as crowded. */
+constexpr double CrowdedRatio = 1.3;
+/** Latency over the reference that looks like a cold cache or a straggler. */
+constexpr double ColdRatio = 3;
+/** So many crowded windows in a row say that the reference is no longer true. */
+constexpr unsigned MostCrowdedWindows = 8;
+
+constexpr double CrowdedStep = 0.85;
+constexpr double ShedStep = 0.7;
+constexpr double ColdTurnStep = 0.25;
+constexpr double ColdGrowth = 1.3;
+/** Added per window once the limit was too high. */
+constexpr double CarefulGrowth = 0.5;
+/** How the reference follows a lower and a higher latency, per window. */
+constexpr double FollowDown = 0.5;
+constexpr double FollowUp = 0.02;
+
+double ratio(nanoseconds value, nanoseconds reference)
+{
+    return static_cast<double>(value.count()) / static_cast<double>(reference.count());
+}
+
+void clampLimit(AdaptiveLimit &limit)
+{
+    limit.limit = std::clamp(limit.limit, 1.0, static_cast<double>(limit.ceiling));
+}
+
+void learnReference(AdaptiveLimit &limit, nanoseconds mean)
+{
+    if (limit.reference.count() == 0) {
+        limit.reference = mean;
+        return;
+    }
+    // A cold upstream's reference only falls: were it to follow the crowding, the limit would climb with it.
+    const double followUp = limit.phase == LimitPhase::Cold ? 0 : FollowUp;
+    const double follow = mean < limit.reference ? FollowDown : followUp;
+    const auto change = static_cast<double>((mean - limit.reference).count()) * follow;
+    limit.reference += nanoseconds(static_cast<nanoseconds::rep>(change));
+}
+
+/** Cuts the limit and measures the reference anew there. */
+void turnCold(AdaptiveLimit &limit)
+{
+    limit.phase = LimitPhase::Cold;
+    limit.limit *= ColdTurnStep;
+    limit.reference = nanoseconds(0);
+    limit.settling = true;
+    limit.crowdedWindows = 0;
+    limit.wasCrowded = false;
+}
+
+void grow(AdaptiveLimit &limit)
+{
+    limit.crowdedWindows = 0;
+    if (limit.window.peak >= allowed(limit)) {
+        const bool fast = limit.phase == LimitPhase::Cold && !limit.wasCrowded;
+        limit.limit = fast ? std::max(limit.limit + 1, limit.limit * ColdGrowth) : limit.limit + CarefulGrowth;
+    }
+    if (limit.limit >= limit.ceiling) {
+        limit.phase = LimitPhase::Steady;
+        limit.wasCrowded = false;
+    }
+}
+
+void judgeLatency(AdaptiveLimit &limit, nanoseconds mean)
+{
+    if (limit.settling) {
+        limit.settling = false;
+        return;
+    }
+    const double crowding = limit.reference.count() == 0 ? 1 : ratio(mean, limit.reference);
+    if (crowding > ColdRatio || limit.crowdedWindows >= MostCrowdedWindows) {
+        turnCold(limit);
+        return;
+    }
+    if (limit.window.sheds > 0) {
+        limit.limit *= ShedStep;
+        limit.wasCrowded = true;
+    } else if (crowding > CrowdedRatio) {
+        limit.limit *= CrowdedStep;
+        limit.crowdedWindows++;
+        limit.wasCrowded = true;
+    } else {
+        grow(limit);
+    }
+    learnReference(limit, mean);
+}
+
+void closeWindow(AdaptiveLimit &limit, BootTime now)
+{
+    if (limit.window.answers > 0) {
+        judgeLatency(limit, limit.window.sum / limit.window.answers);
+    } else if (limit.window.sheds > 0) {
+        limit.limit *= ShedStep;
+    }
+    clampLimit(limit);
+    limit.window = {};
+    limit.window.start = now;
+}
+
+void closeWindowIfDue(AdaptiveLimit &limit, BootTime now)
+{
+    const auto age = now - limit.window.start;
+    const unsigned wanted = std::max(LeastAnswers, AnswersPerSlot * allowed(limit));
+    const bool full = limit.window.answers + limit.window.sheds >= wanted && age >= ShortestWindow;
+    if (full || age >= LongestWindow) {
+        closeWindow(limit, now);
+    }
+}
+
+} // namespace
+
+unsigned allowed(const AdaptiveLimit &limit)
+{
+    return std::clamp(static_cast<unsigned>(limit.limit), 1U, limit.ceiling);
+}
+
+void startCold(AdaptiveLimit &limit, BootTime now)
+{
+    limit.limit = 1;
+    limit.phase = LimitPhase::Cold;
+    limit.reference = nanoseconds(0);
+    limit.settling = false;
+    limit.crowdedWindows = 0;
+    limit.wasCrowded = false;
+    limit.window = {};
+    limit.window.start = now;
+}
+
+void setCeiling(AdaptiveLimit &limit, unsigned ceiling)
+{
+    assert(ceiling >= 1);
+    limit.ceiling = ceiling;
+    clampLimit(limit);
+}
+
+void noteAnswer(AdaptiveLimit &limit, std::chrono::nanoseconds latency, unsigned inProgress, BootTime now)
+{
+    limit.window.answers++;
+    limit.window.sum += latency;
+    limit.window.peak = std::max(limit.window.peak, inProgress);
+    closeWindowIfDue(limit, now);
+}
+
+void noteShed(AdaptiveLimit &limit, BootTime now)
+{
+    limit.window.sheds++;
+    closeWindowIfDue(limit, now);
+}
+
+void noteTimeout(AdaptiveLimit &limit, std::chrono::nanoseconds waited, unsigned inProgress, BootTime now)
+{
+    noteAnswer(limit, waited, inProgress, now);
+}
+
+} // namespace bergamotweir::agent
