--- a/include/net/HttpServerSettings.h
+++ b/include/net/HttpServerSettings.h
@@ -16,7 +16,7 @@
     /** 0 lets the kernel choose. */
     std::uint16_t port = 0;
     /** Bytes of request line and header fields together; more is answered with 431. */
-    std::size_t maxHeaderBytes = 32UL * 1024;
+    std::size_t maxHeaderBytes = 8UL * 1024;
     /** Bytes of a request's body; more is answered with 413. */
     std::size_t maxBodyBytes = 1024UL * 1024;
     /** A too large body is read up to here and thrown away: a caller still sending would get a reset, not the 413. */
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -19,7 +19,10 @@
 
 namespace {
 
-/** libmicrohttpd's memory per connection: headers up to this are read, so that the 431 can be our own. */
+/**
+ * Memory per connection: headers up to this are read, so that the 431 can be our own; beyond, libmicrohttpd sends a
+ * bare one. Not larger, because libmicrohttpd clears all of it for each request.
+ */
 constexpr std::size_t PoolPerHeaderByte = 4;
 /** Rounds of libmicrohttpd in one turn of the loop, before others get their turn. */
 constexpr int RoundsPerTurn = 8;
