net: the client's sockets in an epoll set of their own

Cause: libcurl starts and ends its interest in a kept connection for each request; each time the event loop removed and added it (4 epoll_ctl and allocations a request).

--- a/src/net/ConnectionSockets.cpp
+++ b/src/net/ConnectionSockets.cpp
@@ -7,6 +7,11 @@
     return address + "/" + std::to_string(localPort);
 }
 
+ConnectionSockets::ConnectionSockets(std::function<void(int)> closing)
+    : closing(std::move(closing))
+{
+}
+
 void ConnectionSockets::add(const std::string &address, int localPort, int socket)
 {
     std::string name = nameOf(address, localPort);
@@ -22,6 +27,7 @@
 
 void ConnectionSockets::remove(int socket)
 {
+    this->closing(socket);
     const auto found = this->names.find(socket);
     if (found == this->names.end()) {
         return;
--- a/src/net/ConnectionSockets.h
+++ b/src/net/ConnectionSockets.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <string>
 #include <unordered_map>
 
@@ -12,6 +13,9 @@
 class ConnectionSockets
 {
 public:
+    /** @param closing called with each socket that is about to be closed */
+    explicit ConnectionSockets(std::function<void(int)> closing);
+
     /**
      * @param address the peer, IP:port
      * @param localPort the connection's own port
@@ -26,6 +30,7 @@
     void remove(int socket);
 
 private:
+    std::function<void(int)> closing;
     std::unordered_map<std::string, int> sockets;
     std::unordered_map<int, std::string> names;
 };
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -3,6 +3,7 @@
 #include "loop/EventLoop.h"
 #include "net/ClientCall.h"
 #include "net/ConnectionSockets.h"
+#include "net/SocketSet.h"
 
 #include <cassert>
 #include <deque>
@@ -36,6 +37,7 @@
 struct HttpClient::Parts {
     loop::EventLoop &loop;
     HttpClientSettings settings;
+    SocketSet polled;
     ConnectionSockets sockets;
     CURLM *multi = nullptr;
     std::unordered_map<CallId, std::unique_ptr<ClientCall>> calls;
@@ -59,12 +61,20 @@
     Parts(loop::EventLoop &loop, const HttpClientSettings &settings)
         : loop(loop)
         , settings(settings)
+        , polled(loop,
+                 [this](int socket, loop::Readiness ready) {
+                     this->onReady(socket, ready);
+                 })
+        , sockets([this](int socket) {
+            this->polled.forget(socket);
+        })
     {
     }
 
     void open();
     void act(curl_socket_t socket, int events);
     void watch(curl_socket_t socket, int what);
+    void onReady(curl_socket_t socket, loop::Readiness ready);
     void wantTimer(long milliseconds);
     void arm();
     void collect();
@@ -112,16 +122,16 @@
 
 void HttpClient::Parts::watch(curl_socket_t socket, int what)
 {
-    if (what == CURL_POLL_REMOVE) {
-        this->loop.unwatch(socket);
-        return;
-    }
-    const loop::Readiness interest{.readable = (what & CURL_POLL_IN) != 0, .writable = (what & CURL_POLL_OUT) != 0};
-    this->loop.watch(socket, interest, [this, socket](loop::Readiness ready) {
-        const int events = (ready.readable ? CURL_CSELECT_IN : 0) | (ready.writable ? CURL_CSELECT_OUT : 0);
-        this->act(socket, events);
-        this->collect();
-    });
+    const bool ended = what == CURL_POLL_REMOVE;
+    this->polled.watch(
+        socket, {.readable = !ended && (what & CURL_POLL_IN) != 0, .writable = !ended && (what & CURL_POLL_OUT) != 0});
+}
+
+void HttpClient::Parts::onReady(curl_socket_t socket, loop::Readiness ready)
+{
+    const int events = (ready.readable ? CURL_CSELECT_IN : 0) | (ready.writable ? CURL_CSELECT_OUT : 0);
+    this->act(socket, events);
+    this->collect();
 }
 
 void HttpClient::Parts::wantTimer(long milliseconds)
