--- a/tests/Deployment.h
+++ b/tests/Deployment.h
@@ -21,15 +21,15 @@
     int status = 0;
     /** Names in lower case. */
     std::map<std::string, std::string> headers;
-    std::string body;
+    std::string body {};
 };
 
 /** One request of a caller. */
 struct Ask {
     std::string method = "GET";
-    std::string path;
-    std::vector<std::string> headers;
-    std::string body;
+    std::string path {};
+    std::vector<std::string> headers {};
+    std::string body {};
     std::chrono::milliseconds timeout{3000};
 };
 
