--- a/tests/Deployment.cpp
+++ b/tests/Deployment.cpp
@@ -297,6 +297,15 @@
     process.pid = 0;
 }
 
+bool Deployment::hasEnded(Process &process)
+{
+    if (waitpid(process.pid, nullptr, WNOHANG) != process.pid) {
+        return false;
+    }
+    process.pid = 0;
+    return true;
+}
+
 int Deployment::waitForExit(Process &process, std::chrono::milliseconds limit)
 {
     int status = 0;
--- a/tests/Deployment.h
+++ b/tests/Deployment.h
@@ -21,15 +21,15 @@
     int status = 0;
     /** Names in lower case. */
     std::map<std::string, std::string> headers;
-    std::string body {};
+    std::string body{};
 };
 
 /** One request of a caller. */
 struct Ask {
     std::string method = "GET";
-    std::string path {};
-    std::vector<std::string> headers {};
-    std::string body {};
+    std::string path{};
+    std::vector<std::string> headers{};
+    std::string body{};
     std::chrono::milliseconds timeout{3000};
 };
 
@@ -98,6 +98,8 @@
     static void signal(const Process &process, int signal);
     /** Kills a process and waits for its end. */
     static void kill(Process &process);
+    /** @return whether a process has ended by itself; it can then be started again */
+    static bool hasEnded(Process &process);
     /** Waits for a process to end by itself. @return its exit code, or -1 when it had to be killed at the limit */
     static int waitForExit(Process &process, std::chrono::milliseconds limit);
 
--- a/tests/WholePathTest.cpp
+++ b/tests/WholePathTest.cpp
@@ -21,7 +21,7 @@
 
 } // namespace
 
-TEST_CASE("a request to any agent reaches the sole owner of its key, and its whole answer comes back")
+TEST_CASE("a request to any agent reaches the sole owner of its key, and its whole answer comes back", "[process]")
 {
     const Deployment deployment(smallPlan("whole-path"));
     REQUIRE(Deployment::eventually(5s, [&] {
@@ -42,7 +42,7 @@
     }
 }
 
-TEST_CASE("bad requests are answered by the agent itself, and say that they did not run")
+TEST_CASE("bad requests are answered by the agent itself, and say that they did not run", "[process]")
 {
     const Deployment deployment(smallPlan("bad-requests"));
     const UpstreamVm &vm = deployment.vms.front();
