--- a/tests/HttpClientTest.cpp
+++ b/tests/HttpClientTest.cpp
@@ -152,6 +152,46 @@
     }
 }
 
+/*
+ * Story: as before, but a second idle connection to the peer is open, so the repetition needs no new one. A user would
+ * see the payment made twice.
+ */
+TEST_CASE("a request is not repeated on another open connection")
+{
+    Bench bench;
+    ScriptedPeer *self = nullptr;
+    ScriptedPeer peer(*bench.loop, [&](PeerConnection &connection) {
+        if (self->requests == 2) {
+            // Both are open now.
+            self->find(1)->send(Plain);
+            self->find(2)->send(Plain);
+        } else if (self->requests > 2) {
+            self->close(connection);
+        }
+    });
+    self = &peer;
+    CallResult last;
+    int answered = 0;
+    bench.loop->post([&] {
+        for (int i = 0; i < 2; ++i) {
+            bench.client->send(callTo(peer.address(), "GET"), [&](const CallResult &) {
+                if (++answered < 2) {
+                    return;
+                }
+                bench.client->send(callTo(peer.address(), "POST"), [&](CallResult result) {
+                    last = std::move(result);
+                    bench.loop->stop();
+                });
+            });
+        }
+    });
+    bench.run();
+    CHECK(last.end == CallEnd::Broken);
+    CHECK(last.mayHaveRun);
+    CHECK(peer.requests == 3);
+    CHECK(peer.accepted == 2);
+}
+
 /*
  * Story: a call is given up, by its deadline or by its caller; the peer answers late. A user would see another
  * user's timetable if the connection were used again and the late answer taken for the next call's.
