Coordinator under faults: a pump drives it with the agents' own lease and ownership code

New: a service without owners waits 300 ms of quiet membership before its first assignment (all slices went to the first agent to arrive).

--- a/include/control/CoordinatorSettings.h
+++ b/include/control/CoordinatorSettings.h
@@ -17,6 +17,8 @@
     std::chrono::milliseconds takeoverGrace{400};
     /** Time that a restarted agent's upstreams have to announce themselves again. */
     std::chrono::milliseconds announceGrace{1500};
+    /** A service that has no owners yet waits until membership has been quiet for this long, not to give all to one. */
+    std::chrono::milliseconds gather{300};
     /** Load is not evened out before membership has been quiet for this long; orphans never wait. */
     std::chrono::milliseconds settle{2000};
     /** Least time between two looks at a service that is being evened out. */
--- a/src/control/CoordinatorMoves.cpp
+++ b/src/control/CoordinatorMoves.cpp
@@ -144,6 +144,7 @@
 void Coordinator::noteMembers(Watch &watch, const std::vector<Member> &members, BootTime now) const
 {
     std::vector<std::uint32_t> ids;
+    ids.reserve(members.size());
     for (const Member &member : members) {
         ids.push_back(member.id);
     }
@@ -212,6 +213,12 @@
         return moves;
     }
     const Watch &watch = this->watches[service];
+    const bool fresh = std::all_of(slices.begin(), slices.end(), [](const LoadedSlice &slice) {
+        return slice.owner == 0;
+    });
+    if (fresh && now < watch.membersChanged + this->settings.gather) {
+        return {};
+    }
     const bool settled = now >= watch.membersChanged + this->settings.settle;
     // Before it has settled only orphans move: any imbalance is tolerated.
     constexpr double AnyImbalance = 1e9;
--- /dev/null
+++ b/tests/ControlPump.cpp
@@ -0,0 +1,464 @@
+#include "ControlPump.h"
+
+#include <algorithm>
+
+namespace bergamotweir::test {
+
+namespace {
+
+constexpr const char *Service = "catalogue";
+constexpr std::size_t SampledKeys = 16;
+
+wire::Command mark(const std::string &name, bool inService, std::uint64_t id)
+{
+    wire::Command command;
+    command.mutable_mark()->set_change_id("mark" + std::to_string(id));
+    command.mutable_mark()->set_kind(wire::MARK_KIND_UPSTREAM);
+    command.mutable_mark()->set_name(name);
+    command.mutable_mark()->set_in_service(inService);
+    return command;
+}
+
+} // namespace
+
+ControlPump::ControlPump(std::uint64_t seed, std::size_t agentCount, std::optional<bool> checks)
+    : agents(agentCount)
+    , random(seed)
+{
+    this->leaders.push_back(std::make_unique<Leader>(1));
+    wire::Command table;
+    table.mutable_put_table()->set_change_id("first");
+    table.mutable_put_table()->set_csv("service,keyed,timeout_ms\ncatalogue,yes," + std::to_string(Timeout.count())
+                                       + "\n");
+    this->commit(0, 0, table);
+    this->leaders[0]->coordinator.lead(this->now);
+    for (std::size_t number = 0; number < SampledKeys; ++number) {
+        this->hashes.push_back((std::uint64_t{this->random()} << 32) + this->random());
+    }
+    this->lastServed.assign(SampledKeys, this->now);
+    for (std::size_t number = 0; number < agentCount; ++number) {
+        FakeAgent &agent = this->agents[number];
+        agent.name = "a" + std::to_string(number);
+        agent.clockRate = 0.98 + 0.01 * static_cast<double>(number % 5);
+        agent.upstream.set_service(Service);
+        agent.upstream.set_name("u" + std::to_string(number));
+        agent.upstream.set_agent(agent.name);
+        agent.upstream.set_checks_grants(checks.value_or(number % 2 == 0));
+        this->start(agent);
+    }
+}
+
+void ControlPump::run(std::chrono::milliseconds time, Fault fault, std::uint64_t atEvent)
+{
+    this->planned = fault;
+    this->plannedAt = this->events + atEvent;
+    for (const BootTime end = this->now + time; this->now < end && this->broken.empty(); this->now += Step) {
+        this->deliver();
+        this->endPending();
+        for (std::size_t leader = this->leaders.size() > 1 ? this->leaders.size() - 2 : 0;
+             leader < this->leaders.size();
+             ++leader) {
+            this->leaders[leader]->coordinator.tick(this->now);
+            this->takeActions(leader);
+        }
+        for (std::size_t number = 0; number < this->agents.size(); ++number) {
+            this->stepAgent(number);
+        }
+        this->check();
+    }
+}
+
+void ControlPump::event()
+{
+    if (this->events++ == this->plannedAt && this->planned != Fault::None) {
+        this->inject(std::exchange(this->planned, Fault::None));
+    }
+}
+
+void ControlPump::inject(Fault fault, std::optional<std::size_t> chosen)
+{
+    FakeAgent &agent = this->agents[chosen.value_or(this->random(static_cast<std::uint32_t>(this->agents.size())))];
+    switch (fault) {
+    case Fault::None:
+        break;
+    case Fault::KillAgent:
+        agent.running = false;
+        break;
+    case Fault::RestartAgent:
+        this->start(agent);
+        break;
+    case Fault::FreezeAgent:
+        agent.frozenUntil = this->now + std::chrono::milliseconds(100 + this->random(1200));
+        break;
+    case Fault::CutAgent:
+        agent.reachable = false;
+        break;
+    case Fault::CrashUpstream:
+        std::erase_if(this->works, [&](const FakeWork &work) {
+            return &this->agents[work.agent] == &agent;
+        });
+        agent.ownership.work.clear();
+        agent.upstreamUp = false;
+        this->announce(agent);
+        break;
+    case Fault::DrainUpstream:
+        agent.draining = true;
+        this->announce(agent);
+        break;
+    case Fault::MarkOut:
+    case Fault::MarkIn:
+        this->propose(mark(agent.upstream.name(), fault == Fault::MarkIn, ++this->lastChange));
+        break;
+    case Fault::ChangeLeader:
+        this->changeLeader();
+        break;
+    case Fault::DelayNetwork:
+        this->extraDelay = std::chrono::milliseconds(250);
+        break;
+    }
+}
+
+void ControlPump::heal()
+{
+    this->extraDelay = {};
+    for (FakeAgent &agent : this->agents) {
+        agent.reachable = true;
+        agent.frozenUntil = this->now;
+        if (!agent.running) {
+            this->start(agent);
+        }
+        agent.upstreamUp = true;
+        agent.draining = false;
+        this->announce(agent);
+        this->propose(mark(agent.upstream.name(), true, ++this->lastChange));
+    }
+}
+
+void ControlPump::announce(FakeAgent &agent)
+{
+    wire::AgentMessage message;
+    *message.mutable_upstream() = agent.upstream;
+    message.mutable_upstream()->set_serving(agent.upstreamUp && !agent.draining);
+    this->sendUp(agent, message);
+}
+
+void ControlPump::start(FakeAgent &agent)
+{
+    ++agent.starts;
+    agent.running = true;
+    agent.startedAt = this->now;
+    agent.lease = {};
+    agent.map = {};
+    agent.ownership = {};
+    agent.session = 0;
+    agent.nextConnect = this->now;
+    agent.upstream.set_serving(true);
+    agent.upstream.set_incarnation(agent.name + "-" + std::to_string(agent.starts));
+}
+
+void ControlPump::propose(const wire::Command &command)
+{
+    const BootTime due = this->now + this->delay();
+    this->pending.push_back({due, due, this->leaders.size() - 1, 0, command});
+}
+
+void ControlPump::changeLeader()
+{
+    // What the old leader proposed may or may not have reached the quorum that elects the next one.
+    for (const Pending &item : std::exchange(this->pending, {})) {
+        if (item.command && this->random(2) == 0) {
+            this->commit(item.leader, 0, *item.command);
+        } else if (!item.command) {
+            this->pending.push_back(item);
+        }
+    }
+    auto next = std::make_unique<Leader>(this->leaders.back()->term + 1);
+    for (const auto &[version, command] : this->log) {
+        next->state.apply(version, command);
+    }
+    this->leaders.back()->deposed = this->now;
+    next->coordinator.lead(this->now);
+    this->leaders.push_back(std::move(next));
+}
+
+void ControlPump::commit(std::size_t leader, std::uint64_t proposal, const wire::Command &command)
+{
+    wire::Version version;
+    version.set_term(this->leaders[leader]->term);
+    version.set_index(this->log.size() + 1);
+    this->log.emplace_back(version, command);
+    Leader &own = *this->leaders[leader];
+    own.coordinator.applied(own.state.apply(version, command));
+    if (proposal != 0) {
+        own.coordinator.proposed(proposal, control::ProposalEnd::Applied);
+    }
+    this->takeActions(leader);
+    this->event();
+}
+
+void ControlPump::endPending()
+{
+    // A round or a proposal succeeds when the leader still led at the moment its quorum acknowledged.
+    for (std::size_t number = 0; number < this->pending.size();) {
+        const Pending item = this->pending[number];
+        if (item.due > this->now) {
+            ++number;
+            continue;
+        }
+        this->pending.erase(this->pending.begin() + static_cast<std::ptrdiff_t>(number));
+        if (item.command) {
+            this->commit(item.leader, item.proposal, *item.command);
+        } else {
+            Leader &leader = *this->leaders[item.leader];
+            leader.coordinator.confirmed(!leader.deposed || item.acknowledged < *leader.deposed, this->now);
+            this->takeActions(item.leader);
+            this->event();
+        }
+    }
+}
+
+void ControlPump::takeActions(std::size_t leader)
+{
+    const bool leads = leader + 1 == this->leaders.size();
+    for (control::Action &action : this->leaders[leader]->coordinator.takeActions()) {
+        if (auto *const proposal = std::get_if<control::ProposeAction>(&action)) {
+            if (leads) {
+                const BootTime due = this->now + this->delay();
+                this->pending.push_back({due, due, leader, proposal->proposal, std::move(proposal->command)});
+            }
+        } else if (std::holds_alternative<control::ConfirmAction>(action)) {
+            const BootTime acknowledged = this->now + this->delay();
+            this->pending.push_back({acknowledged + this->delay(), acknowledged, leader, 0, {}});
+        } else if (auto *const send = std::get_if<control::SendAction>(&action)) {
+            this->post({{}, leader, send->session, 0, {}, send->message, false});
+        } else {
+            this->post({{}, leader, std::get<control::CloseAction>(action).session, 0, {}, nullptr, true});
+        }
+    }
+}
+
+std::chrono::milliseconds ControlPump::delay()
+{
+    return std::chrono::milliseconds(1 + this->random(this->random(20) == 0 ? 120 : 12));
+}
+
+void ControlPump::post(Message message)
+{
+    // A session is a stream: what was sent first arrives first.
+    BootTime &last = this->lastDue[{message.session, message.up.has_value()}];
+    last = std::max(last, this->now + this->delay() + this->extraDelay);
+    message.due = last;
+    this->network.push_back(std::move(message));
+}
+
+void ControlPump::deliver()
+{
+    std::deque<Message> waiting = std::exchange(this->network, {});
+    for (Message &message : waiting) {
+        if (message.due > this->now) {
+            this->network.push_back(std::move(message));
+        } else if (message.up) {
+            this->deliverUp(message);
+        } else {
+            this->deliverDown(message);
+        }
+    }
+}
+
+void ControlPump::deliverUp(const Message &message)
+{
+    if (!this->agents[message.agent].reachable) {
+        return;
+    }
+    control::Coordinator &coordinator = this->leaders[message.leader]->coordinator;
+    if (message.up->has_hello()) {
+        coordinator.opened(message.session, message.up->hello(), this->now);
+    } else {
+        coordinator.received(message.session, *message.up, this->now);
+    }
+    this->takeActions(message.leader);
+    this->event();
+}
+
+void ControlPump::deliverDown(const Message &message)
+{
+    const auto found = std::find_if(this->agents.begin(), this->agents.end(), [&](const FakeAgent &agent) {
+        return agent.session == message.session;
+    });
+    if (found == this->agents.end() || !found->running || !found->reachable) {
+        return;
+    }
+    FakeAgent &agent = *found;
+    if (this->isFrozen(agent)) {
+        this->network.push_back(message);
+        return;
+    }
+    agent.lastHeard = this->now;
+    if (message.closes) {
+        agent::endSession(agent.lease);
+        agent.session = 0;
+        return;
+    }
+    if (!agent.opened) {
+        agent.opened = true;
+        agent::beginSession(agent.lease, agent.session);
+        this->announce(agent);
+    }
+    if (message.down->has_update()) {
+        this->applyUpdate(agent, message.down->update());
+    } else if (message.down->has_renewed()) {
+        agent::confirmRenewal(agent.lease, agent.session, message.down->renewed());
+    } else if (message.down->has_revoke()) {
+        agent::revoke(agent.ownership, message.down->revoke());
+    }
+    this->event();
+}
+
+void ControlPump::applyUpdate(FakeAgent &agent, const wire::StateUpdate &update)
+{
+    if (agent::apply(agent.map, update) == agent::UpdateEnd::Older) {
+        return;
+    }
+    agent.ownership.ownUpstreams.clear();
+    for (const auto &[id, upstream] : agent.map.upstreams) {
+        if (upstream.agent() == agent.name) {
+            agent.ownership.ownUpstreams.insert(id);
+        }
+    }
+    agent::forgetOldEpochs(agent.ownership, agent.map);
+    if (update.full()) {
+        wire::AgentMessage released;
+        *released.mutable_released() = agent::resumeReleased(agent.ownership, agent.map);
+        this->sendUp(agent, released);
+        agent::fullStateApplied(agent.lease, agent.session);
+    }
+}
+
+BootTime ControlPump::clock(const FakeAgent &agent) const
+{
+    return BootTime(std::chrono::duration_cast<BootClock::duration>(this->now.time_since_epoch() * agent.clockRate));
+}
+
+bool ControlPump::isFrozen(const FakeAgent &agent) const
+{
+    return this->now < agent.frozenUntil;
+}
+
+void ControlPump::sendUp(FakeAgent &agent, wire::AgentMessage message)
+{
+    if (agent.session != 0 && agent.running) {
+        const auto number = static_cast<std::size_t>(&agent - this->agents.data());
+        this->post({{}, agent.leader, agent.session, number, std::move(message), nullptr, false});
+    }
+}
+
+void ControlPump::stepAgent(std::size_t number)
+{
+    FakeAgent &agent = this->agents[number];
+    if (!agent.running || this->isFrozen(agent)) {
+        return;
+    }
+    constexpr std::chrono::milliseconds Silence{300};
+    if (agent.session != 0 && this->now > agent.lastHeard + Silence) {
+        this->leaders[agent.leader]->coordinator.closed(agent.session);
+        agent::endSession(agent.lease);
+        agent.session = 0;
+        agent.nextConnect = this->now + this->delay();
+    }
+    if (agent.session == 0 && this->now >= agent.nextConnect) {
+        agent.session = ++this->lastSession;
+        agent.opened = false;
+        agent.lastHeard = this->now;
+        // Now and then it reaches a leader that was deposed and doesn't know.
+        const bool stale = this->leaders.size() > 1 && this->random(4) == 0;
+        agent.leader = this->leaders.size() - (stale ? 2 : 1);
+        wire::AgentMessage hello;
+        hello.mutable_hello()->set_agent(agent.name);
+        hello.mutable_hello()->set_incarnation(agent.name + "/" + std::to_string(agent.starts));
+        hello.mutable_hello()->set_uptime_ms(static_cast<std::uint64_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(this->now - agent.startedAt).count()));
+        *hello.mutable_hello()->mutable_seen() = agent.map.version;
+        this->sendUp(agent, hello);
+    }
+    if (agent.lease.session != 0 && this->now >= agent.nextRenew) {
+        agent.nextRenew = this->now + std::chrono::milliseconds(100);
+        wire::AgentMessage renew;
+        renew.mutable_renew()->set_sequence(agent::noteRenewal(agent.lease, this->clock(agent)));
+        *renew.mutable_renew()->mutable_in_force() = agent.map.version;
+        this->sendUp(agent, renew);
+    }
+    this->work(number);
+    wire::AgentMessage released;
+    *released.mutable_released() = agent::takeReleased(agent.ownership, agent.map);
+    if (released.released().slices_size() > 0) {
+        this->sendUp(agent, released);
+    }
+}
+
+void ControlPump::work(std::size_t number)
+{
+    FakeAgent &agent = this->agents[number];
+    std::erase_if(this->works, [&](const FakeWork &work) {
+        const bool ended = work.agent == number && work.endsAt <= this->now;
+        if (ended && work.agentStart == agent.starts && agent.upstreamUp) {
+            agent::endWork(agent.ownership, Service, work.hash);
+        }
+        return ended;
+    });
+    const std::uint64_t hash = this->hashes[this->random(SampledKeys)];
+    if (!agent.upstreamUp
+        || !agent::ownsLocally(agent.ownership, agent.map, agent.lease, Service, hash, this->clock(agent))) {
+        return;
+    }
+    for (const FakeWork &other : this->works) {
+        const FakeAgent &owner = this->agents[other.agent];
+        if (other.agent != number && other.hash == hash && other.endsAt > this->now
+            && !owner.upstream.checks_grants()) {
+            this->broken = owner.name + " still runs work on a key that " + agent.name + " begins to serve";
+        }
+    }
+    agent::beginWork(agent.ownership, Service, hash);
+    const auto time = std::chrono::milliseconds(5 + this->random(this->random(10) == 0 ? 290 : 20));
+    this->works.push_back({number, agent.starts, hash, this->now + time});
+}
+
+bool ControlPump::allServed() const
+{
+    // A key on a planned move waits for the work in progress on it.
+    return std::all_of(this->lastServed.begin(), this->lastServed.end(), [this](BootTime served) {
+        return served + Timeout + std::chrono::milliseconds(500) > this->now;
+    });
+}
+
+std::size_t ControlPump::served(std::size_t number) const
+{
+    const FakeAgent &agent = this->agents[number];
+    return static_cast<std::size_t>(std::count_if(this->hashes.begin(), this->hashes.end(), [&](std::uint64_t hash) {
+        return agent.running && agent.upstreamUp
+               && agent::ownsLocally(agent.ownership, agent.map, agent.lease, Service, hash, this->clock(agent));
+    }));
+}
+
+void ControlPump::check()
+{
+    for (std::size_t key = 0; key < SampledKeys; ++key) {
+        const FakeAgent *owner = nullptr;
+        for (const FakeAgent &agent : this->agents) {
+            if (!agent.running
+                || !agent::ownsLocally(
+                    agent.ownership, agent.map, agent.lease, Service, this->hashes[key], this->clock(agent))) {
+                continue;
+            }
+            if (owner != nullptr) {
+                this->broken = owner->name + " and " + agent.name + " both own key " + std::to_string(key);
+            }
+            owner = &agent;
+        }
+        if (owner != nullptr && owner->upstreamUp && !this->isFrozen(*owner)) {
+            this->lastServed[key] = this->now;
+        }
+        this->longestGap = std::max<std::chrono::nanoseconds>(this->longestGap, this->now - this->lastServed[key]);
+    }
+}
+
+} // namespace bergamotweir::test
