--- a/include/control/State.h
+++ b/include/control/State.h
@@ -53,6 +53,13 @@
     /** @return version of the newest command applied */
     const wire::Version &version() const;
 
+    /**
+     * @return version of the newest command that agents had to hear of. Agents in force at it have everything: claims
+     *         and marks that change nothing are committed later without being sent to them. After restore() it may
+     *         be later than that, never earlier.
+     */
+    const wire::Version &visibleVersion() const;
+
     const TableHistory &tables() const;
     const UpstreamRegistry &upstreams() const;
     /** @return slices of every service that was ever keyed, so that epochs never start again */
@@ -69,6 +76,7 @@
     void expire(const wire::ExpireClaims &expiry, Applied &applied);
 
     wire::Version newest;
+    wire::Version newestVisible;
     TableHistory tableHistory;
     UpstreamRegistry registry;
     std::map<std::string, SliceMap> sliceMaps;
--- a/src/cli/StatusCommands.cpp
+++ b/src/cli/StatusCommands.cpp
@@ -35,11 +35,29 @@
     return text.empty() ? "none" : text;
 }
 
-std::string column(const std::string &text, std::size_t width)
+/** One line of a table on the screen. */
+using Cells = std::vector<std::string>;
+
+/** @return the lines with their columns under each other, indented */
+std::string aligned(const std::vector<Cells> &lines)
 {
-    std::string padded = text + ' ';
-    padded.resize(std::max(width, padded.size()), ' ');
-    return padded;
+    std::vector<std::size_t> widths;
+    for (const Cells &cells : lines) {
+        widths.resize(std::max(widths.size(), cells.size()));
+        for (std::size_t i = 0; i < cells.size(); ++i) {
+            widths[i] = std::max(widths[i], cells[i].size());
+        }
+    }
+    std::string text;
+    for (const Cells &cells : lines) {
+        text += ' ';
+        for (std::size_t i = 0; i < cells.size(); ++i) {
+            text += ' ' + cells[i];
+            text.append(i + 1 < cells.size() ? widths[i] - cells[i].size() + 1 : 0, ' ');
+        }
+        text += '\n';
+    }
+    return text;
 }
 
 std::string hex(std::uint64_t number)
@@ -68,53 +86,64 @@
 
 std::string controlText(const wire::StatusReport &report)
 {
-    std::string text = "control: leader " + (report.leader().empty() ? "unknown" : report.leader()) + ", term "
-                       + std::to_string(report.term()) + ", version " + versionText(report.version()) + "\n";
+    std::vector<Cells> lines;
     for (const wire::Replica &replica : report.membership().replicas()) {
-        text += "  " + column(replica.id(), 12) + column(replica.voter() ? "voter" : "learner", 9) + "raft "
-                + column(replica.address(), 22) + "control " + replica.control_address() + "\n";
+        lines.push_back({replica.id(),
+                         replica.voter() ? "voter" : "learner",
+                         "raft " + replica.address(),
+                         "control " + replica.control_address()});
     }
-    return text;
+    return "control: leader " + (report.leader().empty() ? "unknown" : report.leader()) + ", term "
+           + std::to_string(report.term()) + ", version " + versionText(report.version()) + "\n" + aligned(lines);
 }
 
 std::string servicesText(const wire::StatusReport &report)
 {
-    std::string text = "  " + column("SERVICE", 24) + column("SLICES", 8) + column("NO OWNER", 10) + "MOVING\n";
+    std::vector<Cells> lines{{"KEYED SERVICE", "SLICES", "NO OWNER", "MOVING"}};
     for (const wire::ServiceStatus &service : report.services()) {
-        text += "  " + column(service.service(), 24) + column(std::to_string(service.slices()), 8)
-                + column(std::to_string(service.slices_without_owner()), 10) + std::to_string(service.slices_moving())
-                + "\n";
+        lines.push_back({service.service(),
+                         std::to_string(service.slices()),
+                         std::to_string(service.slices_without_owner()),
+                         std::to_string(service.slices_moving())});
     }
-    return text;
+    return aligned(lines);
 }
 
-std::string upstreamsText(const wire::StatusReport &report)
+std::string upstreamsSummary(const wire::StatusReport &report)
 {
     std::map<std::string, int> byState;
     int lacking = 0;
     for (const wire::UpstreamStatus &upstream : report.upstreams()) {
         ++byState[stateOf(upstream)];
-        lacking += lacks(upstream, report.version()) ? 1 : 0;
+        lacking += lacks(upstream, report.visible()) ? 1 : 0;
     }
     std::string text = "upstreams: " + std::to_string(report.upstreams_size());
     for (const auto &[state, count] : byState) {
         text += ", " + std::to_string(count) + " " + state;
     }
-    text += "; " + std::to_string(lacking) + " behind version " + versionText(report.version()) + "\n  "
-            + column("UPSTREAM", 20) + column("SERVICE", 20) + column("DOMAIN", 14) + column("AGENT", 14)
-            + column("STATE", 13) + column("SLICES", 8) + "IN FORCE\n";
+    return text + "; " + std::to_string(lacking) + " behind version " + versionText(report.visible()) + "\n";
+}
+
+std::string upstreamsText(const wire::StatusReport &report)
+{
+    std::vector<Cells> lines{{"UPSTREAM", "SERVICE", "DOMAIN", "AGENT", "STATE", "SLICES", "IN FORCE"}};
     int listed = 0;
     for (const wire::UpstreamStatus &upstream : report.upstreams()) {
-        const bool isPlain = stateOf(upstream) == "serving" && !lacks(upstream, report.version());
+        const bool isPlain = stateOf(upstream) == "serving" && !lacks(upstream, report.visible());
         if (listed == MostUpstreamsListed || (isPlain && report.upstreams_size() > MostUpstreamsListed)) {
             continue;
         }
         ++listed;
         const wire::UpstreamInfo &info = upstream.upstream();
-        text += "  " + column(info.name(), 20) + column(info.service(), 20) + column(info.failure_domain(), 14)
-                + column(info.agent(), 14) + column(stateOf(upstream), 13)
-                + column(std::to_string(upstream.slices()), 8) + versionText(upstream.in_force()) + "\n";
+        lines.push_back({info.name(),
+                         info.service(),
+                         info.failure_domain(),
+                         info.agent(),
+                         stateOf(upstream),
+                         std::to_string(upstream.slices()),
+                         versionText(upstream.in_force())});
     }
+    std::string text = upstreamsSummary(report) + aligned(lines);
     if (listed < report.upstreams_size()) {
         text += "  ... " + std::to_string(report.upstreams_size() - listed) + " more; --json lists all\n";
     }
@@ -135,7 +164,7 @@
                              {"state", stateOf(upstream)},
                              {"slices", upstream.slices()},
                              {"in_force", toJson(upstream.in_force())},
-                             {"behind", lacks(upstream, report.version())}});
+                             {"behind", lacks(upstream, report.visible())}});
     }
     return upstreams;
 }
@@ -163,6 +192,7 @@
     return {{"leader", report.leader()},
             {"term", report.term()},
             {"version", toJson(report.version())},
+            {"visible_version", toJson(report.visible())},
             {"table_version", report.table_version()},
             {"members", members},
             {"failure_domains_out", report.failure_domains_out()},
--- a/src/control/Coordinator.cpp
+++ b/src/control/Coordinator.cpp
@@ -256,10 +256,13 @@
             expected.insert(name);
         }
     }
+    // A mark that changes nothing is committed, but not sent: agents never reach its version, nor need to.
+    const wire::Version &needed =
+        isBefore(this->state.visibleVersion(), version) ? this->state.visibleVersion() : version;
     wire::InForceReport report;
     for (const std::string &name : expected) {
         const AgentRecord *const agent = this->book.find(name);
-        const bool reached = agent != nullptr && !isBefore(agent->inForce, version);
+        const bool reached = agent != nullptr && !isBefore(agent->inForce, needed);
         *(reached ? report.add_confirmed() : report.add_missing()) = name;
     }
     return report;
--- a/src/control/OperatorReads.cpp
+++ b/src/control/OperatorReads.cpp
@@ -86,6 +86,7 @@
 {
     wire::StatusReport &report = *reply.mutable_report();
     *report.mutable_version() = state.version();
+    *report.mutable_visible() = state.visibleVersion();
     report.set_table_version(state.tables().tableVersion());
     const table::Marks &marks = state.tables().marks();
     for (const std::string &name : marks.failureDomainsOut) {
--- a/src/control/State.cpp
+++ b/src/control/State.cpp
@@ -31,6 +31,9 @@
     Applied applied;
     this->applyOne(command, applied);
     *applied.update.mutable_version() = version;
+    if (applied.visible) {
+        this->newestVisible = version;
+    }
     return applied;
 }
 
@@ -175,6 +178,7 @@
         return false;
     }
     this->newest = saved.version();
+    this->newestVisible = saved.version();
     this->tableHistory.restore(saved);
     this->registry.restore(saved);
     this->sliceMaps.clear();
@@ -209,6 +213,11 @@
     return this->newest;
 }
 
+const wire::Version &State::visibleVersion() const
+{
+    return this->newestVisible;
+}
+
 const TableHistory &State::tables() const
 {
     return this->tableHistory;
--- a/tools/load/Generator.cpp
+++ b/tools/load/Generator.cpp
@@ -26,7 +26,7 @@
     return *ran == "yes" ? Verdict::RefusedYes : Verdict::RefusedUnknown;
 }
 
-Verdict verdictOf(const net::CallResult &result, const std::string &testId)
+Verdict verdictOf(const net::CallResult &result, const std::string &testId, bool withIdempotencyKey)
 {
     switch (result.end) {
     case net::CallEnd::NotSent:
@@ -45,8 +45,9 @@
         return refusedVerdict(result.answer);
     }
     const std::string *echo = net::findHeader(result.answer.headers, "Test-Id");
-    const bool own = echo != nullptr && *echo == testId
-                     && result.answer.body.find("\"test_id\":\"" + testId + "\"") != std::string::npos;
+    // An answer that was recorded for the Idempotency-Key comes without the upstream's headers.
+    const bool ownHeader = echo == nullptr ? withIdempotencyKey : *echo == testId;
+    const bool own = ownHeader && result.answer.body.find("\"test_id\":\"" + testId + "\"") != std::string::npos;
     return own ? Verdict::Answered : Verdict::Wrong;
 }
 
@@ -138,7 +139,7 @@
     this->client.send(this->callFor(outcome), [this, &outcome](const net::CallResult &result) {
         outcome.ended = BootClock::now();
         outcome.status = result.answer.status;
-        outcome.verdict = verdictOf(result, this->testId(outcome));
+        outcome.verdict = verdictOf(result, this->testId(outcome), outcome.withIdempotencyKey);
         --this->inProgress;
         if (this->settings.concurrency != 0 && !this->over) {
             this->sendOne(BootClock::now());
@@ -155,7 +156,7 @@
     ++this->inProgress;
     this->loop.after(ResendDelay, [this, &outcome] {
         this->client.send(this->callFor(outcome), [this, &outcome](const net::CallResult &result) {
-            outcome.second = verdictOf(result, this->testId(outcome));
+            outcome.second = verdictOf(result, this->testId(outcome), outcome.withIdempotencyKey);
             --this->inProgress;
             this->checkEnd();
         });
