Coordinator: settle 5 s after restarts, look at a quiet service every 5 s, one full state for a whole round

Cause: StateBench at 6,400 agents was killed: each of 6,400 sessions opening in one round got its own copy of a 2.4 MB state; and a tick of 10 ms took 9.5 ms, since every service was planned anew every 100 ms whether or not anything had changed. Ruled out: the renewals themselves (2 us each). Change: a round's sessions share one message; a service with nothing to move is looked at when it has settled, then every 5 s; process ticks every 20 ms.

--- /dev/null
+++ b/bench/StateBench.cpp
@@ -0,0 +1,325 @@
+#include "control/Assignment.h"
+#include "control/Coordinator.h"
+#include "control/State.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <map>
+#include <pcg_random.hpp>
+#include <string>
+#include <vector>
+
+using namespace bergamotweir;
+using namespace bergamotweir::control;
+
+namespace {
+
+constexpr std::uint64_t Seed = 20261202;
+constexpr std::size_t SampledKeys = 200000;
+
+using Clock = std::chrono::steady_clock;
+
+double milliseconds(Clock::duration time)
+{
+    return std::chrono::duration<double, std::milli>(time).count();
+}
+
+std::vector<Member> membersOf(std::size_t count)
+{
+    std::vector<Member> members;
+    members.reserve(count + 1);
+    for (std::size_t number = 1; number <= count; ++number) {
+        members.push_back({static_cast<std::uint32_t>(number), 1.0});
+    }
+    return members;
+}
+
+/** Slices as planSplits() makes them: 64, doubled until each member can have its share; loads differ by a tenth. */
+std::vector<LoadedSlice> slicesFor(std::size_t members, std::size_t perMember)
+{
+    std::size_t count = State::FirstSlices;
+    while (count < members * perMember) {
+        count *= 2;
+    }
+    pcg32 random(Seed);
+    std::vector<LoadedSlice> slices;
+    slices.reserve(count);
+    for (std::size_t number = 0; number < count; ++number) {
+        const double load = 0.9 + 0.2 * random(1000) / 1000.0;
+        slices.push_back({number, 0, load, false});
+    }
+    return slices;
+}
+
+/** Carries moves out. @return share of the load moved */
+double carryOut(std::vector<LoadedSlice> &slices, const std::vector<SliceMove> &moves)
+{
+    double total = 0;
+    for (const LoadedSlice &slice : slices) {
+        total += slice.load;
+    }
+    double moved = 0;
+    for (const SliceMove &move : moves) {
+        slices[move.begin].owner = move.to;
+        moved += slices[move.begin].load;
+    }
+    return moved / total;
+}
+
+/** Churn of the usual baseline: owner = members[hash modulo number of members]. */
+double moduloChurn(const std::vector<Member> &before, const std::vector<Member> &after)
+{
+    pcg64 random(Seed);
+    std::size_t moved = 0;
+    for (std::size_t key = 0; key < SampledKeys; ++key) {
+        const std::uint64_t hash = random();
+        moved += before[hash % before.size()].id != after[hash % after.size()].id ? 1 : 0;
+    }
+    return static_cast<double>(moved) / SampledKeys;
+}
+
+void churnOf(const char *event,
+             std::size_t perMember,
+             const std::vector<Member> &before,
+             const std::vector<Member> &after)
+{
+    std::vector<LoadedSlice> slices = slicesFor(before.size(), perMember);
+    carryOut(slices, assign(before, slices));
+    const double least = leastChurn(after, slices);
+    const double moved = carryOut(slices, assign(after, slices));
+    std::printf("%-10s %7zu %7zu %8.4f %8.4f %7.2f %8.4f %9.3f\n",
+                event,
+                before.size(),
+                perMember,
+                moved,
+                least,
+                least > 0 ? moved / least : 0,
+                moduloChurn(before, after),
+                imbalance(after, slices));
+}
+
+void benchChurn()
+{
+    std::printf("churn as share of the load, tolerance %.2f\n", DefaultTolerance);
+    std::printf("event      members per-mem    moved    least   ratio   modulo imbalance\n");
+    for (const std::size_t count : {4U, 11U, 100U, 1000U}) {
+        for (const std::size_t perMember : {4U, 8U, 16U, 32U}) {
+            const std::vector<Member> before = membersOf(count);
+            std::vector<Member> lost = before;
+            lost.erase(lost.begin() + 1);
+            churnOf("lost", perMember, before, lost);
+            std::vector<Member> joined = before;
+            joined.push_back({static_cast<std::uint32_t>(count + 1), 1.0});
+            churnOf("joined", perMember, before, joined);
+            std::vector<Member> halved = before;
+            halved[0].weight = 0.5;
+            churnOf("halved", perMember, before, halved);
+            std::vector<Member> thirdOut(before.begin(), before.end() - static_cast<std::ptrdiff_t>(count / 3));
+            churnOf("third out", perMember, before, thirdOut);
+        }
+    }
+}
+
+/** Every member leaves and returns in turn; load is evened out after each return, or only after the last one. */
+void benchRollingRestart()
+{
+    std::printf("\nrolling restart of the fleet: load moved in all, in fleet loads; each leave alone costs 1\n");
+    std::printf("members  even each return  even at the end  hash modulo\n");
+    for (const std::size_t count : {11U, 100U, 640U}) {
+        double moved[2] = {0, 0};
+        double modulo = 0;
+        const std::vector<Member> all = membersOf(count);
+        for (const bool each : {true, false}) {
+            std::vector<LoadedSlice> slices = slicesFor(count, 16);
+            carryOut(slices, assign(all, slices));
+            for (std::size_t number = 0; number < count; ++number) {
+                std::vector<Member> without = all;
+                without.erase(without.begin() + static_cast<std::ptrdiff_t>(number));
+                constexpr double OnlyOrphans = 1e9;
+                moved[each ? 0 : 1] += carryOut(slices, assign(without, slices, each ? DefaultTolerance : OnlyOrphans));
+                if (each) {
+                    moved[0] += carryOut(slices, assign(all, slices));
+                    modulo += number % 10 == 0 ? 2 * moduloChurn(all, without) : 0;
+                }
+            }
+            moved[each ? 0 : 1] += carryOut(slices, assign(all, slices));
+        }
+        std::printf("%7zu %17.2f %16.2f %12.0f\n", count, moved[0], moved[1], modulo * 10);
+    }
+}
+
+void benchAssignTime()
+{
+    std::printf("\nassign() at 6400 members, one lost\nper-mem  slices  first ms  one lost ms\n");
+    for (const std::size_t perMember : {4U, 8U, 16U, 32U}) {
+        std::vector<Member> members = membersOf(6400);
+        std::vector<LoadedSlice> slices = slicesFor(members.size(), perMember);
+        const auto start = Clock::now();
+        carryOut(slices, assign(members, slices));
+        const auto first = Clock::now();
+        members.pop_back();
+        carryOut(slices, assign(members, slices));
+        std::printf("%7zu %7zu %9.1f %12.1f\n",
+                    perMember,
+                    slices.size(),
+                    milliseconds(first - start),
+                    milliseconds(Clock::now() - first));
+    }
+}
+
+/** Feeds a state with one service, upstreams and evenly owned slices. */
+class Fleet
+{
+public:
+    explicit Fleet(std::size_t upstreams)
+    {
+        wire::Command table;
+        table.mutable_put_table()->set_change_id("table");
+        table.mutable_put_table()->set_csv("service,keyed\ncatalogue,yes\n");
+        this->apply(table);
+        for (std::size_t number = 1; number <= upstreams; ++number) {
+            wire::Command put;
+            wire::UpstreamInfo &upstream = *put.mutable_put_upstream()->mutable_upstream();
+            const std::string name = std::to_string(number);
+            upstream.set_service("catalogue");
+            upstream.set_name("catalogue-" + name);
+            upstream.set_failure_domain("bne-a");
+            upstream.set_agent("agent-" + name);
+            upstream.set_peer_address("10.0.0.1:7000");
+            upstream.set_operator_address("10.0.0.1:7001");
+            upstream.set_incarnation("0123456789abcdef");
+            upstream.set_serving(true);
+            upstream.set_slots(12);
+            this->apply(put);
+        }
+    }
+
+    Applied apply(const wire::Command &command)
+    {
+        wire::Version version;
+        version.set_term(1);
+        version.set_index(++this->index);
+        return this->state.apply(version, command);
+    }
+
+    void split(std::size_t slices, std::size_t owners)
+    {
+        wire::Command command;
+        command.mutable_assign()->set_service("catalogue");
+        for (std::size_t number = 0; number < slices; ++number) {
+            wire::SliceOwner &slice = *command.mutable_assign()->add_slices();
+            slice.set_begin((~std::uint64_t{0} / slices) * number);
+            slice.set_owner(0);
+            slice.set_epoch(0);
+        }
+        this->apply(command);
+        for (wire::SliceOwner &slice : *command.mutable_assign()->mutable_slices()) {
+            slice.set_owner(static_cast<std::uint32_t>(1 + slice.begin() % owners));
+            slice.set_epoch(1);
+        }
+        this->apply(command);
+    }
+
+    State state;
+    std::uint64_t index = 0;
+};
+
+void benchSnapshot()
+{
+    std::printf(
+        "\nsnapshot, upstreams with 16 slices each\nupstreams  snapshot KB  full update KB  save ms  restore ms\n");
+    for (const std::size_t upstreams : {11U, 100U, 400U, 1600U, 6400U}) {
+        Fleet fleet(upstreams);
+        fleet.split(upstreams * 16, upstreams);
+        const auto start = Clock::now();
+        const std::string bytes = fleet.state.snapshot();
+        const auto saved = Clock::now();
+        State copy;
+        copy.restore(bytes);
+        std::printf("%9zu %12.1f %15.1f %8.2f %11.2f\n",
+                    upstreams,
+                    static_cast<double>(bytes.size()) / 1024,
+                    static_cast<double>(fleet.state.fullUpdate().ByteSizeLong()) / 1024,
+                    milliseconds(saved - start),
+                    milliseconds(Clock::now() - saved));
+    }
+}
+
+/** One round of heartbeats of every agent through the coordinator. @return bytes of the messages of one agent */
+std::size_t beat(Coordinator &coordinator, std::size_t agents, std::uint64_t sequence, BootTime now)
+{
+    wire::AgentMessage renew;
+    renew.mutable_renew()->set_sequence(sequence);
+    renew.mutable_renew()->mutable_in_force()->set_term(1);
+    renew.mutable_renew()->mutable_in_force()->set_index(100000);
+    std::size_t bytes = renew.ByteSizeLong();
+    for (std::size_t agent = 1; agent <= agents; ++agent) {
+        coordinator.received(agent, renew, now);
+    }
+    coordinator.confirmed(true, now);
+    coordinator.confirmed(true, now);
+    for (const Action &action : coordinator.takeActions()) {
+        if (const auto *const send = std::get_if<SendAction>(&action); send != nullptr && send->session == 1) {
+            bytes += send->message->ByteSizeLong();
+        }
+    }
+    return bytes;
+}
+
+void benchRenewals()
+{
+    // gRPC adds 5 bytes, HTTP/2 9, TCP/IP with its acknowledgement some 100 to each message.
+    constexpr std::size_t FramingBytes = 114;
+    constexpr std::size_t PerSecond = 10;
+    constexpr std::size_t Rounds = 50;
+    std::printf(
+        "\nrenewals, core of the leader alone\nagents  us per renewal  tick ms  message bytes  KB/s per agent\n");
+    for (const std::size_t agents : {100U, 400U, 1600U, 6400U}) {
+        Fleet fleet(agents);
+        fleet.split(agents * 16, agents);
+        Coordinator coordinator(CoordinatorSettings{}, fleet.state);
+        BootTime now{std::chrono::seconds(1)};
+        coordinator.lead(now);
+        for (std::size_t agent = 1; agent <= agents; ++agent) {
+            wire::Hello hello;
+            hello.set_agent("agent-" + std::to_string(agent));
+            hello.set_peer_address("10.0.0.1:7000");
+            coordinator.opened(agent, hello, now);
+        }
+        coordinator.confirmed(true, now);
+        coordinator.confirmed(true, now);
+        coordinator.takeActions();
+        std::size_t bytes = 0;
+        Clock::duration beating{};
+        Clock::duration ticking{};
+        for (std::size_t round = 1; round <= Rounds; ++round) {
+            const auto start = Clock::now();
+            bytes = beat(coordinator, agents, round, now);
+            const auto beaten = Clock::now();
+            now += std::chrono::milliseconds(10);
+            coordinator.tick(now);
+            ticking += Clock::now() - beaten;
+            beating += beaten - start;
+        }
+        std::printf("%6zu %15.2f %8.2f %14zu %15.2f\n",
+                    agents,
+                    milliseconds(beating) * 1000 / static_cast<double>(Rounds * agents),
+                    milliseconds(ticking) / Rounds,
+                    bytes,
+                    static_cast<double>((bytes + 2 * FramingBytes) * PerSecond) / 1024);
+    }
+}
+
+} // namespace
+
+int main()
+{
+    std::setvbuf(stdout, nullptr, _IOLBF, 0);
+    benchChurn();
+    benchRollingRestart();
+    benchAssignTime();
+    benchSnapshot();
+    benchRenewals();
+    return 0;
+}
--- a/include/control/Coordinator.h
+++ b/include/control/Coordinator.h
@@ -64,7 +64,7 @@
     void proposed(std::uint64_t proposal, ProposalEnd end);
     /** The confirmation round asked for last ended. */
     void confirmed(bool leads, BootTime now);
-    /** Looks at everything that time alone brings about; to be called every 10 ms or so. */
+    /** Looks at everything that time alone brings about; to be called every 20 ms or so. */
     void tick(BootTime now);
 
     /** @return what is to be done, in order; each action is handed out once */
@@ -115,15 +115,17 @@
         /** Members at the last look. */
         std::vector<std::uint32_t> memberIds;
         BootTime membersChanged;
-        BootTime evened;
+        BootTime nextLook;
         bool splitting = false;
+        /** The next change of members comes from an operator. */
+        bool evenAtOnce = false;
     };
 
     void send(SessionId session, wire::ControlMessage message);
     std::uint64_t propose(wire::Command command, Proposal proposal);
     void endMove(const SliceName &slice, ProposalEnd end);
     void startRound();
-    void inform(AgentRecord &agent);
+    void inform(const std::vector<SessionId> &sessions);
     void renew(AgentRecord &agent, const Heartbeat &heartbeat, BootTime now);
     bool mayRenew(const AgentRecord &agent, BootTime now) const;
     void sendRevokes(const std::vector<SliceName> &slices);
--- a/include/control/CoordinatorSettings.h
+++ b/include/control/CoordinatorSettings.h
@@ -20,9 +20,11 @@
     /** A service that has no owners yet waits until membership has been quiet for this long, not to give all to one. */
     std::chrono::milliseconds gather{300};
     /** Load is not evened out before membership has been quiet for this long; orphans never wait. */
-    std::chrono::milliseconds settle{2000};
-    /** Least time between two looks at a service that is being evened out. */
+    std::chrono::milliseconds settle{5000};
+    /** Time between two looks at a service that is being evened out. */
     std::chrono::milliseconds evenInterval{100};
+    /** Time between two looks at a service where nothing is to be done, for loads that drift. */
+    std::chrono::milliseconds idleInterval{5000};
     /** Slices on the move at once to or from one upstream while load is evened out: a cold one fills step by step. */
     std::size_t movesPerUpstream = 2;
     /** Slices per upstream that a service is split into. */
--- a/src/control/Coordinator.cpp
+++ b/src/control/Coordinator.cpp
@@ -140,7 +140,9 @@
     }
     if (applied.update.has_table()) {
         for (const auto &[service, map] : this->state.services()) {
+            // Operators' changes are waited for by people; only restarts are worth waiting out.
             this->watches[service].dirty = true;
+            this->watches[service].evenAtOnce = true;
         }
     }
 }
@@ -192,11 +194,7 @@
         this->waiting.opened.insert(this->waiting.opened.end(), round.opened.begin(), round.opened.end());
         return;
     }
-    for (const SessionId session : round.opened) {
-        if (AgentRecord *const agent = this->book.bySession(session); agent != nullptr) {
-            this->inform(*agent);
-        }
-    }
+    this->inform(round.opened);
     for (const auto &[session, heartbeat] : round.heartbeats) {
         if (AgentRecord *const agent = this->book.bySession(session); agent != nullptr) {
             this->renew(*agent, heartbeat, now);
@@ -294,21 +292,29 @@
     this->actions.emplace_back(ConfirmAction{});
 }
 
-void Coordinator::inform(AgentRecord &agent)
+void Coordinator::inform(const std::vector<SessionId> &sessions)
 {
-    wire::ControlMessage message;
-    *message.mutable_update() = this->state.fullUpdate();
-    this->send(agent.session, std::move(message));
-    agent.informed = true;
-    this->resendRevokes(agent);
+    // After a change of leader every agent comes at once: they share one message, not a copy of the state each.
+    std::shared_ptr<wire::ControlMessage> message;
+    for (const SessionId session : sessions) {
+        AgentRecord *const agent = this->book.bySession(session);
+        if (agent == nullptr) {
+            continue;
+        }
+        if (message == nullptr) {
+            message = std::make_shared<wire::ControlMessage>();
+            *message->mutable_update() = this->state.fullUpdate();
+        }
+        this->actions.emplace_back(SendAction{session, message});
+        agent->informed = true;
+        this->resendRevokes(*agent);
+    }
 }
 
 void Coordinator::renew(AgentRecord &agent, const Heartbeat &heartbeat, BootTime now)
 {
-    // The first full state goes ahead of every Renewed of a session: an agent must not serve by what it knew before.
-    if (!agent.informed) {
-        return;
-    }
+    // The full state went ahead, in this round at the latest: an agent must not serve by what it knew before.
+    assert(agent.informed);
     wire::ControlMessage message;
     message.mutable_renewed()->set_sequence(heartbeat.sequence);
     if (this->mayRenew(agent, now)) {
--- a/src/control/CoordinatorMoves.cpp
+++ b/src/control/CoordinatorMoves.cpp
@@ -150,8 +150,10 @@
     }
     if (ids != watch.memberIds) {
         watch.memberIds = std::move(ids);
-        watch.membersChanged = now;
+        // Load is evened out once a quiet time has passed since then, in which a restarted upstream may have returned.
+        watch.membersChanged = watch.evenAtOnce ? now - this->settings.settle : now;
     }
+    watch.evenAtOnce = false;
 }
 
 bool Coordinator::proposeSplits(const std::string &service, const SliceMap &map, std::size_t memberCount, BootTime now)
@@ -228,18 +230,26 @@
 void Coordinator::planService(const std::string &service, const SliceMap &map, BootTime now)
 {
     Watch &watch = this->watches[service];
-    if (!watch.dirty && now < watch.evened + this->settings.evenInterval) {
+    if (!watch.dirty && now < watch.nextLook) {
         return;
     }
     const std::vector<Member> members = this->membersOf(service, now);
     this->noteMembers(watch, members, now);
     watch.dirty = false;
-    watch.evened = now;
+    watch.nextLook = now + this->settings.evenInterval;
     if (this->proposeSplits(service, map, members.size(), now)) {
         // The slices change under the plan; it's made again once they have.
         return;
     }
-    this->beginMoves(service, map, this->wantedMoves(service, map, members, now), members, now);
+    const std::vector<SliceMove> wanted = this->wantedMoves(service, map, members, now);
+    if (wanted.empty()) {
+        // Nothing to do until it has settled or, later, the loads have drifted; any other change makes it dirty.
+        const BootTime settled = watch.membersChanged + this->settings.settle;
+        const BootTime gathered = watch.membersChanged + this->settings.gather;
+        const BootTime idle = now + this->settings.idleInterval;
+        watch.nextLook = now < gathered ? gathered : now < settled ? settled : idle;
+    }
+    this->beginMoves(service, map, wanted, members, now);
 }
 
 void Coordinator::beginMoves(const std::string &service,
--- a/src/process/ControlProcess.cpp
+++ b/src/process/ControlProcess.cpp
@@ -15,7 +15,7 @@
 
 constexpr loop::Log Log("control");
 
-constexpr std::chrono::milliseconds TickInterval{10};
+constexpr std::chrono::milliseconds TickInterval{20};
 constexpr std::chrono::seconds ExpiryInterval{1};
 /** A resend of a request after that long is a new request; told in docs/design/ownership.md. */
 constexpr std::chrono::hours ClaimWindow{24};
