Transport: a replica that returns is reached within 0.1 s

Change: backoff at most 100 ms; the connect timeout stays 500 ms.

The cost is at most ten connection attempts a second to a VM that is down.

--- a/src/rpc/RaftTransport.cpp
+++ b/src/rpc/RaftTransport.cpp
@@ -29,7 +29,8 @@
 /** A silent partition must not hold a stream until TCP gives up: pings find it within about two seconds. */
 constexpr std::chrono::milliseconds PingInterval{1000};
 constexpr std::chrono::milliseconds PingTimeout{1000};
-constexpr std::chrono::milliseconds MaxReconnectBackoff{500};
+constexpr std::chrono::milliseconds ConnectTimeout{500};
+constexpr std::chrono::milliseconds MaxReconnectBackoff{100};
 
 /** True while the transport lives; read and written on the loop's thread only. */
 using Alive = std::shared_ptr<bool>;
@@ -187,7 +188,7 @@
     arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, PingTimeout.count());
     arguments.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
     arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, ReconnectPause.count());
-    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, MaxReconnectBackoff.count());
+    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, ConnectTimeout.count());
     arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, MaxReconnectBackoff.count());
     arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
     arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
