--- a/include/raft/RaftCore.h
+++ b/include/raft/RaftCore.h
@@ -247,6 +247,8 @@
     std::optional<PendingHandOver> handingOver;
     std::optional<IncomingSnapshot> incoming;
     std::uint64_t snapshotWanted = 0;
+    /** Entries more than the setting until the next snapshot; differs between replicas. */
+    std::uint64_t snapshotDelay = 0;
     Ticket snapshotTicket = 0;
 
     std::vector<DiskOperation> operations;
--- a/src/process/ReplicaNode.cpp
+++ b/src/process/ReplicaNode.cpp
@@ -3,12 +3,10 @@
 #include "base/BootClock.h"
 #include "disk/Storage.h"
 #include "loop/EventLoop.h"
+#include "loop/Log.h"
 #include "raft/RaftCore.h"
 #include "rpc/RaftTransport.h"
 
-#include <log4cplus/logger.h>
-#include <log4cplus/loggingmacros.h>
-
 #include <map>
 #include <optional>
 #include <utility>
@@ -23,10 +21,7 @@
 /** A larger command is refused: with its envelope it must fit one message. */
 constexpr std::size_t MaxCommandBytes = rpc::RaftTransport::MaxMessageBytes / 2;
 
-log4cplus::Logger logger()
-{
-    return log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("replica"));
-}
+constexpr loop::Log Log("replica");
 
 wire::Version versionOf(std::uint64_t term, std::uint64_t index)
 {
@@ -176,7 +171,8 @@
 
 void ReplicaNode::Parts::diskFailed(const Findings &findings)
 {
-    LOG4CPLUS_ERROR(logger(), "stopped: the disk can't be written. " << toText(findings));
+    Log.error("stopped: the disk can't be written");
+    Log.error(findings);
     this->core->diskFailed();
     this->endTurn();
     if (this->hooks.stopped) {
@@ -221,7 +217,7 @@
 void ReplicaNode::Parts::perform(raft::RestoreSnapshot &action)
 {
     this->applied = versionOf(action.snapshot->lastTerm, action.snapshot->lastIndex);
-    LOG4CPLUS_INFO(logger(), "restored a snapshot at index " << action.snapshot->lastIndex);
+    Log.info("restored a snapshot at index " + std::to_string(action.snapshot->lastIndex));
     this->hooks.restore(this->applied, action.snapshot->data);
 }
 
@@ -233,14 +229,14 @@
 
 void ReplicaNode::Parts::perform(raft::BecameLeader &action)
 {
-    LOG4CPLUS_INFO(logger(), "leads in term " << action.term);
+    Log.info("leads in term " + std::to_string(action.term));
     this->leading = true;
     this->hooks.leadershipChanged(true, action.term);
 }
 
 void ReplicaNode::Parts::perform(raft::LostLeadership &action)
 {
-    LOG4CPLUS_INFO(logger(), "leads no more, term " << action.term);
+    Log.info("leads no more, term " + std::to_string(action.term));
     this->leading = false;
     this->endProposals();
     this->hooks.leadershipChanged(false, action.term);
--- a/src/raft/RaftCore.cpp
+++ b/src/raft/RaftCore.cpp
@@ -34,6 +34,7 @@
         this->entries.append(std::move(entry));
     }
     this->durableIndex = this->entries.lastIndex();
+    this->snapshotDelay = this->random(static_cast<std::uint32_t>(this->settings.snapshotEntries));
     this->resetElectionTimer();
 }
 
--- a/src/raft/SnapshotTransfer.cpp
+++ b/src/raft/SnapshotTransfer.cpp
@@ -163,9 +163,11 @@
 {
     const std::uint64_t covered = this->snapshot ? this->snapshot->lastIndex : 0;
     if (this->snapshotWanted != 0 || this->snapshotTicket != 0
-        || this->applied - covered < this->settings.snapshotEntries) {
+        || this->applied - covered < this->settings.snapshotEntries + this->snapshotDelay) {
         return;
     }
+    // A disk that writes a snapshot keeps appends waiting: at the same entry everywhere, no quorum would be quick.
+    this->snapshotDelay = this->random(static_cast<std::uint32_t>(this->settings.snapshotEntries));
     this->snapshotWanted = this->applied;
     this->emit(TakeSnapshot{this->applied});
 }
