Coordinator: a confirmation round begins at the tick and carries every renewal that came since

Cause: with 6 agents a round ran for nearly each renewal, back to back: 60 rounds a second of two messages and two answers each, 200 switches a second on each of gRPC's threads at the leader. Ruled out: the disk (no sync in an idle group), ticks (a group without agents costs a third). Change: renewals wait for the tick (10 ms); only a new session begins a round at once.

--- a/src/control/Coordinator.cpp
+++ b/src/control/Coordinator.cpp
@@ -99,8 +99,9 @@
         if (isBefore(agent->inForce, message.renew().in_force())) {
             agent->inForce = message.renew().in_force();
         }
+        // The round begins at the next tick: one round then carries every renewal of that time, and an idle control
+        // group exchanges messages by the tick and not by the number of agents.
         this->waiting.heartbeats[session] = {.sequence = message.renew().sequence(), .arrival = now};
-        this->startRound();
         break;
     case wire::AgentMessage::kUpstream:
         this->receivedUpstream(*agent, message.upstream());
@@ -200,7 +201,9 @@
             this->renew(*agent, heartbeat, now);
         }
     }
-    this->startRound();
+    if (!this->waiting.opened.empty()) {
+        this->startRound();
+    }
 }
 
 void Coordinator::tick(BootTime now)
