--- /dev/null
+++ b/tests/CoordinatorGuardTest.cpp
@@ -0,0 +1,285 @@
+#include "control/Coordinator.h"
+#include "control/State.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace bergamotweir;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::chrono::milliseconds Lease{500};
+constexpr std::chrono::milliseconds Drift{25};
+constexpr std::chrono::milliseconds Timeout{300};
+
+/** A leader whose rounds and proposals end exactly when a test says so; agent a on session 1, b on session 2. */
+struct Led {
+    control::State state;
+    control::Coordinator coordinator{control::CoordinatorSettings{}, this->state};
+    BootTime now{1000s};
+    std::uint64_t index = 0;
+    std::uint64_t sequence = 0;
+    std::vector<control::ProposeAction> proposals;
+    std::map<control::SessionId, std::vector<wire::ControlMessage>> sent;
+
+    explicit Led(bool checksGrants = true)
+    {
+        wire::Command table;
+        table.mutable_put_table()->set_change_id("t");
+        table.mutable_put_table()->set_csv("service,keyed,timeout_ms\ncatalogue,yes,300\n");
+        this->commit(table);
+        this->coordinator.lead(this->now);
+        for (const control::SessionId session : {1U, 2U}) {
+            this->open(session, session == 1 ? "a" : "b", "first", checksGrants);
+        }
+        for (int round = 0; round < 4; ++round) {
+            this->pass(200ms);
+            this->commitAll();
+        }
+        REQUIRE(this->owned("a") > 0);
+        REQUIRE(this->owned("b") > 0);
+    }
+
+    void collect()
+    {
+        for (control::Action &action : this->coordinator.takeActions()) {
+            if (auto *const proposal = std::get_if<control::ProposeAction>(&action)) {
+                this->proposals.push_back(std::move(*proposal));
+            } else if (auto *const send = std::get_if<control::SendAction>(&action)) {
+                this->sent[send->session].push_back(*send->message);
+            }
+        }
+    }
+
+    control::Applied commit(const wire::Command &command)
+    {
+        wire::Version version;
+        version.set_term(1);
+        version.set_index(++this->index);
+        const control::Applied applied = this->state.apply(version, command);
+        this->coordinator.applied(applied);
+        return applied;
+    }
+
+    void commitAll()
+    {
+        for (this->collect(); !this->proposals.empty(); this->collect()) {
+            for (const control::ProposeAction &proposal : std::exchange(this->proposals, {})) {
+                this->commit(proposal.command);
+                this->coordinator.proposed(proposal.proposal, control::ProposalEnd::Applied);
+            }
+            this->coordinator.tick(this->now);
+        }
+    }
+
+    void confirm()
+    {
+        this->coordinator.confirmed(true, this->now);
+        this->collect();
+    }
+
+    void open(control::SessionId session,
+              const std::string &name,
+              const std::string &incarnation,
+              bool checks = true,
+              std::chrono::milliseconds uptime = 0ms)
+    {
+        wire::Hello hello;
+        hello.set_agent(name);
+        hello.set_incarnation(incarnation);
+        hello.set_uptime_ms(static_cast<std::uint64_t>(uptime.count()));
+        this->coordinator.opened(session, hello, this->now);
+        this->confirm();
+        wire::AgentMessage announce;
+        announce.mutable_upstream()->set_service("catalogue");
+        announce.mutable_upstream()->set_name("upstream-" + name);
+        announce.mutable_upstream()->set_checks_grants(checks);
+        announce.mutable_upstream()->set_serving(true);
+        this->coordinator.received(session, announce, this->now);
+        this->collect();
+    }
+
+    /** @return the lease that a heartbeat sent now gets */
+    std::chrono::milliseconds renew(control::SessionId session)
+    {
+        wire::AgentMessage renew;
+        renew.mutable_renew()->set_sequence(++this->sequence);
+        this->coordinator.received(session, renew, this->now);
+        this->confirm();
+        const wire::ControlMessage &last = this->sent[session].back();
+        REQUIRE(last.renewed().sequence() == this->sequence);
+        return std::chrono::milliseconds(last.renewed().lease_ms());
+    }
+
+    /** Lets time pass in which the given sessions go on renewing. */
+    void pass(std::chrono::milliseconds time, const std::vector<control::SessionId> &renewing = {1, 2})
+    {
+        for (const BootTime end = this->now + time; this->now < end;) {
+            this->now += 5ms;
+            for (const control::SessionId session : renewing) {
+                this->renew(session);
+            }
+            this->coordinator.tick(this->now);
+            this->collect();
+        }
+    }
+
+    std::size_t owned(const std::string &agent) const
+    {
+        const auto &slices = this->state.services().at("catalogue").slices();
+        return static_cast<std::size_t>(std::count_if(slices.begin(), slices.end(), [&](const auto &slice) {
+            const wire::UpstreamInfo *const owner = this->state.upstreams().find(slice.second.owner);
+            return owner != nullptr && owner->agent() == agent;
+        }));
+    }
+
+    bool proposesSlices() const
+    {
+        return std::any_of(this->proposals.begin(), this->proposals.end(), [](const control::ProposeAction &proposal) {
+            return proposal.command.has_batch();
+        });
+    }
+
+    /** Marks a's upstream out. @return the slices it's asked to release */
+    wire::Revoke markOut()
+    {
+        wire::Command mark;
+        mark.mutable_mark()->set_change_id("m");
+        mark.mutable_mark()->set_kind(wire::MARK_KIND_UPSTREAM);
+        mark.mutable_mark()->set_name("upstream-a");
+        this->commit(mark);
+        this->coordinator.tick(this->now);
+        this->collect();
+        return this->sent[1].back().revoke();
+    }
+
+    void release(control::SessionId session, const wire::Revoke &revoked)
+    {
+        wire::AgentMessage released;
+        *released.mutable_released()->mutable_slices() = revoked.slices();
+        this->coordinator.received(session, released, this->now);
+        this->collect();
+    }
+};
+
+} // namespace
+
+// A clock that runs slow on the agent's VM lets it believe in its lease longer than the leader counts without a margin;
+// for those milliseconds a key has two owners.
+TEST_CASE("control: slices are taken from a silent agent only once lease and drift margin have passed")
+{
+    Led led;
+    led.renew(1);
+    led.pass(Lease + Drift - 5ms, {2});
+    REQUIRE_FALSE(led.proposesSlices());
+    led.pass(5ms, {2});
+    REQUIRE(led.proposesSlices());
+}
+
+// The agent of lost keys thaws between the decision to take them and its commit, and its heartbeat is answered at once.
+// With a lease from that answer it would serve until it hears of the commit, beside the new owner.
+TEST_CASE("control: an agent that returns while its slices are being taken gets no lease before it's told")
+{
+    Led led;
+    led.pass(Lease + Drift + 10ms, {2});
+    REQUIRE(led.proposesSlices());
+    REQUIRE(led.renew(1) == 0ms);
+    const std::size_t told = led.sent[1].size();
+    led.commitAll();
+    REQUIRE(led.owned("a") == 0);
+    REQUIRE(led.renew(1) == Lease);
+    REQUIRE(led.sent[1][told].has_update());
+    REQUIRE(led.sent[1].back().has_renewed());
+}
+
+// A VM is replaced under its old name while the old one is frozen. Both would serve the same keys if the new process
+// got a lease at once.
+TEST_CASE("control: another process under an agent's name waits for the lease of the one before it")
+{
+    Led led;
+    led.renew(1);
+    led.open(3, "a", "second");
+    led.commitAll();
+    REQUIRE(led.renew(3) == 0ms);
+    led.pass(Lease + Drift - 5ms, {2, 3});
+    REQUIRE(led.renew(3) == 0ms);
+    led.pass(10ms, {2, 3});
+    led.commitAll();
+    REQUIRE(led.renew(3) == Lease);
+    REQUIRE(led.owned("a") > 0);
+}
+
+// An agent is killed and restarted while its upstream, which checks no grants, goes on with what it was sent. Asked to
+// release, the new process knows of no work and says Released at once; the next owner must wait for the old work.
+TEST_CASE("control: a restarted agent's Released counts only after the longest deadline since its start")
+{
+    Led led(false);
+    led.pass(Lease, {2});
+    led.open(3, "a", "second", false);
+    led.pass(Drift + 10ms, {2, 3});
+    led.commitAll();
+    led.pass(100ms, {2, 3});
+    led.markOut();
+    const wire::Revoke revoked = led.sent[3].back().revoke();
+    REQUIRE(revoked.slices_size() > 0);
+    led.release(3, revoked);
+    REQUIRE_FALSE(led.proposesSlices());
+    led.pass(Timeout - 120ms - Drift, {2, 3});
+    REQUIRE_FALSE(led.proposesSlices());
+    led.pass(60ms + Drift, {2, 3});
+    REQUIRE(led.proposesSlices());
+}
+
+// A Released of an older epoch, delayed on its way, arrives when the slice is the agent's again; it speaks of a holding
+// that is long over.
+TEST_CASE("control: a Released counts only for the present epoch and from the owner's agent")
+{
+    Led led;
+    wire::Revoke revoked = led.markOut();
+    REQUIRE(revoked.slices_size() > 0);
+    led.release(2, revoked);
+    REQUIRE_FALSE(led.proposesSlices());
+    for (wire::SliceRef &slice : *revoked.mutable_slices()) {
+        slice.set_epoch(slice.epoch() - 1);
+    }
+    led.release(1, revoked);
+    REQUIRE_FALSE(led.proposesSlices());
+    for (wire::SliceRef &slice : *revoked.mutable_slices()) {
+        slice.set_epoch(slice.epoch() + 1);
+    }
+    led.release(1, revoked);
+    REQUIRE(led.proposesSlices());
+    led.commitAll();
+    REQUIRE(led.owned("a") == 0);
+}
+
+// The session breaks while a Revoke is on its way. The agent starts the next session without it, so the move would
+// wait for ever for a Released.
+TEST_CASE("control: a Revoke is sent again on the next session")
+{
+    Led led;
+    const wire::Revoke revoked = led.markOut();
+    led.coordinator.closed(1);
+    led.open(3, "a", "first");
+    const auto again = std::find_if(led.sent[3].begin(), led.sent[3].end(), [](const wire::ControlMessage &message) {
+        return message.has_revoke();
+    });
+    REQUIRE(led.sent[3].front().update().full());
+    REQUIRE(again != led.sent[3].end());
+    REQUIRE(again->revoke().slices_size() == revoked.slices_size());
+}
+
+// A replica that was cut off for long, and believes to lead, offers its old state to an agent that has seen newer.
+TEST_CASE("control: a leader behind what the agent has seen closes the session")
+{
+    Led led;
+    wire::Hello hello;
+    hello.set_agent("c");
+    hello.mutable_seen()->set_term(2);
+    led.coordinator.opened(9, hello, led.now);
+    const std::vector<control::Action> actions = led.coordinator.takeActions();
+    REQUIRE(actions.size() == 1);
+    REQUIRE(std::get<control::CloseAction>(actions[0]).session == 9);
+}
