--- a/tests/CoordinatorGuardTest.cpp
+++ b/tests/CoordinatorGuardTest.cpp
@@ -53,14 +53,12 @@
         }
     }
 
-    control::Applied commit(const wire::Command &command)
+    void commit(const wire::Command &command)
     {
         wire::Version version;
         version.set_term(1);
         version.set_index(++this->index);
-        const control::Applied applied = this->state.apply(version, command);
-        this->coordinator.applied(applied);
-        return applied;
+        this->coordinator.applied(this->state.apply(version, command));
     }
 
     void commitAll()
