--- a/include/agent/RequestAction.h
+++ b/include/agent/RequestAction.h
@@ -53,6 +53,7 @@
     ClaimInProgress,
     ClaimBodyDropped,
     ClaimUnknown,
+    ClaimsFull,
     ClaimUnavailable
 };
 
--- a/include/agent/RequestEvent.h
+++ b/include/agent/RequestEvent.h
@@ -40,6 +40,8 @@
     /** Same id, other request. */
     Conflict,
     Unknown,
+    /** Control has no room for another claim, and none under this id. */
+    Full,
     Unavailable
 };
 
--- a/src/agent/RequestStep.cpp
+++ b/src/agent/RequestStep.cpp
@@ -146,6 +146,10 @@
     case ClaimAnswer::Unknown:
         refuse(state, {.cause = RefusalCause::ClaimUnknown, .status = 409}, actions);
         return;
+    case ClaimAnswer::Full:
+        state.ran = Ran::No;
+        refuse(state, {.cause = RefusalCause::ClaimsFull, .status = 503}, actions);
+        return;
     case ClaimAnswer::Unavailable:
         refuse(state, {.cause = RefusalCause::ClaimUnavailable, .status = 503}, actions);
         return;
--- a/src/process/AgentProcess.cpp
+++ b/src/process/AgentProcess.cpp
@@ -1,8 +1,10 @@
 #include "process/AgentProcess.h"
 
+#include "loop/Log.h"
 #include "net/Problem.h"
+#include "report/BurnReport.h"
+#include "report/Metric.h"
 
-#include <log4cplus/loggingmacros.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -24,10 +26,7 @@
 constexpr std::chrono::seconds LongestHandOver{8};
 constexpr std::size_t MaxAnnouncement = 16384;
 
-log4cplus::Logger logger()
-{
-    return log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("agent"));
-}
+constexpr loop::Log Log("agent");
 
 std::uint64_t chooseSeed(const AgentSettings &settings)
 {
@@ -71,6 +70,18 @@
     });
 }
 
+report::Outcome outcomeOf(const RequestEndNote &note)
+{
+    constexpr int FirstServerError = 500;
+    constexpr int UpstreamFailed = 502;
+    constexpr int DeadlinePassed = 504;
+    if (!note.refused) {
+        return note.status >= FirstServerError ? report::Outcome::Failed : report::Outcome::Answered;
+    }
+    const bool failed = note.status == UpstreamFailed || note.status == DeadlinePassed;
+    return failed ? report::Outcome::Failed : report::Outcome::Refused;
+}
+
 net::HttpAnswer textAnswer(int status, const char *type, std::string body)
 {
     net::HttpAnswer answer;
@@ -98,6 +109,10 @@
 {
     this->state.settings = settings;
     this->state.random.seed(chooseSeed(settings));
+    this->state.startedAt = BootClock::now();
+    this->burn.start = this->state.startedAt;
+    const std::uint64_t start = (static_cast<std::uint64_t>(this->state.random()) << 32U) | this->state.random();
+    this->state.incarnation = std::to_string(start);
 }
 
 AgentProcess::~AgentProcess() = default;
@@ -178,11 +193,10 @@
         this->requestEnded(note);
     };
     this->runner = std::make_unique<RequestRunner>(this->loop, this->state, std::move(needs));
-    LOG4CPLUS_INFO(logger(),
-                   this->state.settings.agentName << ": callers on port " << this->callers->port() << ", peers on "
-                                                  << this->peers->port() << ", announcements on "
-                                                  << this->announcements->port() << ", operators on "
-                                                  << this->operators->port());
+    Log.info(this->state.settings.agentName + ": callers on port " + std::to_string(this->callers->port())
+             + ", peers on " + std::to_string(this->peers->port()) + ", announcements on "
+             + std::to_string(this->announcements->port()) + ", operators on "
+             + std::to_string(this->operators->port()));
 }
 
 void AgentProcess::announce(const std::shared_ptr<net::Exchange> &exchange)
@@ -230,7 +244,7 @@
         this->runner->gateDecided(ticket, admitted);
     };
     auto upstream = std::make_unique<LocalUpstream>(this->loop, this->state, announcement, std::move(events));
-    LOG4CPLUS_INFO(logger(), announcement.name << ": announced for " << announcement.service);
+    Log.info(announcement.name + ": announced for " + announcement.service);
     this->control->tell(upstream->info());
     this->upstreams.emplace(name, std::move(upstream));
     this->rebuildCandidates();
@@ -238,6 +252,7 @@
 
 void AgentProcess::stateChanged()
 {
+    report::setObjectives(this->burn, this->state.table);
     for (const auto &[name, upstream] : this->upstreams) {
         upstream->applyTable();
     }
@@ -288,7 +303,14 @@
 
 void AgentProcess::requestEnded(const RequestEndNote &note)
 {
-    (note.refused ? this->refusedCount : this->answeredCount)++;
+    const wire::UpstreamInfo *upstream = agent::findUpstream(this->state.map, note.upstream);
+    report::RequestEnd end;
+    end.service = note.service;
+    end.upstream = upstream == nullptr ? "" : upstream->name();
+    end.failureDomain = upstream == nullptr ? "" : upstream->failure_domain();
+    end.outcome = outcomeOf(note);
+    end.latency = note.latency;
+    report::record(this->burn, end, BootClock::now());
 }
 
 void AgentProcess::answerOperator(const std::shared_ptr<net::Exchange> &exchange)
@@ -298,6 +320,12 @@
         exchange->answer(textAnswer(200, "application/json", this->healthJson()));
     } else if (target == "/metrics") {
         exchange->answer(textAnswer(200, "text/plain; version=0.0.4", this->metrics()));
+    } else if (target == "/burn?json" || target == "/burn") {
+        const report::BurnReport burned = report::makeReport(this->burn, BootClock::now());
+        const bool json = target == "/burn?json";
+        exchange->answer(textAnswer(200,
+                                    json ? "application/json" : "text/plain; charset=utf-8",
+                                    json ? report::toJson(burned) : report::toText(burned)));
     } else {
         exchange->answer(net::problem(404, "not found", "/healthz, /metrics, /burn", net::RequestRan::No));
     }
@@ -323,10 +351,16 @@
 
 std::string AgentProcess::metrics() const
 {
-    return "# TYPE bergamotweir_requests_answered_total counter\nbergamotweir_requests_answered_total "
-           + std::to_string(this->answeredCount)
-           + "\n# TYPE bergamotweir_requests_refused_total counter\nbergamotweir_requests_refused_total "
-           + std::to_string(this->refusedCount) + "\n";
+    std::vector<report::Metric> metrics = report::burnMetrics(report::makeReport(this->burn, BootClock::now()));
+    report::Metric load{.name = "bergamotweir_upstream_load",
+                        .help = "Requests in progress and waiting over those allowed.",
+                        .type = report::MetricType::Gauge,
+                        .samples = {}};
+    for (const auto &[name, upstream] : this->upstreams) {
+        load.samples.push_back({{{"service", name.first}, {"upstream", name.second}}, upstream->load()});
+    }
+    metrics.push_back(std::move(load));
+    return report::toPrometheus(metrics);
 }
 
 void AgentProcess::stop()
@@ -334,7 +368,7 @@
     if (this->state.stopping) {
         return;
     }
-    LOG4CPLUS_INFO(logger(), "stopping: leaving the routing");
+    Log.info("stopping: leaving the routing");
     this->state.stopping = true;
     this->stoppingSince = BootClock::now();
     for (const auto &[name, upstream] : this->upstreams) {
@@ -367,7 +401,7 @@
     const BootTime now = BootClock::now();
     const auto stoppingFor = now - this->stoppingSince;
     if (this->leftSince == BootTime() && (this->hasLeft() || stoppingFor > LongestHandOver)) {
-        LOG4CPLUS_INFO(logger(), (this->hasLeft() ? "stopping: out of the routing" : "stopping: control not reached"));
+        Log.info(this->hasLeft() ? "stopping: out of the routing" : "stopping: control not reached");
         this->leftSince = now;
     }
     if (this->leftSince == BootTime() || now - this->leftSince < ForwardsOnTheirWay) {
@@ -381,7 +415,7 @@
         inProgress += upstream->inProgress();
     }
     if (inProgress == 0 || stoppingFor > LongestStop) {
-        LOG4CPLUS_INFO(logger(), "stopped, " << inProgress << " requests in progress");
+        Log.info("stopped, " + std::to_string(inProgress) + " requests in progress");
         this->loop.stop();
     }
 }
--- a/src/process/AgentProcess.h
+++ b/src/process/AgentProcess.h
@@ -5,6 +5,7 @@
 #include "process/ControlLink.h"
 #include "process/LocalUpstream.h"
 #include "process/RequestRunner.h"
+#include "report/BurnState.h"
 
 #include <map>
 #include <utility>
@@ -61,8 +62,7 @@
     std::unique_ptr<RequestRunner> runner;
     BootTime stoppingSince;
     BootTime leftSince;
-    std::uint64_t answeredCount = 0;
-    std::uint64_t refusedCount = 0;
+    report::BurnState burn;
 };
 
 } // namespace bergamotweir::process
--- a/src/process/AgentState.h
+++ b/src/process/AgentState.h
@@ -33,6 +33,9 @@
     /** Bound after the servers listen: where other agents and operators reach this one. */
     std::string peerAddress;
     std::string operatorAddress;
+    /** Random, of this start of the process. */
+    std::string incarnation;
+    BootTime startedAt;
     /** Set once SIGTERM was received. */
     bool stopping = false;
 };
--- a/src/process/ControlLink.cpp
+++ b/src/process/ControlLink.cpp
@@ -1,19 +1,15 @@
 #include "process/ControlLink.h"
 
+#include "loop/Log.h"
 #include "process/AgentState.h"
 
-#include <log4cplus/loggingmacros.h>
-
 namespace bergamotweir::process {
 
 namespace {
 
 constexpr std::chrono::milliseconds RenewInterval{100};
 
-log4cplus::Logger logger()
-{
-    return log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("control-link"));
-}
+constexpr loop::Log Log("session");
 
 void findOwnUpstreams(AgentState &state)
 {
@@ -29,11 +25,11 @@
 {
     Result<table::Table> table = table::Table::parse(state.map.csv);
     if (!table) {
-        LOG4CPLUS_ERROR(logger(), "table " << state.map.tableVersion << " can't be read, the one before stays");
+        Log.error("table " + std::to_string(state.map.tableVersion) + " can't be read, the one before stays");
         return;
     }
     state.table = std::move(table).value();
-    LOG4CPLUS_INFO(logger(), "table " << state.map.tableVersion << " in force");
+    Log.info("table " + std::to_string(state.map.tableVersion) + " in force");
 }
 
 } // namespace
@@ -55,7 +51,7 @@
         this->received(id, message);
     };
     sessionEvents.closed = [this](rpc::SessionId) {
-        LOG4CPLUS_WARN(logger(), "session closed");
+        Log.warn("session closed");
         agent::endSession(this->state.lease);
     };
     this->session = std::make_unique<rpc::ControlSession>(loop, state.settings.controls, std::move(sessionEvents));
@@ -77,12 +73,15 @@
     hello.set_peer_address(this->state.peerAddress);
     hello.set_operator_address(this->state.operatorAddress);
     *hello.mutable_seen() = this->state.map.version;
+    hello.set_incarnation(this->state.incarnation);
+    const auto uptime = std::chrono::duration_cast<std::chrono::milliseconds>(BootClock::now() - this->state.startedAt);
+    hello.set_uptime_ms(static_cast<std::uint64_t>(uptime.count()));
     return hello;
 }
 
 void ControlLink::opened(rpc::SessionId id)
 {
-    LOG4CPLUS_INFO(logger(), "session open");
+    Log.info("session open");
     agent::beginSession(this->state.lease, id);
     for (const wire::UpstreamInfo &upstream : this->events.upstreams()) {
         this->tell(upstream);
@@ -108,7 +107,7 @@
 void ControlLink::update(rpc::SessionId id, const wire::StateUpdate &update)
 {
     if (agent::apply(this->state.map, update) == agent::UpdateEnd::Older) {
-        LOG4CPLUS_WARN(logger(), "older state left out");
+        Log.warn("older state left out");
         return;
     }
     findOwnUpstreams(this->state);
--- a/src/process/LocalUpstream.cpp
+++ b/src/process/LocalUpstream.cpp
@@ -1,9 +1,8 @@
 #include "process/LocalUpstream.h"
 
+#include "loop/Log.h"
 #include "process/AgentState.h"
 
-#include <log4cplus/loggingmacros.h>
-
 #include <algorithm>
 #include <cassert>
 
@@ -23,16 +22,26 @@
 /** Connections kept free for orders and health. */
 constexpr unsigned OrderConnections = 4;
 
-log4cplus::Logger logger()
-{
-    return log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("upstream"));
-}
+constexpr loop::Log Log("upstream");
 
 milliseconds unixTime()
 {
     return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch());
 }
 
+const char *toText(UpstreamStatus status)
+{
+    switch (status) {
+    case UpstreamStatus::Serving:
+        return ": serving";
+    case UpstreamStatus::Crashed:
+        return ": crashed";
+    case UpstreamStatus::Frozen:
+        break;
+    }
+    return ": does not answer";
+}
+
 unsigned connectionsFor(const Announcement &announcement)
 {
     return std::max(announcement.connections, OrderConnections + 1) - OrderConnections;
@@ -114,7 +123,7 @@
     this->lastAnswer = now;
     const bool restarted = announcement.incarnation != this->latest.incarnation;
     if (restarted) {
-        LOG4CPLUS_INFO(logger(), announcement.name << ": new incarnation, starting cold");
+        Log.info(announcement.name + ": new incarnation, starting cold");
         this->processEnded();
         agent::restart(this->gate, now);
     }
@@ -412,7 +421,7 @@
         this->endWork(ticket, agent::WorkEnd::Lost, false);
     }
     if (!report.suspects().empty()) {
-        LOG4CPLUS_WARN(logger(), this->latest.name << ": " << report.suspects_size() << " requests suspected");
+        Log.warn(this->latest.name + ": " + std::to_string(report.suspects_size()) + " requests suspected");
         this->events.crashed(report);
     }
 }
@@ -423,10 +432,7 @@
         return;
     }
     this->present = status;
-    LOG4CPLUS_INFO(logger(),
-                   this->latest.name << (status == UpstreamStatus::Serving   ? ": serving"
-                                         : status == UpstreamStatus::Crashed ? ": crashed"
-                                                                             : ": does not answer"));
+    Log.info(this->latest.name + toText(status));
     this->events.changed();
     this->moveQueue();
 }
--- a/src/process/RequestRunner.cpp
+++ b/src/process/RequestRunner.cpp
@@ -45,6 +45,8 @@
         return agent::ClaimAnswer::Conflict;
     case wire::CLAIM_VERDICT_UNKNOWN:
         return agent::ClaimAnswer::Unknown;
+    case wire::CLAIM_VERDICT_FULL:
+        return agent::ClaimAnswer::Full;
     default:
         return agent::ClaimAnswer::Unavailable;
     }
@@ -112,8 +114,7 @@
     , needs(std::move(needs))
     , peers(loop)
 {
-    const std::uint64_t start = (static_cast<std::uint64_t>(state.random()) << 32U) | state.random();
-    this->idPrefix = state.settings.agentName + "-" + std::to_string(start) + "-";
+    this->idPrefix = state.settings.agentName + "-" + state.incarnation + "-";
 }
 
 RequestRunner::~RequestRunner() = default;
--- a/src/process/RequestText.cpp
+++ b/src/process/RequestText.cpp
@@ -141,6 +141,8 @@
         return {"outcome recorded", "an earlier send was answered; its answer was too large to keep"};
     case agent::RefusalCause::ClaimUnknown:
         return {"outcome unknown", "an earlier send under this Idempotency-Key may have run"};
+    case agent::RefusalCause::ClaimsFull:
+        return {"no room for claims", "control holds as many Idempotency-Keys as it can"};
     case agent::RefusalCause::ClaimUnavailable:
         return {"claims not available", "the Idempotency-Key could not be claimed"};
     }
