Gate: a window whose peak was below the limit says nothing of crowding; larger windows, slower reference

Cause: the limit shrank by chance. Means of 16 answers vary, the reference followed the lowest of them, and a window looked crowded although the limit wasn't reached; the gate then queued while its upstream was half idle. Change: shrink only when the window used the limit; a zone between calm and crowded in which the limit stays; 24 answers or 3 per slot; the reference follows 0.2 down and 0.1 up.

--- a/src/agent/AdaptiveLimit.cpp
+++ b/src/agent/AdaptiveLimit.cpp
@@ -10,14 +10,16 @@
 using std::chrono::nanoseconds;
 
 /** A window closes with so many answers per allowed request, ... */
-constexpr unsigned AnswersPerSlot = 2;
-constexpr unsigned LeastAnswers = 16;
+constexpr unsigned AnswersPerSlot = 3;
+constexpr unsigned LeastAnswers = 24;
 /** ... but not before this, and after the longest time with whatever it has. */
 constexpr std::chrono::milliseconds ShortestWindow{10};
 constexpr std::chrono::milliseconds LongestWindow{1000};
 
 /** Latency over the reference that counts as crowded. */
 constexpr double CrowdedRatio = 1.3;
+/** Latency over the reference up to which the limit may grow; between the two it stays. */
+constexpr double CalmRatio = 1.2;
 /** Latency over the reference that looks like a cold cache or a straggler. */
 constexpr double ColdRatio = 3;
 /** So many crowded windows in a row say that the reference is no longer true. */
@@ -30,8 +32,8 @@
 /** Added per window once the limit was too high. */
 constexpr double CarefulGrowth = 0.5;
 /** How the reference follows a lower and a higher latency, per window. */
-constexpr double FollowDown = 0.5;
-constexpr double FollowUp = 0.02;
+constexpr double FollowDown = 0.2;
+constexpr double FollowUp = 0.1;
 
 double ratio(nanoseconds value, nanoseconds reference)
 {
@@ -67,10 +69,19 @@
     limit.wasCrowded = false;
 }
 
+/**
+ * Guard against shrinking by chance. It shows as a queue at a gate whose upstream is half idle: a few slow answers in a
+ * window look like crowding. Crowding needs a crowd, so a window whose peak was below the limit says nothing of it.
+ */
+bool wasUsed(const AdaptiveLimit &limit)
+{
+    return limit.window.peak >= allowed(limit);
+}
+
 void grow(AdaptiveLimit &limit)
 {
     limit.crowdedWindows = 0;
-    if (limit.window.peak >= allowed(limit)) {
+    if (wasUsed(limit)) {
         const bool fast = limit.phase == LimitPhase::Cold && !limit.wasCrowded;
         limit.limit = fast ? std::max(limit.limit + 1, limit.limit * ColdGrowth) : limit.limit + CarefulGrowth;
     }
@@ -94,11 +105,11 @@
     if (limit.window.sheds > 0) {
         limit.limit *= ShedStep;
         limit.wasCrowded = true;
-    } else if (crowding > CrowdedRatio) {
+    } else if (crowding > CrowdedRatio && wasUsed(limit)) {
         limit.limit *= CrowdedStep;
         limit.crowdedWindows++;
         limit.wasCrowded = true;
-    } else {
+    } else if (crowding < CalmRatio) {
         grow(limit);
     }
     learnReference(limit, mean);
