Agent: /burn, /burn?json and /metrics from the burn report's counts

process::AgentReport takes the ends of callers' requests, which AgentProcess counted in two numbers until now, and the table's objectives. Answers recorded for an Idempotency-Key are counted as well: RequestRunner::relayRecorded told nobody of them. 502 and 504 of our own are failed, other refusals refused, 400, 404 and 409 the caller's own fault.

--- a/src/process/AgentProcess.cpp
+++ b/src/process/AgentProcess.cpp
@@ -95,6 +95,7 @@
 
 AgentProcess::AgentProcess(loop::EventLoop &loop, const AgentSettings &settings)
     : loop(loop)
+    , report(this->state)
 {
     this->state.settings = settings;
     this->state.random.seed(chooseSeed(settings));
@@ -175,7 +176,7 @@
     };
     needs.claims = &this->control->claims();
     needs.ended = [this](const RequestEndNote &note) {
-        this->requestEnded(note);
+        this->report.ended(note);
     };
     this->runner = std::make_unique<RequestRunner>(this->loop, this->state, std::move(needs));
     LOG4CPLUS_INFO(logger(),
@@ -238,6 +239,7 @@
 
 void AgentProcess::stateChanged()
 {
+    this->report.tableChanged();
     for (const auto &[name, upstream] : this->upstreams) {
         upstream->applyTable();
     }
@@ -286,21 +288,18 @@
     return found == this->upstreams.end() ? nullptr : found->second.get();
 }
 
-void AgentProcess::requestEnded(const RequestEndNote &note)
-{
-    (note.refused ? this->refusedCount : this->answeredCount)++;
-}
-
 void AgentProcess::answerOperator(const std::shared_ptr<net::Exchange> &exchange)
 {
     const std::string &target = exchange->request().target;
     if (target == "/healthz") {
         exchange->answer(textAnswer(200, "application/json", this->healthJson()));
-    } else if (target == "/metrics") {
-        exchange->answer(textAnswer(200, "text/plain; version=0.0.4", this->metrics()));
-    } else {
-        exchange->answer(net::problem(404, "not found", "/healthz, /metrics, /burn", net::RequestRan::No));
+        return;
     }
+    if (std::optional<net::HttpAnswer> answer = this->report.answer(target, this->gauges())) {
+        exchange->answer(std::move(*answer));
+        return;
+    }
+    exchange->answer(net::problem(404, "not found", "/healthz, /metrics, /burn, /burn?json", net::RequestRan::No));
 }
 
 std::string AgentProcess::healthJson() const
@@ -321,12 +320,29 @@
     return health.dump();
 }
 
-std::string AgentProcess::metrics() const
+std::vector<report::Metric> AgentProcess::gauges() const
 {
-    return "# TYPE bergamotweir_requests_answered_total counter\nbergamotweir_requests_answered_total "
-           + std::to_string(this->answeredCount)
-           + "\n# TYPE bergamotweir_requests_refused_total counter\nbergamotweir_requests_refused_total "
-           + std::to_string(this->refusedCount) + "\n";
+    const auto gauge = [](const char *name, const char *help, double value) {
+        return report::Metric{name, help, report::MetricType::Gauge, {{{}, value}}};
+    };
+    report::Metric load{"bergamotweir_upstream_in_progress",
+                        "Requests in progress at an upstream beside this agent.",
+                        report::MetricType::Gauge,
+                        {}};
+    for (const auto &[name, upstream] : this->upstreams) {
+        load.samples.push_back(
+            {{{"service", name.first}, {"upstream", name.second}}, static_cast<double>(upstream->inProgress())});
+    }
+    return {gauge("bergamotweir_lease_valid",
+                  "1 while this agent may give orders to its upstreams.",
+                  agent::holds(this->state.lease, BootClock::now()) ? 1 : 0),
+            gauge("bergamotweir_table_version",
+                  "Table version that this agent acts on.",
+                  static_cast<double>(this->state.map.tableVersion)),
+            gauge("bergamotweir_requests_in_progress",
+                  "Requests that this agent has not answered yet.",
+                  static_cast<double>(this->runner->inProgress())),
+            load};
 }
 
 void AgentProcess::stop()
--- a/src/process/AgentProcess.h
+++ b/src/process/AgentProcess.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "net/HttpServer.h"
+#include "process/AgentReport.h"
 #include "process/AgentState.h"
 #include "process/ControlLink.h"
 #include "process/LocalUpstream.h"
@@ -43,15 +44,15 @@
     void stateChanged();
     void rebuildCandidates();
     void sendGrants();
-    void requestEnded(const RequestEndNote &note);
     LocalUpstream *localUpstream(std::uint32_t id);
     bool hasLeft() const;
     void stopStep();
-    std::string metrics() const;
+    std::vector<report::Metric> gauges() const;
     std::string healthJson() const;
 
     loop::EventLoop &loop;
     AgentState state;
+    AgentReport report;
     std::unique_ptr<net::HttpServer> callers;
     std::unique_ptr<net::HttpServer> peers;
     std::unique_ptr<net::HttpServer> announcements;
@@ -61,8 +62,6 @@
     std::unique_ptr<RequestRunner> runner;
     BootTime stoppingSince;
     BootTime leftSince;
-    std::uint64_t answeredCount = 0;
-    std::uint64_t refusedCount = 0;
 };
 
 } // namespace bergamotweir::process
--- /dev/null
+++ b/src/process/AgentReport.cpp
@@ -0,0 +1,86 @@
+#include "process/AgentReport.h"
+
+#include "agent/RouteMap.h"
+#include "process/AgentState.h"
+#include "report/BurnReport.h"
+
+namespace bergamotweir::process {
+
+namespace {
+
+constexpr int BadRequest = 400;
+constexpr int UnknownService = 404;
+constexpr int OtherBody = 409;
+constexpr int FirstServerError = 500;
+constexpr int UpstreamFailed = 502;
+constexpr int DeadlinePassed = 504;
+
+report::Outcome outcomeOf(const RequestEndNote &note)
+{
+    if (!note.refused) {
+        return note.status >= FirstServerError ? report::Outcome::Failed : report::Outcome::Answered;
+    }
+    if (note.status == UpstreamFailed || note.status == DeadlinePassed) {
+        return report::Outcome::Failed;
+    }
+    if (note.status == BadRequest || note.status == UnknownService || note.status == OtherBody) {
+        return report::Outcome::CallerFault;
+    }
+    return report::Outcome::Refused;
+}
+
+net::HttpAnswer document(const char *type, std::string body)
+{
+    net::HttpAnswer answer;
+    answer.status = 200;
+    answer.headers = {{"Content-Type", type}};
+    answer.body = std::move(body);
+    return answer;
+}
+
+} // namespace
+
+AgentReport::AgentReport(const AgentState &state)
+    : state(state)
+    , burn{.start = BootClock::now(), .services = {}}
+{
+}
+
+void AgentReport::tableChanged()
+{
+    report::setObjectives(this->burn, this->state.table);
+}
+
+void AgentReport::ended(const RequestEndNote &note)
+{
+    const wire::UpstreamInfo *upstream = agent::findUpstream(this->state.map, note.upstream);
+    report::RequestEnd end;
+    end.service = note.service;
+    if (upstream != nullptr) {
+        end.upstream = upstream->name();
+        end.failureDomain = upstream->failure_domain();
+    }
+    end.outcome = outcomeOf(note);
+    end.latency = note.latency;
+    report::record(this->burn, end, BootClock::now());
+}
+
+std::optional<net::HttpAnswer> AgentReport::answer(std::string_view target,
+                                                   const std::vector<report::Metric> &gauges) const
+{
+    const report::BurnReport report = report::makeReport(this->burn, BootClock::now());
+    if (target == "/burn") {
+        return document("text/plain; charset=utf-8", report::toText(report));
+    }
+    if (target == "/burn?json") {
+        return document("application/json", report::toJson(report));
+    }
+    if (target == "/metrics") {
+        std::vector<report::Metric> metrics = report::burnMetrics(report);
+        metrics.insert(metrics.end(), gauges.begin(), gauges.end());
+        return document("text/plain; version=0.0.4", report::toPrometheus(metrics));
+    }
+    return std::nullopt;
+}
+
+} // namespace bergamotweir::process
--- a/src/process/RequestRunner.cpp
+++ b/src/process/RequestRunner.cpp
@@ -579,6 +579,11 @@
         answer.headers.push_back({"Content-Type", outcome.content_type()});
     }
     answer.body = outcome.body();
+    if (request.origin != Origin::Peer) {
+        this->needs.ended({.service = request.state.facts.service,
+                           .status = answer.status,
+                           .latency = BootClock::now() - request.acceptedAt});
+    }
     request.exchange->answer(std::move(answer));
 }
 
