--- a/src/process/AgentProcess.cpp
+++ b/src/process/AgentProcess.cpp
@@ -1,8 +1,8 @@
 #include "process/AgentProcess.h"
 
+#include "loop/Log.h"
 #include "net/Problem.h"
 
-#include <log4cplus/loggingmacros.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -24,10 +24,7 @@
 constexpr std::chrono::seconds LongestHandOver{8};
 constexpr std::size_t MaxAnnouncement = 16384;
 
-log4cplus::Logger logger()
-{
-    return log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("agent"));
-}
+constexpr loop::Log Log("agent");
 
 std::uint64_t chooseSeed(const AgentSettings &settings)
 {
@@ -99,6 +96,9 @@
 {
     this->state.settings = settings;
     this->state.random.seed(chooseSeed(settings));
+    this->state.startedAt = BootClock::now();
+    const std::uint64_t start = (static_cast<std::uint64_t>(this->state.random()) << 32U) | this->state.random();
+    this->state.incarnation = std::to_string(start);
 }
 
 AgentProcess::~AgentProcess() = default;
@@ -179,11 +179,10 @@
         this->report.ended(note);
     };
     this->runner = std::make_unique<RequestRunner>(this->loop, this->state, std::move(needs));
-    LOG4CPLUS_INFO(logger(),
-                   this->state.settings.agentName << ": callers on port " << this->callers->port() << ", peers on "
-                                                  << this->peers->port() << ", announcements on "
-                                                  << this->announcements->port() << ", operators on "
-                                                  << this->operators->port());
+    Log.info(this->state.settings.agentName + ": callers on port " + std::to_string(this->callers->port())
+             + ", peers on " + std::to_string(this->peers->port()) + ", announcements on "
+             + std::to_string(this->announcements->port()) + ", operators on "
+             + std::to_string(this->operators->port()));
 }
 
 void AgentProcess::announce(const std::shared_ptr<net::Exchange> &exchange)
@@ -231,7 +230,7 @@
         this->runner->gateDecided(ticket, admitted);
     };
     auto upstream = std::make_unique<LocalUpstream>(this->loop, this->state, announcement, std::move(events));
-    LOG4CPLUS_INFO(logger(), announcement.name << ": announced for " << announcement.service);
+    Log.info(announcement.name + ": announced for " + announcement.service);
     this->control->tell(upstream->info());
     this->upstreams.emplace(name, std::move(upstream));
     this->rebuildCandidates();
@@ -325,13 +324,19 @@
     const auto gauge = [](const char *name, const char *help, double value) {
         return report::Metric{name, help, report::MetricType::Gauge, {{{}, value}}};
     };
-    report::Metric load{"bergamotweir_upstream_in_progress",
-                        "Requests in progress at an upstream beside this agent.",
+    report::Metric load{"bergamotweir_upstream_load",
+                        "Requests in progress and waiting over those allowed.",
                         report::MetricType::Gauge,
                         {}};
+    report::Metric inProgress{"bergamotweir_upstream_in_progress",
+                              "Requests in progress at an upstream beside this agent.",
+                              report::MetricType::Gauge,
+                              {}};
     for (const auto &[name, upstream] : this->upstreams) {
-        load.samples.push_back(
-            {{{"service", name.first}, {"upstream", name.second}}, static_cast<double>(upstream->inProgress())});
+        const std::vector<std::pair<std::string, std::string>> labels{{"service", name.first},
+                                                                      {"upstream", name.second}};
+        load.samples.push_back({labels, upstream->load()});
+        inProgress.samples.push_back({labels, static_cast<double>(upstream->inProgress())});
     }
     return {gauge("bergamotweir_lease_valid",
                   "1 while this agent may give orders to its upstreams.",
@@ -342,7 +347,8 @@
             gauge("bergamotweir_requests_in_progress",
                   "Requests that this agent has not answered yet.",
                   static_cast<double>(this->runner->inProgress())),
-            load};
+            load,
+            inProgress};
 }
 
 void AgentProcess::stop()
@@ -350,7 +356,7 @@
     if (this->state.stopping) {
         return;
     }
-    LOG4CPLUS_INFO(logger(), "stopping: leaving the routing");
+    Log.info("stopping: leaving the routing");
     this->state.stopping = true;
     this->stoppingSince = BootClock::now();
     for (const auto &[name, upstream] : this->upstreams) {
@@ -383,7 +389,7 @@
     const BootTime now = BootClock::now();
     const auto stoppingFor = now - this->stoppingSince;
     if (this->leftSince == BootTime() && (this->hasLeft() || stoppingFor > LongestHandOver)) {
-        LOG4CPLUS_INFO(logger(), (this->hasLeft() ? "stopping: out of the routing" : "stopping: control not reached"));
+        Log.info(this->hasLeft() ? "stopping: out of the routing" : "stopping: control not reached");
         this->leftSince = now;
     }
     if (this->leftSince == BootTime() || now - this->leftSince < ForwardsOnTheirWay) {
@@ -397,7 +403,7 @@
         inProgress += upstream->inProgress();
     }
     if (inProgress == 0 || stoppingFor > LongestStop) {
-        LOG4CPLUS_INFO(logger(), "stopped, " << inProgress << " requests in progress");
+        Log.info("stopped, " + std::to_string(inProgress) + " requests in progress");
         this->loop.stop();
     }
 }
