Agent: no error in the log while no table was put

Cause: an agent that connects before the first table put read the empty text as a table and logged ERROR table 0 can't be read. It leaves it alone now.

--- a/src/process/ControlLink.cpp
+++ b/src/process/ControlLink.cpp
@@ -23,6 +23,10 @@
 
 void readTable(AgentState &state)
 {
+    if (state.map.tableVersion == 0) {
+        // No table was put yet.
+        return;
+    }
     Result<table::Table> table = table::Table::parse(state.map.csv);
     if (!table) {
         Log.error("table " + std::to_string(state.map.tableVersion) + " can't be read, the one before stays");
