loop: timers behind one timerfd; own posts need no notification

Cause: ACE's reactor waits in whole milliseconds, rounded down, and so spins through the last one before each timer (strace: 12,863 epoll_wait in 2 s of an idle control replica, 2,412 in an idle agent); and each post() from the loop's own thread wrote to and read from the notification pipe. Ruled out: gRPC threads (schedstat: 3 % of the time).

--- a/src/loop/EventLoop.cpp
+++ b/src/loop/EventLoop.cpp
@@ -1,19 +1,18 @@
 #include "loop/EventLoop.h"
 
+#include "loop/TimerQueue.h"
+
 #include <ace/Dev_Poll_Reactor.h>
 #include <ace/Event_Handler.h>
-#include <ace/Event_Handler_Handle_Timeout_Upcall.h>
-#include <ace/Monotonic_Time_Policy.h>
 #include <ace/Reactor.h>
-#include <ace/Recursive_Thread_Mutex.h>
 #include <ace/Signal.h>
-#include <ace/Timer_Heap_T.h>
 
 #include <atomic>
 #include <cassert>
 #include <deque>
 #include <map>
 #include <mutex>
+#include <thread>
 #include <unordered_map>
 
 namespace bergamotweir::loop {
@@ -66,23 +65,6 @@
     }
 };
 
-/** Fires one timer. */
-class Timer : public ACE_Event_Handler
-{
-public:
-    std::function<void(TimerId)> fire;
-    TimerId name = 0;
-    long aceId = -1;
-    bool repeats = false;
-    std::function<void()> task;
-
-    int handle_timeout(const ACE_Time_Value &, const void *) override
-    {
-        this->fire(this->name);
-        return 0;
-    }
-};
-
 /** Hands a signal, caught by ACE in signal context, to the loop's thread. */
 class SignalCatcher : public ACE_Event_Handler
 {
@@ -120,12 +102,20 @@
             first = this->tasks.empty();
             this->tasks.push_back(std::move(task));
         }
-        if (first) {
+        // The loop's own thread looks at the queue before it waits again.
+        if (first && std::this_thread::get_id() != this->loopThread.load()) {
             this->reactor()->notify(this, ACE_Event_Handler::EXCEPT_MASK);
         }
     }
 
     int handle_exception(ACE_HANDLE) override
+    {
+        this->run();
+        return 0;
+    }
+
+    /** Runs what has been posted; not what is posted meanwhile. */
+    void run()
     {
         std::deque<std::function<void()>> taken;
         {
@@ -135,79 +125,35 @@
         for (const std::function<void()> &task : taken) {
             task();
         }
-        return 0;
     }
 
+    bool empty()
+    {
+        const std::lock_guard guard(this->mutex);
+        return this->tasks.empty();
+    }
+
+    std::atomic<std::thread::id> loopThread;
+
 private:
     std::mutex mutex;
     std::deque<std::function<void()>> tasks;
 };
 
-ACE_Time_Value toAce(std::chrono::nanoseconds delay)
-{
-    const auto micros = std::chrono::ceil<std::chrono::microseconds>(std::max(delay, std::chrono::nanoseconds(0)));
-    return ACE_Time_Value(micros);
-}
-
-/** A timer queue on the monotonic clock: a step of the wall clock must not delay a lease check. */
-using MonotonicTimerHeap = ACE_Timer_Heap_T<ACE_Event_Handler *,
-                                            ACE_Event_Handler_Handle_Timeout_Upcall,
-                                            ACE_SYNCH_RECURSIVE_MUTEX,
-                                            ACE_Monotonic_Time_Policy>;
-
 constexpr std::size_t MaxDescriptors = 8192;
 
 } // namespace
 
 struct EventLoop::Parts {
-    MonotonicTimerHeap timerHeap;
-    ACE_Dev_Poll_Reactor implementation{MaxDescriptors, true, nullptr, &timerHeap};
+    ACE_Dev_Poll_Reactor implementation{MaxDescriptors, true};
     ACE_Reactor reactor{&implementation};
     TaskQueue tasks;
     std::unordered_map<int, std::unique_ptr<Watch>> watches;
     std::vector<std::unique_ptr<Watch>> endedWatches;
-    std::unordered_map<TimerId, std::unique_ptr<Timer>> timers;
+    TimerQueue timers;
     std::map<int, std::unique_ptr<SignalCatcher>> signals;
-    TimerId lastTimer = 0;
-
-    TimerId schedule(std::chrono::nanoseconds delay, std::chrono::nanoseconds interval, std::function<void()> task);
-    void fire(TimerId name);
 };
 
-TimerId EventLoop::Parts::schedule(std::chrono::nanoseconds delay,
-                                   std::chrono::nanoseconds interval,
-                                   std::function<void()> task)
-{
-    auto timer = std::make_unique<Timer>();
-    timer->name = ++this->lastTimer;
-    timer->task = std::move(task);
-    timer->repeats = interval.count() > 0;
-    timer->fire = [this](TimerId name) {
-        this->fire(name);
-    };
-    timer->aceId = this->reactor.schedule_timer(timer.get(), nullptr, toAce(delay), toAce(interval));
-    assert(timer->aceId != -1);
-    const TimerId name = timer->name;
-    this->timers.emplace(name, std::move(timer));
-    return name;
-}
-
-void EventLoop::Parts::fire(TimerId name)
-{
-    const auto found = this->timers.find(name);
-    if (found == this->timers.end()) {
-        return;
-    }
-    if (found->second->repeats) {
-        const std::function<void()> task = found->second->task;
-        task();
-        return;
-    }
-    const std::unique_ptr<Timer> ended = std::move(found->second);
-    this->timers.erase(found);
-    ended->task();
-}
-
 Result<std::unique_ptr<EventLoop>> EventLoop::create()
 {
     auto parts = std::make_unique<Parts>();
@@ -215,7 +161,12 @@
         return oneFinding("event loop", "the ACE reactor could not be opened");
     }
     parts->tasks.reactor(&parts->reactor);
-    return std::unique_ptr<EventLoop>(new EventLoop(std::move(parts)));
+    TimerQueue &timers = parts->timers;
+    std::unique_ptr<EventLoop> loop(new EventLoop(std::move(parts)));
+    loop->watch(timers.descriptor(), {.readable = true}, [&timers](Readiness) {
+        timers.run();
+    });
+    return loop;
 }
 
 EventLoop::EventLoop(std::unique_ptr<Parts> parts)
@@ -225,9 +176,6 @@
 
 EventLoop::~EventLoop()
 {
-    for (const auto &[name, timer] : this->parts->timers) {
-        this->parts->reactor.cancel_timer(timer->aceId);
-    }
     while (!this->parts->watches.empty()) {
         this->unwatch(this->parts->watches.begin()->first);
     }
@@ -240,8 +188,15 @@
 void EventLoop::run()
 {
     this->parts->reactor.reset_reactor_event_loop();
+    this->parts->tasks.loopThread = std::this_thread::get_id();
     while (this->parts->reactor.reactor_event_loop_done() == 0) {
-        this->parts->reactor.handle_events();
+        this->parts->tasks.run();
+        if (this->parts->tasks.empty()) {
+            this->parts->reactor.handle_events();
+        } else {
+            ACE_Time_Value none = ACE_Time_Value::zero;
+            this->parts->reactor.handle_events(none);
+        }
         this->parts->endedWatches.clear();
     }
 }
@@ -260,22 +215,17 @@
 
 TimerId EventLoop::after(std::chrono::nanoseconds delay, std::function<void()> task)
 {
-    return this->parts->schedule(delay, std::chrono::nanoseconds(0), std::move(task));
+    return this->parts->timers.add(delay, std::chrono::nanoseconds(0), std::move(task));
 }
 
 TimerId EventLoop::every(std::chrono::nanoseconds interval, std::function<void()> task)
 {
-    return this->parts->schedule(interval, interval, std::move(task));
+    return this->parts->timers.add(interval, interval, std::move(task));
 }
 
 void EventLoop::cancel(TimerId timer)
 {
-    const auto found = this->parts->timers.find(timer);
-    if (found == this->parts->timers.end()) {
-        return;
-    }
-    this->parts->reactor.cancel_timer(found->second->aceId);
-    this->parts->timers.erase(found);
+    this->parts->timers.cancel(timer);
 }
 
 void EventLoop::watch(int descriptor, Readiness interest, std::function<void(Readiness)> ready)
