--- a/src/loop/EventLoop.cpp
+++ b/src/loop/EventLoop.cpp
@@ -140,6 +140,8 @@
     std::deque<std::function<void()>> tasks;
 };
 
+/** Tasks posted by tasks run in the same turn, but must not keep sockets and timers waiting for ever. */
+constexpr int TaskRoundsPerTurn = 8;
 constexpr std::size_t MaxDescriptors = 8192;
 
 } // namespace
@@ -190,7 +192,9 @@
     this->parts->reactor.reset_reactor_event_loop();
     this->parts->tasks.loopThread = std::this_thread::get_id();
     while (this->parts->reactor.reactor_event_loop_done() == 0) {
-        this->parts->tasks.run();
+        for (int round = 0; round < TaskRoundsPerTurn && !this->parts->tasks.empty(); ++round) {
+            this->parts->tasks.run();
+        }
         if (this->parts->tasks.empty()) {
             this->parts->reactor.handle_events();
         } else {
