--- a/tools/load/Report.cpp
+++ b/tools/load/Report.cpp
@@ -119,6 +119,7 @@
         report["kinds"][name] = toJson(sums);
     }
     const double seconds = std::chrono::duration<double>(settings.duration - settings.warmUp).count();
+    report["sent_whole"] = outcomes.size();
     report["statuses"] = statuses;
     report["second_sends"] = second;
     report["answered_per_second"] = static_cast<double>(all.latencies.size()) / seconds;
