--- a/src/process/AgentProcess.cpp
+++ b/src/process/AgentProcess.cpp
@@ -1,8 +1,8 @@
 #include "process/AgentProcess.h"
 
+#include "loop/Log.h"
 #include "net/Problem.h"
 
-#include <log4cplus/loggingmacros.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -24,10 +24,7 @@
 constexpr std::chrono::seconds LongestHandOver{8};
 constexpr std::size_t MaxAnnouncement = 16384;
 
-log4cplus::Logger logger()
-{
-    return log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("agent"));
-}
+constexpr loop::Log Log("agent");
 
 std::uint64_t chooseSeed(const AgentSettings &settings)
 {
@@ -95,9 +92,13 @@
 
 AgentProcess::AgentProcess(loop::EventLoop &loop, const AgentSettings &settings)
     : loop(loop)
+    , report(this->state)
 {
     this->state.settings = settings;
     this->state.random.seed(chooseSeed(settings));
+    this->state.startedAt = BootClock::now();
+    const std::uint64_t start = (static_cast<std::uint64_t>(this->state.random()) << 32U) | this->state.random();
+    this->state.incarnation = std::to_string(start);
 }
 
 AgentProcess::~AgentProcess() = default;
@@ -175,14 +176,13 @@
     };
     needs.claims = &this->control->claims();
     needs.ended = [this](const RequestEndNote &note) {
-        this->requestEnded(note);
+        this->report.ended(note);
     };
     this->runner = std::make_unique<RequestRunner>(this->loop, this->state, std::move(needs));
-    LOG4CPLUS_INFO(logger(),
-                   this->state.settings.agentName << ": callers on port " << this->callers->port() << ", peers on "
-                                                  << this->peers->port() << ", announcements on "
-                                                  << this->announcements->port() << ", operators on "
-                                                  << this->operators->port());
+    Log.info(this->state.settings.agentName + ": callers on port " + std::to_string(this->callers->port())
+             + ", peers on " + std::to_string(this->peers->port()) + ", announcements on "
+             + std::to_string(this->announcements->port()) + ", operators on "
+             + std::to_string(this->operators->port()));
 }
 
 void AgentProcess::announce(const std::shared_ptr<net::Exchange> &exchange)
@@ -230,7 +230,7 @@
         this->runner->gateDecided(ticket, admitted);
     };
     auto upstream = std::make_unique<LocalUpstream>(this->loop, this->state, announcement, std::move(events));
-    LOG4CPLUS_INFO(logger(), announcement.name << ": announced for " << announcement.service);
+    Log.info(announcement.name + ": announced for " + announcement.service);
     this->control->tell(upstream->info());
     this->upstreams.emplace(name, std::move(upstream));
     this->rebuildCandidates();
@@ -238,6 +238,7 @@
 
 void AgentProcess::stateChanged()
 {
+    this->report.tableChanged();
     for (const auto &[name, upstream] : this->upstreams) {
         upstream->applyTable();
     }
@@ -286,21 +287,18 @@
     return found == this->upstreams.end() ? nullptr : found->second.get();
 }
 
-void AgentProcess::requestEnded(const RequestEndNote &note)
-{
-    (note.refused ? this->refusedCount : this->answeredCount)++;
-}
-
 void AgentProcess::answerOperator(const std::shared_ptr<net::Exchange> &exchange)
 {
     const std::string &target = exchange->request().target;
     if (target == "/healthz") {
         exchange->answer(textAnswer(200, "application/json", this->healthJson()));
-    } else if (target == "/metrics") {
-        exchange->answer(textAnswer(200, "text/plain; version=0.0.4", this->metrics()));
-    } else {
-        exchange->answer(net::problem(404, "not found", "/healthz, /metrics, /burn", net::RequestRan::No));
+        return;
+    }
+    if (std::optional<net::HttpAnswer> answer = this->report.answer(target, this->gauges())) {
+        exchange->answer(std::move(*answer));
+        return;
     }
+    exchange->answer(net::problem(404, "not found", "/healthz, /metrics, /burn, /burn?json", net::RequestRan::No));
 }
 
 std::string AgentProcess::healthJson() const
@@ -321,12 +319,36 @@
     return health.dump();
 }
 
-std::string AgentProcess::metrics() const
+std::vector<report::Metric> AgentProcess::gauges() const
 {
-    return "# TYPE bergamotweir_requests_answered_total counter\nbergamotweir_requests_answered_total "
-           + std::to_string(this->answeredCount)
-           + "\n# TYPE bergamotweir_requests_refused_total counter\nbergamotweir_requests_refused_total "
-           + std::to_string(this->refusedCount) + "\n";
+    const auto gauge = [](const char *name, const char *help, double value) {
+        return report::Metric{name, help, report::MetricType::Gauge, {{{}, value}}};
+    };
+    report::Metric load{"bergamotweir_upstream_load",
+                        "Requests in progress and waiting over those allowed.",
+                        report::MetricType::Gauge,
+                        {}};
+    report::Metric inProgress{"bergamotweir_upstream_in_progress",
+                              "Requests in progress at an upstream beside this agent.",
+                              report::MetricType::Gauge,
+                              {}};
+    for (const auto &[name, upstream] : this->upstreams) {
+        const std::vector<std::pair<std::string, std::string>> labels{{"service", name.first},
+                                                                      {"upstream", name.second}};
+        load.samples.push_back({labels, upstream->load()});
+        inProgress.samples.push_back({labels, static_cast<double>(upstream->inProgress())});
+    }
+    return {gauge("bergamotweir_lease_valid",
+                  "1 while this agent may give orders to its upstreams.",
+                  agent::holds(this->state.lease, BootClock::now()) ? 1 : 0),
+            gauge("bergamotweir_table_version",
+                  "Table version that this agent acts on.",
+                  static_cast<double>(this->state.map.tableVersion)),
+            gauge("bergamotweir_requests_in_progress",
+                  "Requests that this agent has not answered yet.",
+                  static_cast<double>(this->runner->inProgress())),
+            load,
+            inProgress};
 }
 
 void AgentProcess::stop()
@@ -334,7 +356,7 @@
     if (this->state.stopping) {
         return;
     }
-    LOG4CPLUS_INFO(logger(), "stopping: leaving the routing");
+    Log.info("stopping: leaving the routing");
     this->state.stopping = true;
     this->stoppingSince = BootClock::now();
     for (const auto &[name, upstream] : this->upstreams) {
@@ -367,7 +389,7 @@
     const BootTime now = BootClock::now();
     const auto stoppingFor = now - this->stoppingSince;
     if (this->leftSince == BootTime() && (this->hasLeft() || stoppingFor > LongestHandOver)) {
-        LOG4CPLUS_INFO(logger(), (this->hasLeft() ? "stopping: out of the routing" : "stopping: control not reached"));
+        Log.info(this->hasLeft() ? "stopping: out of the routing" : "stopping: control not reached");
         this->leftSince = now;
     }
     if (this->leftSince == BootTime() || now - this->leftSince < ForwardsOnTheirWay) {
@@ -381,7 +403,7 @@
         inProgress += upstream->inProgress();
     }
     if (inProgress == 0 || stoppingFor > LongestStop) {
-        LOG4CPLUS_INFO(logger(), "stopped, " << inProgress << " requests in progress");
+        Log.info("stopped, " + std::to_string(inProgress) + " requests in progress");
         this->loop.stop();
     }
 }
