--- a/bench/RaftBench.cpp
+++ b/bench/RaftBench.cpp
@@ -50,7 +50,9 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof(address);
-    bind(descriptor, reinterpret_cast<sockaddr *>(&address), size);
+    if (bind(descriptor, reinterpret_cast<sockaddr *>(&address), size) != 0) {
+        std::perror("bind");
+    }
     getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &size);
     close(descriptor);
     return ntohs(address.sin_port);
@@ -79,10 +81,17 @@
     }
     files.write = [write = files.write, timedSync](int descriptor, const std::string &bytes, std::uint64_t offset) {
         std::size_t done = 0;
+        int error = 0;
         while (const auto record = disk::decodeRecord(bytes, done)) {
-            write(descriptor, bytes.substr(done, record->size), offset + done);
-            timedSync(descriptor);
+            error = write(descriptor, bytes.substr(done, record->size), offset + done);
+            // The sync that follows every batch is the one of its last record.
+            if (error == 0 && done + record->size < bytes.size()) {
+                error = timedSync(descriptor);
+            }
             done += record->size;
+            if (error != 0) {
+                return error;
+            }
         }
         return write(descriptor, bytes.substr(done), offset + done);
     };
@@ -256,7 +265,7 @@
 {
     for (const int concurrency : {1, 16, 256, 2048}) {
         Group group(folder, 0, 1000000, syncPerProposal);
-        Load load(group, concurrency, [&group](std::function<void(bool)> done) {
+        Load load(group, concurrency, [&group](const std::function<void(bool)> &done) {
             group.leading().propose(std::string(CommandBytes, 'c'), [done](const process::ProposeResult &result) {
                 done(result.kind == process::ProposeEnd::Applied);
             });
@@ -278,7 +287,7 @@
 {
     for (const int concurrency : {1, 256}) {
         Group group(folder, 0, 1000000, false);
-        Load load(group, concurrency, [&group](std::function<void(bool)> done) {
+        Load load(group, concurrency, [&group](const std::function<void(bool)> &done) {
             group.leading().confirmLeadership(done);
         });
         report("confirmation round", concurrency, load);
@@ -323,7 +332,7 @@
 {
     for (const std::size_t megabytes : {0, 4, 16}) {
         Group group(folder, megabytes * 1024 * 1024, 8192, false);
-        Load load(group, 16, [&group](std::function<void(bool)> done) {
+        Load load(group, 16, [&group](const std::function<void(bool)> &done) {
             group.leading().propose(std::string(CommandBytes, 'c'), [done](const process::ProposeResult &result) {
                 done(result.kind == process::ProposeEnd::Applied);
             });
--- a/src/process/ReplicaNode.cpp
+++ b/src/process/ReplicaNode.cpp
@@ -376,6 +376,12 @@
 
 void ReplicaNode::changeMembership(const wire::ChangeMember &change, std::function<void(ProposeResult)> done)
 {
+    if (!this->parts->leading) {
+        this->parts->loop.post([done = std::move(done)] {
+            done(ProposeResult{});
+        });
+        return;
+    }
     const raft::RequestId request = ++this->parts->lastRequest;
     this->parts->changes[request] = std::move(done);
     this->parts->core->changeMember(request, change);
--- a/tests/ReplicaNodeTest.cpp
+++ b/tests/ReplicaNodeTest.cpp
@@ -125,3 +125,36 @@
     const bool kept = group.states[group.leader][1] == "two";
     REQUIRE((end == process::ProposeEnd::Unknown || kept));
 }
+
+// The whole control group is restarted at once: what was acknowledged is there again, and a replica that doesn't lead
+// says so instead of refusing.
+TEST_CASE("a group that was stopped as a whole goes on with all it had acknowledged", "[replica]")
+{
+    ReplicaGroup group({"a", "b", "c"});
+    for (const char *id : {"a", "b", "c"}) {
+        group.start(id);
+    }
+    group.commit("one");
+    for (const char *id : {"a", "b", "c"}) {
+        group.stop(id);
+    }
+    for (const char *id : {"a", "b", "c"}) {
+        group.start(id);
+    }
+    group.commit("two");
+    REQUIRE(group.states[group.leader] == std::vector<std::string>{"one", "two"});
+    const std::string other = group.leader == "a" ? "b" : "a";
+    int answers = 0;
+    const auto isNotLeader = [&](const process::ProposeResult &result) {
+        answers += result.kind == process::ProposeEnd::NotLeader ? 1 : 0;
+    };
+    group.nodes.at(other)->propose("three", isNotLeader);
+    group.nodes.at(other)->changeMembership({}, isNotLeader);
+    group.nodes.at(other)->confirmLeadership([&](bool leads) {
+        answers += leads ? 0 : 1;
+    });
+    group.runUntil([&] {
+        return answers == 3;
+    });
+    REQUIRE(group.nodes.at(other)->leaderId() == group.leader);
+}
