--- a/src/rpc/Channel.cpp
+++ b/src/rpc/Channel.cpp
@@ -22,6 +22,8 @@
     arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, static_cast<int>(FirstReconnect.count()));
     arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, static_cast<int>(LongestReconnect.count()));
     arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, static_cast<int>(LongestReconnect.count()));
+    // A connection belongs to one user of it: a stalled stream must not hold up another one's.
+    arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
     arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
     arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
     arguments.SetMaxReceiveMessageSize(MaxMessageBytes);
