--- a/tests/CoordinatorGuardTest.cpp
+++ b/tests/CoordinatorGuardTest.cpp
@@ -105,6 +105,7 @@
         wire::AgentMessage renew;
         renew.mutable_renew()->set_sequence(++this->sequence);
         this->coordinator.received(session, renew, this->now);
+        this->coordinator.tick(this->now);
         this->confirm();
         const wire::ControlMessage &last = this->sent[session].back();
         REQUIRE(last.renewed().sequence() == this->sequence);
