--- a/tests/ControlStateFaultTest.cpp
+++ b/tests/ControlStateFaultTest.cpp
@@ -89,9 +89,9 @@
     for (std::uint64_t seed = 1; seed <= 500; ++seed) {
         INFO("seed " << seed);
         LossyLog log(seed);
-        std::vector<Attempt> attempts;
-        for (int number = 0; number < 6; ++number) {
-            attempts.push_back({.name = "attempt-" + std::to_string(number)});
+        std::vector<Attempt> attempts(6);
+        for (std::size_t number = 0; number < attempts.size(); ++number) {
+            attempts[number].name = "attempt-" + std::to_string(number);
         }
         std::set<std::string> ran;
         for (int round = 0; round < 60; ++round) {
