Router: the draw by weight stands unless it is clearly busier; loads below 0.75 don't count

Cause: two choices compared by bare load took load from upstreams of high weight long before they were busy.

--- a/src/agent/Router.cpp
+++ b/src/agent/Router.cpp
@@ -26,10 +26,14 @@
 
 /** Load reports older than this say nothing. */
 constexpr std::chrono::milliseconds LoadAge{500};
-/** A full gate counts as much as so many requests outstanding here. */
-constexpr double LoadWorth = 8;
+/** A gate less full than this has room, whatever its share; ... */
+constexpr double RoomyLoad = 0.75;
+/** ... each part beyond it counts as so many requests outstanding here. */
+constexpr double LoadWorth = 32;
 /** Load of a gate that sheds: everything in progress and as much waiting. */
 constexpr double FullLoad = 2;
+/** Costs that differ by more send a request elsewhere than its draw by weight. */
+constexpr double ClearDifference = 4;
 /** Loads that differ by less are alike, and the local failure domain is preferred among them, ... */
 constexpr double AlikeLoad = 0.5;
 /** ... as long as the local upstream isn't busy. */
@@ -158,7 +162,8 @@
         return 0;
     }
     const UpstreamHealth &health = found->second;
-    return reportedLoad(health, now) * LoadWorth + health.outstanding * meanWeight / candidate.weight;
+    const double crowding = std::max(0.0, reportedLoad(health, now) - RoomyLoad);
+    return crowding * LoadWorth + health.outstanding * meanWeight / candidate.weight;
 }
 
 double randomPart(pcg32 &random)
@@ -178,19 +183,25 @@
     return candidates.size() - 1;
 }
 
+bool isBusy(const ServiceRouting &routing, const Candidate &candidate, BootTime now)
+{
+    const auto found = routing.health.find(candidate.upstream);
+    return found != routing.health.end() && reportedLoad(found->second, now) >= BusyLoad;
+}
+
+/**
+ * The first draw stands unless the second is clearly less busy: so load follows the weights, and leaves an upstream
+ * only when it is behind.
+ */
 const Candidate &
 better(const ServiceRouting &routing, const Candidate &first, const Candidate &second, double meanWeight, BootTime now)
 {
-    const double firstCost = cost(routing, first, meanWeight, now);
-    const double secondCost = cost(routing, second, meanWeight, now);
-    const bool alike = std::abs(firstCost - secondCost) < AlikeLoad;
-    if (alike && first.localDomain != second.localDomain) {
-        const Candidate &local = first.localDomain ? first : second;
-        const auto found = routing.health.find(local.upstream);
-        const bool busy = found != routing.health.end() && reportedLoad(found->second, now) >= BusyLoad;
-        return busy ? first : local;
+    const double difference = cost(routing, first, meanWeight, now) - cost(routing, second, meanWeight, now);
+    if (difference > ClearDifference) {
+        return second;
     }
-    return secondCost < firstCost ? second : first;
+    const bool prefersSecond = second.localDomain && !first.localDomain && !isBusy(routing, second, now);
+    return prefersSecond && difference > -AlikeLoad ? second : first;
 }
 
 const Candidate &twoChoices(ServiceRouting &routing, const std::vector<Candidate> &open, pcg32 &random, BootTime now)
