Router: an upstream from which nothing comes back gets nothing more; half may be out while there is room

Cause: a straggler was found by its answers only, which come late, and only one of four could be out. Change: no request to an upstream whose last answer is longer ago than a straggler's answer takes, while one is outstanding; half of the upstreams may be ejected while the reported loads are below 0.6 together, a third else. Test changed: 'ejection takes out a third at most' now asks for a third under load 0.9 and for half under load 0.1, each exactly, and that the rest still gets the load; as strict, for the new rule.

--- a/bench/RequestModel.h
+++ b/bench/RequestModel.h
@@ -286,7 +286,7 @@
         this->outcome.sent++;
         const unsigned long ticket = ++this->lastTicket;
         request->attempts[action.attempt] = {action.upstream, this->now, ticket, false};
-        agent::noteSent(request->entry->routing, action.upstream);
+        agent::noteSent(request->entry->routing, action.upstream, this->now);
         this->tickets[ticket] = {request, action.attempt, action.upstream - 1, {}, false};
         this->at(this->now + this->scenario.oneWay, [this, ticket] {
             this->reachGate(ticket);
--- a/include/agent/Router.h
+++ b/include/agent/Router.h
@@ -30,6 +30,8 @@
     /** What the last answer said of its gate: in progress and waiting over allowed. */
     double load = 0;
     BootTime loadAt;
+    /** Its last answer, or when it got a request after having none. */
+    BootTime progressAt;
     /** No requests before this point. */
     BootTime ejectedUntil;
     /** Ejected in a row; doubles the time of the next one. */
@@ -52,6 +54,9 @@
     ChoicePolicy policy = ChoicePolicy::TwoChoices;
     std::map<std::uint32_t, UpstreamHealth> health;
     std::uint64_t turn = 0;
+    /** Lower median of the upstreams' latencies, and when it was found. */
+    std::chrono::nanoseconds median{0};
+    BootTime medianAt;
     /** Running estimate of the time that all but one in twenty answers take; a read not answered by then is hedged. */
     std::chrono::nanoseconds hedgeDelay{std::chrono::milliseconds(10)};
 };
@@ -60,7 +65,7 @@
  * Chooses where to send a request.
  * Guard against a straggler that keeps its share. It shows as a long tail while one upstream is slowed by neighbours,
  * whose own reports say so late. Ejection goes by the latency seen here, each ejection ends in single probes, and a
- * third of the upstreams at most is out at once, so it can't take out everyone.
+ * third of the upstreams at most is out at once, or half while there is room, so it can't take out everyone.
  * @param candidates in service, weight above 0
  * @param tried upstreams to leave out as long as another one is left
  * @return upstream id; 0 when there is no candidate that has not been tried
@@ -72,7 +77,7 @@
                      BootTime now);
 
 /** A request goes to @p upstream. */
-void noteSent(ServiceRouting &routing, std::uint32_t upstream);
+void noteSent(ServiceRouting &routing, std::uint32_t upstream, BootTime now);
 
 /** It was answered. @param load of the answer's Upstream-Load; below 0 when it had none */
 void noteAnswered(
--- a/src/agent/Router.cpp
+++ b/src/agent/Router.cpp
@@ -23,6 +23,11 @@
 constexpr unsigned ProbesToReturn = 3;
 /** At most one upstream in so many is ejected, but always one where there is a second. */
 constexpr std::size_t EjectedShare = 3;
+/** One in so many while the others are less full than the share. */
+constexpr std::size_t EjectedShareWithRoom = 2;
+constexpr double RoomyShare = 0.6;
+/** How old the median may get. */
+constexpr std::chrono::milliseconds MedianAge{10};
 
 /** Load reports older than this say nothing. */
 constexpr std::chrono::milliseconds LoadAge{500};
@@ -44,32 +49,58 @@
 constexpr double QuantileStep = 0.05;
 constexpr std::chrono::milliseconds LeastHedgeDelay{1};
 
-nanoseconds medianLatency(const ServiceRouting &routing, std::uint32_t except)
+/** @return the lower median of the smoothed latencies; 0 when none was seen */
+nanoseconds medianLatency(const ServiceRouting &routing)
 {
     std::vector<nanoseconds> latencies;
     for (const auto &[id, health] : routing.health) {
-        if (id != except && health.answers > 0) {
+        if (health.answers > 0) {
             latencies.push_back(health.latency);
         }
     }
     if (latencies.empty()) {
         return nanoseconds(0);
     }
-    const auto middle = latencies.begin() + static_cast<std::ptrdiff_t>(latencies.size() / 2);
+    const auto middle = latencies.begin() + static_cast<std::ptrdiff_t>((latencies.size() - 1) / 2);
     std::nth_element(latencies.begin(), middle, latencies.end());
     return *middle;
 }
 
-bool mayEject(const ServiceRouting &routing, std::uint32_t upstream, BootTime now)
+/** Brings the median up to date now and then: it moves slowly, and is asked for with each choice. */
+void refreshMedian(ServiceRouting &routing, BootTime now)
+{
+    if (now - routing.medianAt >= MedianAge || routing.median.count() == 0) {
+        routing.median = medianLatency(routing);
+        routing.medianAt = now;
+    }
+}
+
+double reportedLoad(const UpstreamHealth &health, BootTime now)
 {
+    return now - health.loadAt < LoadAge ? health.load : 0;
+}
+
+/** @return how many upstreams may be out at once: a third, and half as long as the others have room for their load */
+std::size_t mostEjected(const ServiceRouting &routing, BootTime now)
+{
+    double load = 0;
+    for (const auto &[id, health] : routing.health) {
+        load += std::min(1.0, reportedLoad(health, now));
+    }
     const std::size_t known = routing.health.size();
-    if (known < 2) {
+    const bool roomy = load < RoomyShare * static_cast<double>(known);
+    return std::max<std::size_t>(1, known / (roomy ? EjectedShareWithRoom : EjectedShare));
+}
+
+bool mayEject(const ServiceRouting &routing, std::uint32_t upstream, BootTime now)
+{
+    if (routing.health.size() < 2) {
         return false;
     }
     const auto out = std::count_if(routing.health.begin(), routing.health.end(), [&](const auto &entry) {
         return entry.first != upstream && (now < entry.second.ejectedUntil || entry.second.probesLeft > 0);
     });
-    return static_cast<std::size_t>(out) < std::max<std::size_t>(1, known / EjectedShare);
+    return static_cast<std::size_t>(out) < mostEjected(routing, now);
 }
 
 void eject(ServiceRouting &routing, std::uint32_t upstream, BootTime now)
@@ -84,11 +115,10 @@
     health.failuresInRow = 0;
 }
 
-bool isStraggler(const ServiceRouting &routing, std::uint32_t upstream, nanoseconds latency)
+bool isSlow(const ServiceRouting &routing, nanoseconds latency)
 {
-    const nanoseconds median = medianLatency(routing, upstream);
-    return median.count() > 0 && latency > median + LeastDifference
-           && static_cast<double>(latency.count()) > StragglerRatio * static_cast<double>(median.count());
+    return routing.median.count() > 0 && latency > routing.median + LeastDifference
+           && static_cast<double>(latency.count()) > StragglerRatio * static_cast<double>(routing.median.count());
 }
 
 void learnLatency(UpstreamHealth &health, nanoseconds latency)
@@ -114,7 +144,7 @@
         if (now < health.ejectedUntil) {
             return;
         }
-        if (isStraggler(routing, upstream, latency)) {
+        if (isSlow(routing, latency)) {
             eject(routing, upstream, now);
             return;
         }
@@ -125,7 +155,7 @@
         }
         return;
     }
-    if (health.answers >= LeastAnswers && isStraggler(routing, upstream, health.latency)) {
+    if (health.answers >= LeastAnswers && isSlow(routing, health.latency)) {
         eject(routing, upstream, now);
     }
 }
@@ -146,12 +176,10 @@
         return false;
     }
     const UpstreamHealth &health = found->second;
-    return now < health.ejectedUntil || (health.probesLeft > 0 && health.outstanding > 0);
-}
-
-double reportedLoad(const UpstreamHealth &health, BootTime now)
-{
-    return now - health.loadAt < LoadAge ? health.load : 0;
+    // Nothing has come back for longer than a straggler's answer takes: waiting for that answer would cost more
+    // requests.
+    const bool stuck = health.outstanding > 0 && isSlow(routing, now - health.progressAt);
+    return now < health.ejectedUntil || (health.probesLeft > 0 && health.outstanding > 0) || stuck;
 }
 
 /** @return how busy an upstream is for its weight */
@@ -257,16 +285,22 @@
     return twoChoices(routing, open.empty() ? left : open, random, now).upstream;
 }
 
-void noteSent(ServiceRouting &routing, std::uint32_t upstream)
+void noteSent(ServiceRouting &routing, std::uint32_t upstream, BootTime now)
 {
-    routing.health[upstream].outstanding++;
+    UpstreamHealth &health = routing.health[upstream];
+    if (health.outstanding == 0) {
+        health.progressAt = now;
+    }
+    health.outstanding++;
 }
 
 void noteAnswered(
     ServiceRouting &routing, std::uint32_t upstream, std::chrono::nanoseconds latency, double load, BootTime now)
 {
     noteEnded(routing, upstream);
+    refreshMedian(routing, now);
     UpstreamHealth &health = routing.health[upstream];
+    health.progressAt = now;
     health.failuresInRow = 0;
     if (load >= 0) {
         health.load = load;
--- a/src/process/RequestRunner.cpp
+++ b/src/process/RequestRunner.cpp
@@ -367,7 +367,7 @@
     const std::uint64_t ticket = attempt.ticket;
     request.attempts[action.attempt] = std::move(attempt);
     this->tickets[ticket] = {request.number, action.attempt};
-    agent::noteSent(this->state.services[request.state.facts.service].routing, action.upstream);
+    agent::noteSent(this->state.services[request.state.facts.service].routing, action.upstream, BootClock::now());
     const agent::Admission admission =
         upstream == nullptr ? agent::Admission::NoRoom : upstream->enter(ticket, request.state.facts.deadline);
     switch (admission) {
@@ -458,7 +458,7 @@
     LiveAttempt attempt;
     attempt.upstream = action.upstream;
     attempt.begunAt = now;
-    agent::noteSent(this->state.services[request.state.facts.service].routing, action.upstream);
+    agent::noteSent(this->state.services[request.state.facts.service].routing, action.upstream, BootClock::now());
     const Number number = request.number;
     const unsigned id = action.attempt;
     if (upstream == nullptr || left.count() <= 0) {
--- a/tests/RouterTest.cpp
+++ b/tests/RouterTest.cpp
@@ -30,7 +30,7 @@
 {
     for (unsigned round = 0; round < rounds; round++) {
         for (std::uint32_t upstream = 1; upstream <= 4; upstream++) {
-            noteSent(routing, upstream);
+            noteSent(routing, upstream, Start);
             noteAnswered(routing, upstream, upstream == 1 ? slow : 5ms, 0, now);
         }
     }
@@ -57,12 +57,12 @@
     REQUIRE(draw(routing, fourAlike(), 1000, Start).count(1) == 0);
     const BootTime back = Start + 300ms;
     REQUIRE(draw(routing, fourAlike(), 1000, back).at(1) > 0);
-    noteSent(routing, 1);
+    noteSent(routing, 1, Start);
     REQUIRE(draw(routing, fourAlike(), 1000, back).count(1) == 0);
     noteAnswered(routing, 1, 50ms, 0, back);
     REQUIRE(isEjected(routing, 1, back + 300ms));
     for (unsigned probe = 0; probe < 3; probe++) {
-        noteSent(routing, 1);
+        noteSent(routing, 1, Start);
         noteAnswered(routing, 1, 5ms, 0, back + 500ms);
     }
     REQUIRE(routing.health.at(1).probesLeft == 0);
@@ -70,21 +70,39 @@
 }
 
 // Every upstream of a service is out at once: all of them failed for a moment.
-TEST_CASE("ejection takes out a third at most")
+TEST_CASE("ejection takes out a third at most, and half while the others have room")
 {
-    ServiceRouting routing;
-    answerAll(routing, 5, 5ms, Start);
-    for (std::uint32_t upstream = 1; upstream <= 4; upstream++) {
-        for (unsigned failure = 0; failure < 5; failure++) {
-            noteSent(routing, upstream);
-            noteFailed(routing, upstream, 1ms, Start);
+    for (const double load : {0.9, 0.1}) {
+        ServiceRouting routing;
+        for (std::uint32_t upstream = 1; upstream <= 4; upstream++) {
+            noteSent(routing, upstream, Start);
+            noteAnswered(routing, upstream, 5ms, load, Start);
         }
+        for (std::uint32_t upstream = 1; upstream <= 4; upstream++) {
+            for (unsigned failure = 0; failure < 5; failure++) {
+                noteSent(routing, upstream, Start);
+                noteFailed(routing, upstream, 1ms, Start);
+            }
+        }
+        unsigned out = 0;
+        for (std::uint32_t upstream = 1; upstream <= 4; upstream++) {
+            out += isEjected(routing, upstream, Start) ? 1 : 0;
+        }
+        REQUIRE(out == (load > 0.5 ? 1 : 2));
+        REQUIRE(draw(routing, fourAlike(), 1000, Start).size() == 4 - out);
     }
-    unsigned out = 0;
-    for (std::uint32_t upstream = 1; upstream <= 4; upstream++) {
-        out += isEjected(routing, upstream, Start) ? 1 : 0;
-    }
-    REQUIRE(out == 1);
+}
+
+// The tail is long at the start of each slow spell: until the first slow answer came back, the straggler got its share.
+TEST_CASE("an upstream from which nothing comes back gets nothing more until it does")
+{
+    ServiceRouting routing;
+    answerAll(routing, 5, 5ms, Start);
+    noteSent(routing, 1, Start);
+    REQUIRE(draw(routing, fourAlike(), 1000, Start + 10ms).count(1) == 1);
+    REQUIRE(draw(routing, fourAlike(), 1000, Start + 20ms).count(1) == 0);
+    noteAnswered(routing, 1, 20ms, 0, Start + 20ms);
+    REQUIRE(draw(routing, fourAlike(), 1000, Start + 20ms).count(1) == 1);
 }
 
 TEST_CASE("an upstream that sheds is avoided for a moment, not ejected")
@@ -92,7 +110,7 @@
     ServiceRouting routing;
     answerAll(routing, 5, 5ms, Start);
     for (unsigned shed = 0; shed < 5; shed++) {
-        noteSent(routing, 1);
+        noteSent(routing, 1, Start);
         noteShed(routing, 1, Start);
     }
     REQUIRE_FALSE(isEjected(routing, 1, Start));
@@ -107,7 +125,7 @@
     const std::vector<Candidate> candidates{{1, 1, true}, {2, 1, false}};
     REQUIRE(draw(routing, candidates, 1000, Start).at(1) > 700);
     for (std::uint32_t upstream = 1; upstream <= 2; upstream++) {
-        noteSent(routing, upstream);
+        noteSent(routing, upstream, Start);
         noteAnswered(routing, upstream, 5ms, 0.9, Start);
     }
     REQUIRE(draw(routing, candidates, 1000, Start).at(1) < 600);
