--- a/bench/RequestModel.h
+++ b/bench/RequestModel.h
@@ -106,7 +106,7 @@
         }
         for (Agent &entry : this->agents) {
             entry.routing.policy = policy.choice;
-            entry.hedges.ratio = 0.05;
+            entry.hedges.ratio = 0.03;
             entry.hedges.tokens = policy.hedging ? 5 : 0;
         }
         for (unsigned id = 1; id <= scenario.upstreams; id++) {
--- a/src/process/AgentState.h
+++ b/src/process/AgentState.h
@@ -17,7 +17,7 @@
     /** Upstreams in service with a weight; made anew when routes, table or marks change. */
     std::vector<agent::Candidate> candidates;
     agent::RetryBudget retries;
-    agent::RetryBudget hedges{.ratio = 0.05};
+    agent::RetryBudget hedges{.ratio = 0.03};
 };
 
 /** The agent's decisions as plain data, shared by the parts of its process; owned by AgentProcess. */
