--- a/src/control/Coordinator.cpp
+++ b/src/control/Coordinator.cpp
@@ -99,8 +99,9 @@
         if (isBefore(agent->inForce, message.renew().in_force())) {
             agent->inForce = message.renew().in_force();
         }
+        // The round begins at the next tick: one round then carries every renewal of that time, and an idle control
+        // group exchanges messages by the tick and not by the number of agents.
         this->waiting.heartbeats[session] = {.sequence = message.renew().sequence(), .arrival = now};
-        this->startRound();
         break;
     case wire::AgentMessage::kUpstream:
         this->receivedUpstream(*agent, message.upstream());
@@ -140,7 +141,9 @@
     }
     if (applied.update.has_table()) {
         for (const auto &[service, map] : this->state.services()) {
+            // Operators' changes are waited for by people; only restarts are worth waiting out.
             this->watches[service].dirty = true;
+            this->watches[service].evenAtOnce = true;
         }
     }
 }
@@ -192,17 +195,15 @@
         this->waiting.opened.insert(this->waiting.opened.end(), round.opened.begin(), round.opened.end());
         return;
     }
-    for (const SessionId session : round.opened) {
-        if (AgentRecord *const agent = this->book.bySession(session); agent != nullptr) {
-            this->inform(*agent);
-        }
-    }
+    this->inform(round.opened);
     for (const auto &[session, heartbeat] : round.heartbeats) {
         if (AgentRecord *const agent = this->book.bySession(session); agent != nullptr) {
             this->renew(*agent, heartbeat, now);
         }
     }
-    this->startRound();
+    if (!this->waiting.opened.empty()) {
+        this->startRound();
+    }
 }
 
 void Coordinator::tick(BootTime now)
@@ -256,10 +257,13 @@
             expected.insert(name);
         }
     }
+    // A mark that changes nothing is committed, but not sent: agents never reach its version, nor need to.
+    const wire::Version &needed =
+        isBefore(this->state.visibleVersion(), version) ? this->state.visibleVersion() : version;
     wire::InForceReport report;
     for (const std::string &name : expected) {
         const AgentRecord *const agent = this->book.find(name);
-        const bool reached = agent != nullptr && !isBefore(agent->inForce, version);
+        const bool reached = agent != nullptr && !isBefore(agent->inForce, needed);
         *(reached ? report.add_confirmed() : report.add_missing()) = name;
     }
     return report;
@@ -294,21 +298,29 @@
     this->actions.emplace_back(ConfirmAction{});
 }
 
-void Coordinator::inform(AgentRecord &agent)
+void Coordinator::inform(const std::vector<SessionId> &sessions)
 {
-    wire::ControlMessage message;
-    *message.mutable_update() = this->state.fullUpdate();
-    this->send(agent.session, std::move(message));
-    agent.informed = true;
-    this->resendRevokes(agent);
+    // After a change of leader every agent comes at once: they share one message, not a copy of the state each.
+    std::shared_ptr<wire::ControlMessage> message;
+    for (const SessionId session : sessions) {
+        AgentRecord *const agent = this->book.bySession(session);
+        if (agent == nullptr) {
+            continue;
+        }
+        if (message == nullptr) {
+            message = std::make_shared<wire::ControlMessage>();
+            *message->mutable_update() = this->state.fullUpdate();
+        }
+        this->actions.emplace_back(SendAction{session, message});
+        agent->informed = true;
+        this->resendRevokes(*agent);
+    }
 }
 
 void Coordinator::renew(AgentRecord &agent, const Heartbeat &heartbeat, BootTime now)
 {
-    // The first full state goes ahead of every Renewed of a session: an agent must not serve by what it knew before.
-    if (!agent.informed) {
-        return;
-    }
+    // The full state went ahead, in this round at the latest: an agent must not serve by what it knew before.
+    assert(agent.informed);
     wire::ControlMessage message;
     message.mutable_renewed()->set_sequence(heartbeat.sequence);
     if (this->mayRenew(agent, now)) {
--- a/src/process/AgentProcess.cpp
+++ b/src/process/AgentProcess.cpp
@@ -2,8 +2,6 @@
 
 #include "loop/Log.h"
 #include "net/Problem.h"
-#include "report/BurnReport.h"
-#include "report/Metric.h"
 
 #include <nlohmann/json.hpp>
 
@@ -70,18 +68,6 @@
     });
 }
 
-report::Outcome outcomeOf(const RequestEndNote &note)
-{
-    constexpr int FirstServerError = 500;
-    constexpr int UpstreamFailed = 502;
-    constexpr int DeadlinePassed = 504;
-    if (!note.refused) {
-        return note.status >= FirstServerError ? report::Outcome::Failed : report::Outcome::Answered;
-    }
-    const bool failed = note.status == UpstreamFailed || note.status == DeadlinePassed;
-    return failed ? report::Outcome::Failed : report::Outcome::Refused;
-}
-
 net::HttpAnswer textAnswer(int status, const char *type, std::string body)
 {
     net::HttpAnswer answer;
@@ -106,11 +92,11 @@
 
 AgentProcess::AgentProcess(loop::EventLoop &loop, const AgentSettings &settings)
     : loop(loop)
+    , report(this->state)
 {
     this->state.settings = settings;
     this->state.random.seed(chooseSeed(settings));
     this->state.startedAt = BootClock::now();
-    this->burn.start = this->state.startedAt;
     const std::uint64_t start = (static_cast<std::uint64_t>(this->state.random()) << 32U) | this->state.random();
     this->state.incarnation = std::to_string(start);
 }
@@ -190,7 +176,7 @@
     };
     needs.claims = &this->control->claims();
     needs.ended = [this](const RequestEndNote &note) {
-        this->requestEnded(note);
+        this->report.ended(note);
     };
     this->runner = std::make_unique<RequestRunner>(this->loop, this->state, std::move(needs));
     Log.info(this->state.settings.agentName + ": callers on port " + std::to_string(this->callers->port())
@@ -252,7 +238,7 @@
 
 void AgentProcess::stateChanged()
 {
-    report::setObjectives(this->burn, this->state.table);
+    this->report.tableChanged();
     for (const auto &[name, upstream] : this->upstreams) {
         upstream->applyTable();
     }
@@ -301,34 +287,18 @@
     return found == this->upstreams.end() ? nullptr : found->second.get();
 }
 
-void AgentProcess::requestEnded(const RequestEndNote &note)
-{
-    const wire::UpstreamInfo *upstream = agent::findUpstream(this->state.map, note.upstream);
-    report::RequestEnd end;
-    end.service = note.service;
-    end.upstream = upstream == nullptr ? "" : upstream->name();
-    end.failureDomain = upstream == nullptr ? "" : upstream->failure_domain();
-    end.outcome = outcomeOf(note);
-    end.latency = note.latency;
-    report::record(this->burn, end, BootClock::now());
-}
-
 void AgentProcess::answerOperator(const std::shared_ptr<net::Exchange> &exchange)
 {
     const std::string &target = exchange->request().target;
     if (target == "/healthz") {
         exchange->answer(textAnswer(200, "application/json", this->healthJson()));
-    } else if (target == "/metrics") {
-        exchange->answer(textAnswer(200, "text/plain; version=0.0.4", this->metrics()));
-    } else if (target == "/burn?json" || target == "/burn") {
-        const report::BurnReport burned = report::makeReport(this->burn, BootClock::now());
-        const bool json = target == "/burn?json";
-        exchange->answer(textAnswer(200,
-                                    json ? "application/json" : "text/plain; charset=utf-8",
-                                    json ? report::toJson(burned) : report::toText(burned)));
-    } else {
-        exchange->answer(net::problem(404, "not found", "/healthz, /metrics, /burn", net::RequestRan::No));
+        return;
     }
+    if (std::optional<net::HttpAnswer> answer = this->report.answer(target, this->gauges())) {
+        exchange->answer(std::move(*answer));
+        return;
+    }
+    exchange->answer(net::problem(404, "not found", "/healthz, /metrics, /burn, /burn?json", net::RequestRan::No));
 }
 
 std::string AgentProcess::healthJson() const
@@ -349,18 +319,36 @@
     return health.dump();
 }
 
-std::string AgentProcess::metrics() const
+std::vector<report::Metric> AgentProcess::gauges() const
 {
-    std::vector<report::Metric> metrics = report::burnMetrics(report::makeReport(this->burn, BootClock::now()));
-    report::Metric load{.name = "bergamotweir_upstream_load",
-                        .help = "Requests in progress and waiting over those allowed.",
-                        .type = report::MetricType::Gauge,
-                        .samples = {}};
+    const auto gauge = [](const char *name, const char *help, double value) {
+        return report::Metric{name, help, report::MetricType::Gauge, {{{}, value}}};
+    };
+    report::Metric load{"bergamotweir_upstream_load",
+                        "Requests in progress and waiting over those allowed.",
+                        report::MetricType::Gauge,
+                        {}};
+    report::Metric inProgress{"bergamotweir_upstream_in_progress",
+                              "Requests in progress at an upstream beside this agent.",
+                              report::MetricType::Gauge,
+                              {}};
     for (const auto &[name, upstream] : this->upstreams) {
-        load.samples.push_back({{{"service", name.first}, {"upstream", name.second}}, upstream->load()});
+        const std::vector<std::pair<std::string, std::string>> labels{{"service", name.first},
+                                                                      {"upstream", name.second}};
+        load.samples.push_back({labels, upstream->load()});
+        inProgress.samples.push_back({labels, static_cast<double>(upstream->inProgress())});
     }
-    metrics.push_back(std::move(load));
-    return report::toPrometheus(metrics);
+    return {gauge("bergamotweir_lease_valid",
+                  "1 while this agent may give orders to its upstreams.",
+                  agent::holds(this->state.lease, BootClock::now()) ? 1 : 0),
+            gauge("bergamotweir_table_version",
+                  "Table version that this agent acts on.",
+                  static_cast<double>(this->state.map.tableVersion)),
+            gauge("bergamotweir_requests_in_progress",
+                  "Requests that this agent has not answered yet.",
+                  static_cast<double>(this->runner->inProgress())),
+            load,
+            inProgress};
 }
 
 void AgentProcess::stop()
