--- /dev/null
+++ b/tests/RequestTextTest.cpp
@@ -0,0 +1,158 @@
+#include "process/RequestText.h"
+#include "base/KeyHash.h"
+#include "process/UpstreamProtocol.h"
+#include "table/Table.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace bergamotweir;
+using namespace bergamotweir::process;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr BootTime Now{100s};
+
+table::Table enrolmentTable()
+{
+    return table::Table::parse("service,keyed,timeout_ms\nenrolments,yes,800\ncatalogue,no,500\n").value();
+}
+
+net::HttpRequest keyedPost()
+{
+    net::HttpRequest request;
+    request.method = "POST";
+    request.target = "/s/enrolments/seats?class=7";
+    request.headers = {{"Routing-Key", "class-7"}, {"Idempotency-Key", "i1"}};
+    request.body = "seat";
+    return request;
+}
+
+int statusOf(const net::HttpRequest &request)
+{
+    const auto parsed = parseRequest(request, enrolmentTable(), Origin::Caller, Now);
+    const auto *refusal = std::get_if<net::HttpAnswer>(&parsed);
+    return refusal == nullptr ? 0 : refusal->status;
+}
+
+net::CallResult answerWith(int status, std::vector<net::Header> headers)
+{
+    net::CallResult result;
+    result.end = net::CallEnd::Answered;
+    result.mayHaveRun = true;
+    result.answer = {status, std::move(headers), ""};
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("a caller's request is read, and deadlines come from the table unless it states one")
+{
+    net::HttpRequest request = keyedPost();
+    const auto parsed = std::get<ParsedRequest>(parseRequest(request, enrolmentTable(), Origin::Caller, Now));
+    REQUIRE(parsed.facts.service == "enrolments");
+    REQUIRE(parsed.facts.keyed);
+    REQUIRE(parsed.facts.claimed);
+    REQUIRE(parsed.facts.hash == hashKey("class-7"));
+    REQUIRE(parsed.facts.deadline == Now + 800ms);
+    request.headers.push_back({"request-timeout", "50"});
+    const auto hurried = std::get<ParsedRequest>(parseRequest(request, enrolmentTable(), Origin::Caller, Now));
+    REQUIRE(hurried.facts.deadline == Now + 50ms);
+    request.method = "PUT";
+    REQUIRE_FALSE(std::get<ParsedRequest>(parseRequest(request, enrolmentTable(), Origin::Caller, Now)).facts.claimed);
+}
+
+TEST_CASE("bad requests are refused with 400 and 404")
+{
+    net::HttpRequest request = keyedPost();
+    request.target = "/enrolments";
+    REQUIRE(statusOf(request) == 400);
+    request.target = "/s/sweeps/x";
+    REQUIRE(statusOf(request) == 404);
+    request = keyedPost();
+    request.headers.clear();
+    REQUIRE(statusOf(request) == 400);
+    for (const char *timeout : {"0", "-5", "soon", "9 ", "99999999999999999999"}) {
+        request = keyedPost();
+        request.headers.push_back({"Request-Timeout", timeout});
+        REQUIRE(statusOf(request) == 400);
+    }
+}
+
+// A caller makes an agent skip its claim, or names the upstream that it wants, by sending the fields that agents use
+// among themselves.
+TEST_CASE("header fields of the system are neither taken from callers nor passed to them")
+{
+    net::HttpRequest request = keyedPost();
+    request.headers.push_back({"bergamotweir-upstream", "9"});
+    request.headers.push_back({"Grant-Epoch", "99"});
+    request.headers.push_back({"Connection", "close"});
+    const auto parsed = std::get<ParsedRequest>(parseRequest(request, enrolmentTable(), Origin::Caller, Now));
+    REQUIRE_FALSE(parsed.facts.forwarded);
+    REQUIRE(parsed.wantedUpstream == 0);
+    const std::vector<net::Header> forwarded = headersToForward(request);
+    REQUIRE(forwarded == std::vector<net::Header>{{"Routing-Key", "class-7"}, {"Idempotency-Key", "i1"}});
+    const net::HttpAnswer passed = answerForCaller(
+        {200, {{"Bergamotweir-End", "answered"}, {"Upstream-Load", "1"}, {"Content-Type", "text/plain"}}, "x"});
+    REQUIRE(passed.headers == std::vector<net::Header>{{"Content-Type", "text/plain"}});
+}
+
+// All callers refused in one second come back in the same later second.
+TEST_CASE("Retry-After is spread")
+{
+    pcg32 random(7);
+    std::map<std::string, unsigned> times;
+    for (unsigned refusal = 0; refusal < 300; refusal++) {
+        const net::HttpAnswer answer =
+            refusalAnswer({.status = 503, .ran = agent::Ran::No, .retryAfter = true}, random);
+        REQUIRE(*net::findHeader(answer.headers, "Request-Ran") == "no");
+        times[*net::findHeader(answer.headers, "Retry-After")]++;
+    }
+    REQUIRE(times.size() == 3);
+    REQUIRE(times.at("1") > 50);
+}
+
+TEST_CASE("an announcement is read whole, and all that is wrong with one is told")
+{
+    const auto good =
+        parseAnnouncement(R"({"service":"catalogue","name":"w1","port":8080,"incarnation":"i","slots":12,)"
+                          R"("connections":130,"checks_grants":true})");
+    REQUIRE(good);
+    REQUIRE(good.value().checksGrants);
+    REQUIRE(upstreamAddress(good.value()) == "127.0.0.1:8080");
+    const auto bad = parseAnnouncement(R"({"service":"","name":7,"port":70000,"slots":0})");
+    REQUIRE_FALSE(bad);
+    REQUIRE(bad.error().size() == 6);
+    REQUIRE_FALSE(parseAnnouncement("[]"));
+    REQUIRE_FALSE(parseAnnouncement("{"));
+}
+
+// Two upstreams serve a range: its end was rounded by a JSON reader that holds 53 bits.
+TEST_CASE("grants carry hashes as text")
+{
+    const net::HttpCall call =
+        grantsCall("127.0.0.1:1", {"catalogue", {{1, 0xffffffffffffffffULL}}, 7, std::chrono::milliseconds(250)});
+    const auto body = nlohmann::json::parse(call.body);
+    REQUIRE(body["slices"][0]["end"] == "18446744073709551615");
+    REQUIRE(body["expires_ms"] == 250);
+}
+
+// A payment is told "it did not run" though it did, or is sent again: how a call ended was read too hopefully.
+TEST_CASE("how a request ended at an upstream is read without hope")
+{
+    REQUIRE(readOutcome(answerWith(503, {{"Request-Ran", "no"}})).end == agent::AttemptEnd::NoRoom);
+    REQUIRE(readOutcome(answerWith(409, {{"Request-Ran", "no"}})).end == agent::AttemptEnd::NotOwner);
+    REQUIRE(readOutcome(answerWith(503, {})).end == agent::AttemptEnd::Answered);
+    REQUIRE(readOutcome(answerWith(200, {{"Request-Ran", "no"}})).end == agent::AttemptEnd::Answered);
+    for (const auto end : {net::CallEnd::Broken, net::CallEnd::ShortAnswer, net::CallEnd::TooLarge}) {
+        net::CallResult result;
+        result.end = end;
+        result.mayHaveRun = true;
+        REQUIRE(readOutcome(result).mayHaveRun);
+        REQUIRE(readOutcome(result).end != agent::AttemptEnd::Answered);
+    }
+    net::CallResult unsent;
+    unsent.end = net::CallEnd::NotSent;
+    REQUIRE_FALSE(readOutcome(unsent).mayHaveRun);
+}
