--- a/bench/RequestModel.h
+++ b/bench/RequestModel.h
@@ -106,7 +106,7 @@
         }
         for (Agent &entry : this->agents) {
             entry.routing.policy = policy.choice;
-            entry.hedges.ratio = 0.05;
+            entry.hedges.ratio = 0.03;
             entry.hedges.tokens = policy.hedging ? 5 : 0;
         }
         for (unsigned id = 1; id <= scenario.upstreams; id++) {
@@ -286,7 +286,7 @@
         this->outcome.sent++;
         const unsigned long ticket = ++this->lastTicket;
         request->attempts[action.attempt] = {action.upstream, this->now, ticket, false};
-        agent::noteSent(request->entry->routing, action.upstream);
+        agent::noteSent(request->entry->routing, action.upstream, this->now);
         this->tickets[ticket] = {request, action.attempt, action.upstream - 1, {}, false};
         this->at(this->now + this->scenario.oneWay, [this, ticket] {
             this->reachGate(ticket);
