status: how each upstream fares, asked from its agent

Conditions warm, cold, slow (trusted with less than half of its limit) and draining come from the agents' /healthz, which tells them and the allowed number of requests now; up to 24 agents are asked, 300 ms each, so that agents that are cut off don't hold up the screen. Test "status shows on one screen ...", with odd documents.

--- a/src/cli/StatusCommands.cpp
+++ b/src/cli/StatusCommands.cpp
@@ -1,5 +1,6 @@
 #include "Answer.h"
 #include "Commands.h"
+#include "UpstreamCondition.h"
 #include "cli/Command.h"
 #include "cli/Context.h"
 #include "cli/Values.h"
@@ -124,9 +125,15 @@
     return text + "; " + std::to_string(lacking) + " behind version " + versionText(report.visible()) + "\n";
 }
 
-std::string upstreamsText(const wire::StatusReport &report)
+std::string conditionOf(const wire::UpstreamInfo &info, const std::map<UpstreamName, std::string> &conditions)
 {
-    std::vector<Cells> lines{{"UPSTREAM", "SERVICE", "DOMAIN", "AGENT", "STATE", "SLICES", "IN FORCE"}};
+    const auto found = conditions.find({info.service(), info.name()});
+    return found == conditions.end() || found->second.empty() ? "-" : found->second;
+}
+
+std::string upstreamsText(const wire::StatusReport &report, const std::map<UpstreamName, std::string> &conditions)
+{
+    std::vector<Cells> lines{{"UPSTREAM", "SERVICE", "DOMAIN", "AGENT", "STATE", "CONDITION", "SLICES", "IN FORCE"}};
     int listed = 0;
     for (const wire::UpstreamStatus &upstream : report.upstreams()) {
         const bool isPlain = stateOf(upstream) == "serving" && !lacks(upstream, report.visible());
@@ -140,6 +147,7 @@
                          info.failure_domain(),
                          info.agent(),
                          stateOf(upstream),
+                         conditionOf(info, conditions),
                          std::to_string(upstream.slices()),
                          versionText(upstream.in_force())});
     }
@@ -150,7 +158,7 @@
     return text;
 }
 
-nlohmann::json upstreamsJson(const wire::StatusReport &report)
+nlohmann::json upstreamsJson(const wire::StatusReport &report, const std::map<UpstreamName, std::string> &conditions)
 {
     nlohmann::json upstreams = nlohmann::json::array();
     for (const wire::UpstreamStatus &upstream : report.upstreams()) {
@@ -162,6 +170,7 @@
                              {"peer_address", info.peer_address()},
                              {"operator_address", info.operator_address()},
                              {"state", stateOf(upstream)},
+                             {"condition", conditionOf(info, conditions)},
                              {"slices", upstream.slices()},
                              {"in_force", toJson(upstream.in_force())},
                              {"behind", lacks(upstream, report.visible())}});
@@ -169,7 +178,7 @@
     return upstreams;
 }
 
-nlohmann::json toJson(const wire::StatusReport &report)
+nlohmann::json toJson(const wire::StatusReport &report, const std::map<UpstreamName, std::string> &conditions)
 {
     nlohmann::json members = nlohmann::json::array();
     for (const wire::Replica &replica : report.membership().replicas()) {
@@ -198,7 +207,7 @@
             {"failure_domains_out", report.failure_domains_out()},
             {"upstreams_out", report.upstreams_out()},
             {"services", services},
-            {"upstreams", upstreamsJson(report)},
+            {"upstreams", upstreamsJson(report, conditions)},
             {"quarantined", quarantined}};
 }
 
@@ -212,10 +221,11 @@
     Answer answer = toAnswer(reply);
     if (answer.exitCode == ExitDone) {
         const wire::StatusReport &report = reply.report();
-        answer.details = toJson(report);
+        const std::map<UpstreamName, std::string> conditions = askConditions(report, context);
+        answer.details = toJson(report, conditions);
         answer.text = controlText(report) + "table: version " + std::to_string(report.table_version())
                       + "; out of service: failure domains " + joined(report.failure_domains_out()) + "; upstreams "
-                      + joined(report.upstreams_out()) + "\n" + servicesText(report) + upstreamsText(report)
+                      + joined(report.upstreams_out()) + "\n" + servicesText(report) + upstreamsText(report, conditions)
                       + "quarantined requests: " + std::to_string(report.quarantined_size()) + "\n";
     }
     return print(answer, values, context);
--- /dev/null
+++ b/src/cli/UpstreamCondition.cpp
@@ -0,0 +1,55 @@
+#include "UpstreamCondition.h"
+
+#include "cli/Context.h"
+
+#include <nlohmann/json.hpp>
+
+namespace bergamotweir::cli {
+
+namespace {
+
+/** Agents asked for one status, and how long each: the screen must not wait for agents that are cut off. */
+constexpr std::size_t MostAsked = 24;
+constexpr std::chrono::milliseconds AskTimeout{300};
+
+void take(const std::string &document, std::map<UpstreamName, std::string> &conditions)
+{
+    const nlohmann::json health = nlohmann::json::parse(document, nullptr, false);
+    if (!health.is_object() || !health.contains("upstreams") || !health["upstreams"].is_array()) {
+        return;
+    }
+    const auto textOf = [](const nlohmann::json &object, const char *name) {
+        const bool isText = object.is_object() && object.contains(name) && object[name].is_string();
+        return isText ? object[name].get<std::string>() : std::string();
+    };
+    const bool stopping = health.contains("stopping") && health["stopping"] == true;
+    for (const nlohmann::json &upstream : health["upstreams"]) {
+        conditions[{textOf(upstream, "service"), textOf(upstream, "name")}] =
+            stopping ? "draining" : textOf(upstream, "condition");
+    }
+}
+
+} // namespace
+
+std::map<UpstreamName, std::string> askConditions(const wire::StatusReport &report, Context &context)
+{
+    std::map<std::string, std::string> addresses;
+    for (const wire::UpstreamStatus &upstream : report.upstreams()) {
+        if (upstream.lease_valid() && !upstream.upstream().operator_address().empty()) {
+            addresses[upstream.upstream().agent()] = upstream.upstream().operator_address();
+        }
+    }
+    std::map<UpstreamName, std::string> conditions;
+    if (addresses.size() > MostAsked) {
+        return conditions;
+    }
+    for (const auto &[agent, address] : addresses) {
+        const Result<std::string> document = context.fetch("http://" + address + "/healthz", AskTimeout);
+        if (document) {
+            take(document.value(), conditions);
+        }
+    }
+    return conditions;
+}
+
+} // namespace bergamotweir::cli
--- a/src/process/AgentProcess.cpp
+++ b/src/process/AgentProcess.cpp
@@ -68,6 +68,16 @@
     });
 }
 
+/** @return one word for operators */
+const char *conditionOf(const agent::AdaptiveLimit &limit)
+{
+    if (limit.phase == agent::LimitPhase::Cold) {
+        return "cold";
+    }
+    // Trusted with less than half of what it announced.
+    return 2 * agent::allowed(limit) < limit.ceiling ? "slow" : "warm";
+}
+
 net::HttpAnswer textAnswer(int status, const char *type, std::string body)
 {
     net::HttpAnswer answer;
@@ -314,6 +324,8 @@
                                        {"name", name.second},
                                        {"serving", upstream->status() == UpstreamStatus::Serving},
                                        {"in_progress", upstream->inProgress()},
+                                       {"allowed", agent::allowed(upstream->limit())},
+                                       {"condition", conditionOf(upstream->limit())},
                                        {"load", upstream->load()}});
     }
     return health.dump();
--- a/src/process/LocalUpstream.cpp
+++ b/src/process/LocalUpstream.cpp
@@ -512,6 +512,11 @@
     return agent::load(this->gate);
 }
 
+const agent::AdaptiveLimit &LocalUpstream::limit() const
+{
+    return this->gate.limit;
+}
+
 std::size_t LocalUpstream::inProgress() const
 {
     return this->work.size();
--- a/src/process/LocalUpstream.h
+++ b/src/process/LocalUpstream.h
@@ -97,6 +97,9 @@
     UpstreamStatus status() const;
     double load() const;
 
+    /** @return how many requests the upstream is trusted with, and why */
+    const agent::AdaptiveLimit &limit() const;
+
     /** @return requests in progress, those given up but perhaps still running included */
     std::size_t inProgress() const;
 
--- a/tests/CommandLineTest.cpp
+++ b/tests/CommandLineTest.cpp
@@ -246,6 +246,38 @@
     CHECK(desk.err.str().find("no upstream has announced itself with bne-aa") != std::string::npos);
 }
 
+TEST_CASE("status shows on one screen what is in force where, and how each upstream fares")
+{
+    Desk desk;
+    desk.answer = [](const wire::OperatorRequest &request) {
+        wire::OperatorReply reply = smallGroup(request);
+        wire::StatusReport &report = *reply.mutable_report();
+        report.mutable_visible()->set_index(110);
+        report.mutable_upstreams(0)->set_lease_valid(true);
+        report.mutable_upstreams(0)->mutable_in_force()->set_index(109);
+        report.mutable_upstreams(0)->mutable_upstream()->set_serving(true);
+        report.mutable_upstreams(0)->mutable_upstream()->set_agent("a1");
+        report.mutable_upstreams(0)->mutable_upstream()->set_operator_address("127.0.0.1:9");
+        report.add_failure_domains_out("gc-a");
+        return reply;
+    };
+    std::string health = R"({"stopping":false,"upstreams":[{"service":"fees","name":"f1","condition":"cold"}]})";
+    desk.context.fetch = [&](const std::string &url, std::chrono::milliseconds) -> Result<std::string> {
+        CHECK(url == "http://127.0.0.1:9/healthz");
+        return health;
+    };
+    CHECK(desk.run({"status"}) == ExitDone);
+    CHECK(desk.out.str().find("failure domains gc-a; upstreams none") != std::string::npos);
+    CHECK(desk.out.str().find("upstreams: 1, 1 serving; 1 behind version 0/110") != std::string::npos);
+    CHECK(desk.out.str().find("f1        fees     bne-a   a1     serving  cold       0       0/109")
+          != std::string::npos);
+    for (const char *odd : {"", "[]", R"({"upstreams":[1]})", R"({"upstreams":{}})"}) {
+        health = odd;
+        CHECK(desk.run({"status", "--json"}) == ExitDone);
+        CHECK(nlohmann::json::parse(desk.out.str())["upstreams"][0]["condition"] == "-");
+    }
+}
+
 TEST_CASE("a conflict passes on the differing rows and has an exit code of its own")
 {
     Desk desk;
