--- /dev/null
+++ b/bench/BurnBench.cpp
@@ -0,0 +1,88 @@
+// What the burn report costs an agent: time for each request, memory for each service and upstream, size of a report.
+// Seeded; prints one line for each point.
+
+#include "report/BurnReport.h"
+#include "report/BurnState.h"
+#include "table/Table.h"
+
+#include <pcg_random.hpp>
+
+#include <malloc.h>
+
+#include <cstdio>
+#include <string>
+#include <vector>
+
+using namespace bergamotweir;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t Seed = 20261202;
+constexpr unsigned Requests = 1000000;
+/** One request in so many goes wrong. */
+constexpr unsigned BadShare = 20;
+
+std::vector<std::string> names(const char *prefix, unsigned count)
+{
+    std::vector<std::string> all;
+    for (unsigned i = 0; i < count; ++i) {
+        all.push_back(prefix + std::to_string(i));
+    }
+    return all;
+}
+
+std::size_t heapInUse()
+{
+    return mallinfo2().uordblks;
+}
+
+void measure(unsigned serviceCount, unsigned upstreamCount)
+{
+    const std::vector<std::string> services = names("service", serviceCount);
+    const std::vector<std::string> upstreams = names("upstream", upstreamCount);
+    std::string csv = "service\n";
+    for (const std::string &service : services) {
+        csv += service + "\n";
+    }
+    const table::Table table = table::Table::parse(csv).value();
+    const std::size_t before = heapInUse();
+    report::BurnState state;
+    report::setObjectives(state, table);
+    const std::size_t empty = heapInUse() - before;
+    pcg32 random(Seed);
+    BootTime now{1h};
+    const BootTime begun = BootClock::now();
+    for (unsigned i = 0; i < Requests; ++i, now += 1ms) {
+        report::RequestEnd end;
+        end.service = services[random(serviceCount)];
+        end.upstream = upstreams[random(upstreamCount)];
+        end.failureDomain = "bne-a";
+        end.outcome = random(BadShare) == 0 ? report::Outcome::Failed : report::Outcome::Answered;
+        end.latency = std::chrono::microseconds(random(20000));
+        report::record(state, end, now);
+    }
+    const auto spent = BootClock::now() - begun;
+    const std::size_t full = heapInUse() - before;
+    const std::string json = report::toJson(report::makeReport(state, now));
+    std::printf("services %u upstreams %u: %.0f ns a request, %zu bytes empty, %zu bytes full, report %zu bytes\n",
+                serviceCount,
+                upstreamCount,
+                static_cast<double>(spent.count()) / Requests,
+                empty,
+                full,
+                json.size());
+}
+
+} // namespace
+
+int main()
+{
+    for (const unsigned upstreams : {4U, 16U, 64U, 256U, 1024U}) {
+        measure(1, upstreams);
+    }
+    for (const unsigned services : {4U, 16U, 64U}) {
+        measure(services, 16);
+    }
+    return 0;
+}
