--- a/tests/HttpClientTest.cpp
+++ b/tests/HttpClientTest.cpp
@@ -283,6 +283,34 @@
     CHECK(peer.accepted == 2);
 }
 
+/*
+ * Story: a peer sends its answer a byte at a time. A user would see a part of it if any pause were taken for the end;
+ * the call's own deadline is the only thing that may cut it.
+ */
+TEST_CASE("an answer that comes a byte at a time is whole, or times out")
+{
+    const bool inTime = GENERATE(true, false);
+    Bench bench;
+    ScriptedPeer *self = nullptr;
+    std::size_t sent = 0;
+    std::function<void()> drip = [&] {
+        PeerConnection *connection = self->find(1);
+        if (connection != nullptr && sent < Chunked.size() - (inTime ? 0 : 3)) {
+            connection->send(Chunked.substr(sent++, 1));
+            bench.loop->after(100us, drip);
+        }
+    };
+    ScriptedPeer peer(*bench.loop, [&](PeerConnection &) {
+        drip();
+    });
+    self = &peer;
+    HttpCall call = callTo(peer.address(), "GET");
+    call.timeout = inTime ? 10s : 100ms;
+    const CallResult result = sendInTurn(bench, {call}).front();
+    CHECK(result.end == (inTime ? CallEnd::Answered : CallEnd::TimedOut));
+    CHECK(result.answer.body == (inTime ? "hello" : ""));
+}
+
 TEST_CASE("an answer without a trustworthy end, or too large, is no answer")
 {
     struct Case {
--- a/tests/HttpServerTest.cpp
+++ b/tests/HttpServerTest.cpp
@@ -141,6 +141,33 @@
     bench.run();
 }
 
+TEST_CASE("a request that comes a byte at a time is handed over once and whole")
+{
+    Bench bench;
+    std::vector<std::string> bodies;
+    bench.listen([&](const std::shared_ptr<Exchange> &exchange) {
+        bodies.push_back(exchange->request().body);
+        exchange->answer(textAnswer("ok"));
+    });
+    const std::string bytes = "POST /slow HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody";
+    const int socket = bench.connect();
+    std::size_t sent = 0;
+    std::function<void()> drip = [&] {
+        REQUIRE(::send(socket, &bytes[sent++], 1, MSG_NOSIGNAL) == 1);
+        if (sent < bytes.size()) {
+            bench.loop->after(100us, drip);
+        }
+    };
+    bench.loop->post(drip);
+    bench.loop->watch(socket, {.readable = true}, [&](loop::Readiness) {
+        bench.loop->stop();
+    });
+    bench.run();
+    bench.loop->unwatch(socket);
+    close(socket);
+    CHECK(bodies == std::vector<std::string>{"body"});
+}
+
 TEST_CASE("an answer to HEAD states the length of the body it leaves out")
 {
     Bench bench;
