Coordinator: joins of hundreds of agents are sent as merged updates, full states a few at a time

Every registration went to every session (400 x 400 messages) and every session got its full state in the same turn; no heartbeat left meanwhile, and the next leader met the same agents. Ruled out: the sessions' own process (it took 2 cores and kept up afterwards), the disk (no sync is waited for). Full states go out 16 a turn.

--- a/include/control/Coordinator.h
+++ b/include/control/Coordinator.h
@@ -7,6 +7,7 @@
 #include "control/CoordinatorSettings.h"
 #include "control/LoadBook.h"
 #include "control/MoveBook.h"
+#include "control/UpdateBatch.h"
 
 #include <map>
 #include <set>
@@ -122,6 +123,8 @@
     };
 
     void send(SessionId session, wire::ControlMessage message);
+    /** Sends the changes that wait to every agent that has the full state. */
+    void sendBatch();
     std::uint64_t propose(wire::Command command, Proposal proposal);
     void endMove(const SliceName &slice, ProposalEnd end);
     void startRound();
@@ -174,6 +177,8 @@
     std::set<std::pair<std::string, std::string>> upstreamsInFlight;
     std::map<std::string, Watch> watches;
     std::uint64_t lastProposal = 0;
+    UpdateBatch batch;
+    BootTime lastTick;
     std::vector<Action> actions;
 };
 
--- a/src/control/Coordinator.cpp
+++ b/src/control/Coordinator.cpp
@@ -9,6 +9,16 @@
 
 namespace bergamotweir::control {
 
+namespace {
+
+/**
+ * Full states sent in one turn. After a change of leader every agent comes at once; a leader that serialises hundreds
+ * of full states without a pause sends no heartbeat meanwhile and is voted out, and so is the next one.
+ */
+constexpr std::size_t MostInformedAtOnce = 16;
+
+} // namespace
+
 Coordinator::Coordinator(const CoordinatorSettings &settings, const State &state)
     : settings(settings)
     , state(state)
@@ -48,6 +58,7 @@
     this->proposals.clear();
     this->upstreamsInFlight.clear();
     this->watches.clear();
+    this->batch = {};
 }
 
 void Coordinator::opened(SessionId session, const wire::Hello &hello, BootTime now)
@@ -128,13 +139,9 @@
     if (!this->leading || !applied.visible) {
         return;
     }
-    wire::ControlMessage message;
-    *message.mutable_update() = applied.update;
-    const auto shared = std::make_shared<const wire::ControlMessage>(std::move(message));
-    for (const auto &[name, agent] : this->book.agents) {
-        if (agent.informed) {
-            this->actions.emplace_back(SendAction{agent.session, shared});
-        }
+    add(this->batch, applied.update);
+    if (this->batch.quiet) {
+        this->sendBatch();
     }
     for (const wire::UpstreamInfo &upstream : applied.update.upstreams()) {
         this->watches[upstream.service()].dirty = true;
@@ -197,7 +204,7 @@
     }
     this->inform(round.opened);
     for (const auto &[session, heartbeat] : round.heartbeats) {
-        if (AgentRecord *const agent = this->book.bySession(session); agent != nullptr) {
+        if (AgentRecord *const agent = this->book.bySession(session); agent != nullptr && agent->informed) {
             this->renew(*agent, heartbeat, now);
         }
     }
@@ -211,6 +218,11 @@
     if (!this->leading) {
         return;
     }
+    this->lastTick = now;
+    this->batch.quiet = now - this->batch.sentAt >= UpdateBatch::Gap;
+    if (this->batch.quiet) {
+        this->sendBatch();
+    }
     this->startRound();
     this->retireLost(now);
     for (auto &[name, agent] : this->book.agents) {
@@ -269,8 +281,28 @@
     return report;
 }
 
+void Coordinator::sendBatch()
+{
+    if (this->batch.empty) {
+        return;
+    }
+    wire::ControlMessage message;
+    *message.mutable_update() = take(this->batch, this->lastTick);
+    const auto shared = std::make_shared<const wire::ControlMessage>(std::move(message));
+    for (const auto &[name, agent] : this->book.agents) {
+        if (agent.informed) {
+            this->actions.emplace_back(SendAction{agent.session, shared});
+        }
+    }
+}
+
 void Coordinator::send(SessionId session, wire::ControlMessage message)
 {
+    // Guards against an agent whose lease is renewed, or which is asked to release, before it hears of a slice that
+    // was taken from it: it would go on serving the slice beside the new owner. Nothing overtakes a moved slice.
+    if (movesSlices(this->batch)) {
+        this->sendBatch();
+    }
     this->actions.emplace_back(SendAction{session, std::make_shared<const wire::ControlMessage>(std::move(message))});
 }
 
@@ -293,13 +325,19 @@
     if (!this->leading || this->roundInFlight || this->waiting.empty()) {
         return;
     }
-    this->inRound = std::exchange(this->waiting, {});
+    this->inRound.heartbeats = std::exchange(this->waiting.heartbeats, {});
+    const std::size_t count = std::min(this->waiting.opened.size(), MostInformedAtOnce);
+    const auto end = this->waiting.opened.begin() + static_cast<std::ptrdiff_t>(count);
+    this->inRound.opened.assign(this->waiting.opened.begin(), end);
+    this->waiting.opened.erase(this->waiting.opened.begin(), end);
     this->roundInFlight = true;
     this->actions.emplace_back(ConfirmAction{});
 }
 
 void Coordinator::inform(const std::vector<SessionId> &sessions)
 {
+    // The changes that wait are in the full state already. Sent later they change nothing: a batch ends with the
+    // newest word on each thing that it names.
     // After a change of leader every agent comes at once: they share one message, not a copy of the state each.
     std::shared_ptr<wire::ControlMessage> message;
     for (const SessionId session : sessions) {
--- /dev/null
+++ b/src/control/UpdateBatch.cpp
@@ -0,0 +1,48 @@
+#include "control/UpdateBatch.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bergamotweir::control {
+
+namespace {
+
+using Fingerprints = google::protobuf::RepeatedField<std::uint64_t>;
+
+void erase(Fingerprints &from, const Fingerprints &values)
+{
+    const auto end = std::remove_if(from.begin(), from.end(), [&values](std::uint64_t value) {
+        return std::find(values.begin(), values.end(), value) != values.end();
+    });
+    from.erase(end, from.end());
+}
+
+} // namespace
+
+void add(UpdateBatch &batch, const wire::StateUpdate &update)
+{
+    // Within one message released fingerprints come after quarantined ones: only the latest word of each may stay.
+    erase(*batch.pending.mutable_quarantined(), update.released_from_quarantine());
+    erase(*batch.pending.mutable_released_from_quarantine(), update.quarantined());
+    if (update.has_table()) {
+        // The table replaces the one before; its lists must not be appended.
+        batch.pending.clear_table();
+    }
+    batch.pending.MergeFrom(update);
+    batch.empty = false;
+}
+
+bool movesSlices(const UpdateBatch &batch)
+{
+    return !batch.pending.services().empty();
+}
+
+wire::StateUpdate take(UpdateBatch &batch, BootTime now)
+{
+    batch.empty = true;
+    batch.quiet = false;
+    batch.sentAt = now;
+    return std::exchange(batch.pending, {});
+}
+
+} // namespace bergamotweir::control
