Slices cut round a hot key are merged back whole once it has cooled

Cause: the piece after the key stayed a slice for ever, since the bound on the merged width shrank with the number of slices, the cut ones included. First seen as 5 == 4 slices in the new test (a hot key gets a slice of its own...). Change: the bound is the width that the wanted number of slices would have.

--- a/src/control/SliceSplits.cpp
+++ b/src/control/SliceSplits.cpp
@@ -56,8 +56,12 @@
     }
 }
 
-/** Merges single-hash slices that are no longer hot, and what follows them, back into the slice before. */
+/**
+ * Merges single-hash slices that are no longer hot, and what follows them, back into the slice before.
+ * @param widestMerged what follows is left alone where the result would be wider than any slice before the cut
+ */
 void mergeCooled(const SliceMap &map,
+                 double widestMerged,
                  const std::vector<std::uint64_t> &hot,
                  const std::set<std::uint64_t> &moving,
                  SliceSplits &splits)
@@ -75,8 +79,7 @@
         splits.merged.push_back(slice->first);
         const auto after = std::next(slice);
         if (after != map.slices().end() && after->second.owner == slice->second.owner && !moving.contains(after->first)
-            && !isSingle(map, after)
-            && map.width(before) + map.width(after) <= 1.0 / static_cast<double>(map.slices().size())) {
+            && !isSingle(map, after) && map.width(before) + map.width(after) <= widestMerged) {
             splits.merged.push_back(after->first);
         }
     }
@@ -101,7 +104,8 @@
     }
     std::sort(splits.added.begin(), splits.added.end());
     splits.added.erase(std::unique(splits.added.begin(), splits.added.end()), splits.added.end());
-    mergeCooled(map, hot, moving, splits);
+    constexpr double Rounding = 1 + 1e-9;
+    mergeCooled(map, Rounding / static_cast<double>(std::max<std::size_t>(wanted, 1)), hot, moving, splits);
     return splits;
 }
 
--- /dev/null
+++ b/tests/SliceSplitsTest.cpp
@@ -0,0 +1,125 @@
+#include "control/SliceSplits.h"
+#include "control/Assignment.h"
+#include "control/LoadBook.h"
+#include "control/SliceMap.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace bergamotweir;
+using namespace bergamotweir::control;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t Hot = 0x1234567890abcdef;
+
+/** Four slices, all of owner 7. */
+SliceMap owned()
+{
+    SliceMap map = SliceMap::even(4);
+    const SliceMap::Slices slices = map.slices();
+    for (const auto &[begin, holding] : slices) {
+        wire::SliceOwner owner;
+        owner.set_begin(begin);
+        owner.set_owner(7);
+        owner.set_epoch(1);
+        REQUIRE(map.put(owner));
+    }
+    return map;
+}
+
+void carryOut(SliceMap &map, const SliceSplits &splits)
+{
+    for (const std::uint64_t begin : splits.added) {
+        wire::SliceOwner slice = toWire(map.at(begin));
+        slice.set_begin(begin);
+        REQUIRE(map.put(slice));
+    }
+    for (const std::uint64_t begin : splits.merged) {
+        REQUIRE(map.merge(begin));
+    }
+}
+
+wire::Renew report(std::uint64_t begin, float rate, float hotRate)
+{
+    wire::Renew renew;
+    wire::SliceLoad &load = *renew.add_loads();
+    load.set_service("catalogue");
+    load.set_begin(begin);
+    load.set_rate(rate);
+    wire::HotKey &key = *renew.add_hot_keys();
+    key.set_service("catalogue");
+    key.set_hash(Hot);
+    key.set_rate(hotRate);
+    return renew;
+}
+
+} // namespace
+
+TEST_CASE("slices are halved until there are enough, and none is cut while it moves")
+{
+    SliceMap map = owned();
+    carryOut(map, planSplits(map, 10, {}, {0}));
+    REQUIRE(map.slices().size() == 7);
+    carryOut(map, planSplits(map, 10, {}, {}));
+    REQUIRE(map.slices().size() == 8);
+    carryOut(map, planSplits(map, 10, {}, {}));
+    REQUIRE(map.slices().size() == 16);
+    REQUIRE(planSplits(map, 10, {}, {}).empty());
+    for (auto slice = map.slices().begin(); slice != map.slices().end(); ++slice) {
+        REQUIRE(map.width(slice) == Approx(1.0 / 16));
+        REQUIRE(slice->second == SliceHolding{7, 1});
+    }
+}
+
+TEST_CASE("a hot key gets a slice of its own and loses it once it has cooled")
+{
+    SliceMap map = owned();
+    carryOut(map, planSplits(map, 4, {Hot}, {}));
+    REQUIRE(map.slices().size() == 6);
+    REQUIRE(map.at(Hot)->first == Hot);
+    REQUIRE(map.at(Hot + 1)->first == Hot + 1);
+    REQUIRE(planSplits(map, 4, {Hot}, {}).empty());
+    SECTION("cooled beside its old neighbours")
+    {
+        carryOut(map, planSplits(map, 4, {}, {}));
+        REQUIRE(map.slices().size() == 4);
+        REQUIRE(map.at(Hot)->second.epoch > 1);
+    }
+    SECTION("cooled, but owned by another upstream or on the move")
+    {
+        REQUIRE(planSplits(map, 4, {}, {Hot}).merged.empty());
+        wire::SliceOwner elsewhere;
+        elsewhere.set_begin(Hot);
+        elsewhere.set_owner(8);
+        elsewhere.set_epoch(2);
+        REQUIRE(map.put(elsewhere));
+        REQUIRE(planSplits(map, 4, {}, {}).empty());
+    }
+}
+
+TEST_CASE("loads count once enough was measured, and hot keys are forgotten when nobody reports them")
+{
+    const SliceMap map = owned();
+    LoadBook loads;
+    BootTime now{1000s};
+    std::vector<LoadedSlice> slices;
+    for (const auto &[begin, holding] : map.slices()) {
+        slices.push_back({begin, holding.owner, 0, false});
+    }
+    loads.report(report(0, 10, 5), now);
+    loads.weigh("catalogue", map, slices);
+    REQUIRE(slices[0].load == Approx(0.25));
+    REQUIRE(loads.hotKeys("catalogue", 0.1, now).empty());
+    for (int beat = 0; beat < 100; ++beat) {
+        loads.report(report(0, 10000, 4000), now);
+    }
+    loads.weigh("catalogue", map, slices);
+    REQUIRE(slices[0].load > 0.6);
+    REQUIRE(slices[1].load == Approx(0.125));
+    REQUIRE(loads.hotKeys("catalogue", 0.1, now) == std::vector<std::uint64_t>{Hot});
+    REQUIRE(loads.hotKeys("catalogue", 0.5, now).empty());
+    REQUIRE(loads.hotKeys("catalogue", 0.1, now + 11s).empty());
+}
