--- a/tests/ControlPump.cpp
+++ b/tests/ControlPump.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-constexpr const char *Service = "catalogue";
 constexpr std::size_t SampledKeys = 16;
 
 wire::Command mark(const std::string &name, bool inService, std::uint64_t id)
@@ -38,13 +37,8 @@
     this->lastServed.assign(SampledKeys, this->now);
     for (std::size_t number = 0; number < agentCount; ++number) {
         FakeAgent &agent = this->agents[number];
-        agent.name = "a" + std::to_string(number);
-        agent.clockRate = 0.98 + 0.01 * static_cast<double>(number % 5);
-        agent.upstream.set_service(Service);
-        agent.upstream.set_name("u" + std::to_string(number));
-        agent.upstream.set_agent(agent.name);
-        agent.upstream.set_checks_grants(checks.value_or(number % 2 == 0));
-        this->start(agent);
+        agent.setUp(number, checks.value_or(number % 2 == 0));
+        agent.start(this->now);
     }
 }
 
@@ -85,7 +79,7 @@
         agent.running = false;
         break;
     case Fault::RestartAgent:
-        this->start(agent);
+        agent.start(this->now);
         break;
     case Fault::FreezeAgent:
         agent.frozenUntil = this->now + std::chrono::milliseconds(100 + this->random(1200));
@@ -125,7 +119,7 @@
         agent.reachable = true;
         agent.frozenUntil = this->now;
         if (!agent.running) {
-            this->start(agent);
+            agent.start(this->now);
         }
         agent.upstreamUp = true;
         agent.draining = false;
@@ -136,24 +130,7 @@
 
 void ControlPump::announce(FakeAgent &agent)
 {
-    wire::AgentMessage message;
-    *message.mutable_upstream() = agent.upstream;
-    message.mutable_upstream()->set_serving(agent.upstreamUp && !agent.draining);
-    this->sendUp(agent, message);
-}
-
-void ControlPump::start(FakeAgent &agent)
-{
-    ++agent.starts;
-    agent.running = true;
-    agent.startedAt = this->now;
-    agent.lease = {};
-    agent.map = {};
-    agent.ownership = {};
-    agent.session = 0;
-    agent.nextConnect = this->now;
-    agent.upstream.set_serving(true);
-    agent.upstream.set_incarnation(agent.name + "-" + std::to_string(agent.starts));
+    this->sendUp(agent, agent.announcement());
 }
 
 void ControlPump::propose(const wire::Command &command)
@@ -291,61 +268,20 @@
     }
     FakeAgent &agent = *found;
     // A stream loses nothing while it lasts.
-    if (this->isFrozen(agent) || !agent.reachable) {
+    if (agent.isFrozen(this->now) || !agent.reachable) {
         this->network.push_back(message);
         return;
     }
-    agent.lastHeard = this->now;
     if (message.closes) {
-        agent::endSession(agent.lease);
-        agent.session = 0;
+        agent.disconnect();
         return;
     }
-    if (!agent.opened) {
-        agent.opened = true;
-        agent::beginSession(agent.lease, agent.session);
-        this->announce(agent);
-    }
-    if (message.down->has_update()) {
-        this->applyUpdate(agent, message.down->update());
-    } else if (message.down->has_renewed()) {
-        agent::confirmRenewal(agent.lease, agent.session, message.down->renewed());
-    } else if (message.down->has_revoke()) {
-        agent::revoke(agent.ownership, message.down->revoke());
+    for (wire::AgentMessage &answer : agent.receive(*message.down, this->now)) {
+        this->sendUp(agent, std::move(answer));
     }
     this->event();
 }
 
-void ControlPump::applyUpdate(FakeAgent &agent, const wire::StateUpdate &update)
-{
-    if (agent::apply(agent.map, update) == agent::UpdateEnd::Older) {
-        return;
-    }
-    agent.ownership.ownUpstreams.clear();
-    for (const auto &[id, upstream] : agent.map.upstreams) {
-        if (upstream.agent() == agent.name) {
-            agent.ownership.ownUpstreams.insert(id);
-        }
-    }
-    agent::forgetOldEpochs(agent.ownership, agent.map);
-    if (update.full()) {
-        wire::AgentMessage released;
-        *released.mutable_released() = agent::resumeReleased(agent.ownership, agent.map);
-        this->sendUp(agent, released);
-        agent::fullStateApplied(agent.lease, agent.session);
-    }
-}
-
-BootTime ControlPump::clock(const FakeAgent &agent) const
-{
-    return BootTime(std::chrono::duration_cast<BootClock::duration>(this->now.time_since_epoch() * agent.clockRate));
-}
-
-bool ControlPump::isFrozen(const FakeAgent &agent) const
-{
-    return this->now < agent.frozenUntil;
-}
-
 void ControlPump::sendUp(FakeAgent &agent, wire::AgentMessage message)
 {
     if (agent.session != 0 && agent.running) {
@@ -357,43 +293,24 @@
 void ControlPump::stepAgent(std::size_t number)
 {
     FakeAgent &agent = this->agents[number];
-    if (!agent.running || this->isFrozen(agent)) {
+    if (!agent.running || agent.isFrozen(this->now)) {
         return;
     }
-    constexpr std::chrono::milliseconds Silence{300};
-    if (agent.session != 0 && this->now > agent.lastHeard + Silence) {
+    if (agent.session != 0 && this->now > agent.lastHeard + FakeAgent::Silence) {
         this->leaders[agent.leader]->coordinator.closed(agent.session);
-        agent::endSession(agent.lease);
-        agent.session = 0;
+        agent.disconnect();
         agent.nextConnect = this->now + this->delay();
     }
     if (agent.session == 0 && this->now >= agent.nextConnect) {
-        agent.session = ++this->lastSession;
-        agent.opened = false;
-        agent.lastHeard = this->now;
         // Now and then it reaches a leader that was deposed and doesn't know.
         const bool stale = this->leaders.size() > 1 && this->random(4) == 0;
-        agent.leader = this->leaders.size() - (stale ? 2 : 1);
-        wire::AgentMessage hello;
-        hello.mutable_hello()->set_agent(agent.name);
-        hello.mutable_hello()->set_incarnation(agent.name + "/" + std::to_string(agent.starts));
-        hello.mutable_hello()->set_uptime_ms(static_cast<std::uint64_t>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(this->now - agent.startedAt).count()));
-        *hello.mutable_hello()->mutable_seen() = agent.map.version;
-        this->sendUp(agent, hello);
-    }
-    if (agent.lease.session != 0 && this->now >= agent.nextRenew) {
-        agent.nextRenew = this->now + std::chrono::milliseconds(100);
-        wire::AgentMessage renew;
-        renew.mutable_renew()->set_sequence(agent::noteRenewal(agent.lease, this->clock(agent)));
-        *renew.mutable_renew()->mutable_in_force() = agent.map.version;
-        this->sendUp(agent, renew);
+        wire::AgentMessage hello =
+            agent.connect(++this->lastSession, this->leaders.size() - (stale ? 2 : 1), this->now);
+        this->sendUp(agent, std::move(hello));
     }
     this->work(number);
-    wire::AgentMessage released;
-    *released.mutable_released() = agent::takeReleased(agent.ownership, agent.map);
-    if (released.released().slices_size() > 0) {
-        this->sendUp(agent, released);
+    for (wire::AgentMessage &message : agent.step(this->now)) {
+        this->sendUp(agent, std::move(message));
     }
 }
 
@@ -403,13 +320,12 @@
     std::erase_if(this->works, [&](const FakeWork &work) {
         const bool ended = work.agent == number && work.endsAt <= this->now;
         if (ended && work.agentStart == agent.starts && agent.upstreamUp) {
-            agent::endWork(agent.ownership, Service, work.hash);
+            agent::endWork(agent.ownership, FakeAgent::Service, work.hash);
         }
         return ended;
     });
     const std::uint64_t hash = this->hashes[this->random(SampledKeys)];
-    if (!agent.upstreamUp
-        || !agent::ownsLocally(agent.ownership, agent.map, agent.lease, Service, hash, this->clock(agent))) {
+    if (!agent.upstreamUp || !agent.owns(hash, this->now)) {
         return;
     }
     for (const FakeWork &other : this->works) {
@@ -419,7 +335,7 @@
             this->broken = owner.name + " still runs work on a key that " + agent.name + " begins to serve";
         }
     }
-    agent::beginWork(agent.ownership, Service, hash);
+    agent::beginWork(agent.ownership, FakeAgent::Service, hash);
     const auto time = std::chrono::milliseconds(5 + this->random(this->random(10) == 0 ? 290 : 20));
     this->works.push_back({number, agent.starts, hash, this->now + time});
 }
@@ -436,8 +352,7 @@
 {
     const FakeAgent &agent = this->agents[number];
     return static_cast<std::size_t>(std::count_if(this->hashes.begin(), this->hashes.end(), [&](std::uint64_t hash) {
-        return agent.running && agent.upstreamUp
-               && agent::ownsLocally(agent.ownership, agent.map, agent.lease, Service, hash, this->clock(agent));
+        return agent.upstreamUp && agent.owns(hash, this->now);
     }));
 }
 
@@ -446,9 +361,7 @@
     for (std::size_t key = 0; key < SampledKeys; ++key) {
         const FakeAgent *owner = nullptr;
         for (const FakeAgent &agent : this->agents) {
-            if (!agent.running
-                || !agent::ownsLocally(
-                    agent.ownership, agent.map, agent.lease, Service, this->hashes[key], this->clock(agent))) {
+            if (!agent.running || !agent.owns(this->hashes[key], this->now)) {
                 continue;
             }
             if (owner != nullptr) {
@@ -456,7 +369,7 @@
             }
             owner = &agent;
         }
-        if (owner != nullptr && owner->upstreamUp && !this->isFrozen(*owner)) {
+        if (owner != nullptr && owner->upstreamUp && !owner->isFrozen(this->now)) {
             this->lastServed[key] = this->now;
         }
         this->longestGap = std::max<std::chrono::nanoseconds>(this->longestGap, this->now - this->lastServed[key]);
--- a/tests/ControlPump.h
+++ b/tests/ControlPump.h
@@ -1,8 +1,6 @@
 #pragma once
 
-#include "agent/Lease.h"
-#include "agent/Ownership.h"
-#include "agent/RouteMap.h"
+#include "FakeAgent.h"
 #include "control/Coordinator.h"
 #include "control/State.h"
 
@@ -29,30 +27,6 @@
     DelayNetwork
 };
 
-/** An agent's own code for leases and ownership, with a fake process, upstream and network round it. */
-struct FakeAgent {
-    std::string name;
-    unsigned starts = 0;
-    bool running = false;
-    bool reachable = true;
-    BootTime frozenUntil;
-    BootTime startedAt;
-    /** The agent's clock runs at this rate of the leader's. */
-    double clockRate = 1;
-    wire::UpstreamInfo upstream;
-    bool upstreamUp = true;
-    bool draining = false;
-    agent::Lease lease;
-    agent::RouteMap map;
-    agent::Ownership ownership;
-    std::uint64_t session = 0;
-    bool opened = false;
-    std::size_t leader = 0;
-    BootTime lastHeard;
-    BootTime nextRenew;
-    BootTime nextConnect;
-};
-
 /** Work that an upstream runs on a key. */
 struct FakeWork {
     std::size_t agent = 0;
@@ -132,8 +106,6 @@
         std::optional<wire::Command> command;
     };
 
-    BootTime clock(const FakeAgent &agent) const;
-    bool isFrozen(const FakeAgent &agent) const;
     std::chrono::milliseconds delay();
     void post(Message message);
     void event();
@@ -143,11 +115,9 @@
     void deliver();
     void deliverUp(const Message &message);
     void deliverDown(const Message &message);
-    void applyUpdate(FakeAgent &agent, const wire::StateUpdate &update);
     void stepAgent(std::size_t number);
     void sendUp(FakeAgent &agent, wire::AgentMessage message);
     void work(std::size_t number);
-    void start(FakeAgent &agent);
     void announce(FakeAgent &agent);
     void changeLeader();
     void check();
