--- a/bench/StateBench.cpp
+++ b/bench/StateBench.cpp
@@ -246,6 +246,45 @@
     }
 }
 
+/** What the claims of a day cost the loop that also sends the group's heartbeats. */
+void benchClaims()
+{
+    constexpr std::size_t BodyBytes = 200;
+    std::printf("\nclaims with answers of %zu bytes\nclaims  us per claim  snapshot KB  save ms  restore ms\n",
+                BodyBytes);
+    for (const std::size_t claims : {10000U, 50000U, 100000U, 200000U}) {
+        Fleet fleet(11);
+        const auto start = Clock::now();
+        for (std::size_t number = 0; number < claims; ++number) {
+            wire::Command command;
+            wire::ClaimRequest &claim = *command.mutable_claim();
+            claim.set_service("enrolments");
+            claim.set_idempotency_key("0123456789abcdef-" + std::to_string(number));
+            claim.set_agent("agent-1");
+            claim.set_attempt("attempt-0123456789abcdef");
+            claim.set_unix_ms(number);
+            fleet.apply(command);
+            wire::Command record;
+            record.mutable_claim_outcome()->set_service(claim.service());
+            record.mutable_claim_outcome()->set_idempotency_key(claim.idempotency_key());
+            record.mutable_claim_outcome()->set_attempt(claim.attempt());
+            record.mutable_claim_outcome()->set_body(std::string(BodyBytes, 'x'));
+            fleet.apply(record);
+        }
+        const auto claimed = Clock::now();
+        const std::string bytes = fleet.state.snapshot();
+        const auto saved = Clock::now();
+        State copy;
+        copy.restore(bytes);
+        std::printf("%6zu %13.2f %12.0f %8.1f %11.1f\n",
+                    claims,
+                    milliseconds(claimed - start) * 1000 / static_cast<double>(claims),
+                    static_cast<double>(bytes.size()) / 1024,
+                    milliseconds(saved - claimed),
+                    milliseconds(Clock::now() - saved));
+    }
+}
+
 /** One round of heartbeats of every agent through the coordinator. @return bytes of the messages of one agent */
 std::size_t beat(Coordinator &coordinator, std::size_t agents, std::uint64_t sequence, BootTime now)
 {
@@ -320,6 +359,7 @@
     benchRollingRestart();
     benchAssignTime();
     benchSnapshot();
+    benchClaims();
     benchRenewals();
     return 0;
 }
--- a/include/control/ClaimStore.h
+++ b/include/control/ClaimStore.h
@@ -46,8 +46,11 @@
     /** @return when the oldest claim was taken, 0 when there is none */
     std::uint64_t oldestUnixMs() const;
 
-    /** Adds all claims to a snapshot. */
-    void save(wire::StateSnapshot &to) const;
+    /**
+     * Appends all claims to a serialised StateSnapshot that has none. They are by far the most of it, and are written
+     * straight from where they are: a copy of them first would hold up the leader's loop for longer than a lease.
+     */
+    void appendTo(std::string &snapshot) const;
 
     /** Replaces everything by the claims of a snapshot. */
     void restore(const wire::StateSnapshot &from);
--- a/src/control/ClaimStore.cpp
+++ b/src/control/ClaimStore.cpp
@@ -1,5 +1,9 @@
 #include "control/ClaimStore.h"
 
+#include <google/protobuf/io/coded_stream.h>
+#include <google/protobuf/io/zero_copy_stream_impl_lite.h>
+#include <google/protobuf/wire_format_lite.h>
+
 namespace bergamotweir::control {
 
 namespace {
@@ -101,10 +105,23 @@
     return this->byTime.empty() ? 0 : this->byTime.begin()->first;
 }
 
-void ClaimStore::save(wire::StateSnapshot &to) const
+void ClaimStore::appendTo(std::string &snapshot) const
 {
+    using google::protobuf::internal::WireFormatLite;
+    constexpr auto Tag =
+        WireFormatLite::MakeTag(wire::StateSnapshot::kClaimsFieldNumber, WireFormatLite::WIRETYPE_LENGTH_DELIMITED);
+    constexpr std::size_t FramePerClaim = 6;
+    std::size_t size = snapshot.size();
+    for (const auto &[name, record] : this->claims) {
+        size += record.ByteSizeLong() + FramePerClaim;
+    }
+    snapshot.reserve(size);
+    google::protobuf::io::StringOutputStream bytes(&snapshot);
+    google::protobuf::io::CodedOutputStream out(&bytes);
     for (const auto &[name, record] : this->claims) {
-        *to.add_claims() = record;
+        out.WriteTag(Tag);
+        out.WriteVarint32(static_cast<std::uint32_t>(record.GetCachedSize()));
+        record.SerializeWithCachedSizes(&out);
     }
 }
 
--- a/src/control/State.cpp
+++ b/src/control/State.cpp
@@ -166,9 +166,10 @@
     for (const auto &[service, map] : this->sliceMaps) {
         saveSlices(service, map, *saved.add_services());
     }
-    this->claimStore.save(saved);
     this->quarantineStore.save(saved);
-    return saved.SerializeAsString();
+    std::string bytes = saved.SerializeAsString();
+    this->claimStore.appendTo(bytes);
+    return bytes;
 }
 
 bool State::restore(std::string_view bytes)
