--- a/src/agent/AdaptiveLimit.cpp
+++ b/src/agent/AdaptiveLimit.cpp
@@ -112,7 +112,10 @@
     } else if (crowding < CalmRatio) {
         grow(limit);
     }
-    learnReference(limit, mean);
+    // Were the reference to follow a crowded latency, the limit would grow into the crowd again.
+    if (crowding <= CrowdedRatio) {
+        learnReference(limit, mean);
+    }
 }
 
 void closeWindow(AdaptiveLimit &limit, BootTime now)
--- a/tests/GateTest.cpp
+++ b/tests/GateTest.cpp
@@ -96,6 +96,15 @@
     REQUIRE(allowed(gate.limit) <= 5);
 }
 
+// An upstream that lost half of its slots to a neighbour stays at full load, and every answer takes twice as long.
+TEST_CASE("a crowded warm upstream is given less")
+{
+    Gate gate = warmGate(12);
+    const BootTime now = answerFull(gate, 100, {}, Start);
+    answerFull(gate, 300, {.slots = 6}, now);
+    REQUIRE(allowed(gate.limit) <= 9);
+}
+
 // A key's only owner is slowed by neighbours and sheds most of its load, though it could serve as many at once as ever:
 // its limit was cut for a latency that has nothing to do with its load.
 TEST_CASE("an upstream as slow alone as crowded gets its limit back")
--- a/tests/RequestStepTest.cpp
+++ b/tests/RequestStepTest.cpp
@@ -285,6 +285,17 @@
     REQUIRE(actions[0].refusal.retryAfter);
 }
 
+// A payment runs after its caller was told that it did not: the agent was frozen while the request waited at the gate.
+TEST_CASE("nothing is dispatched after its deadline")
+{
+    World world = accepted("POST", true, false);
+    act(world, {.kind = EventKind::Routed, .upstream = Near, .local = true}, "near");
+    world.now = Start + 1s;
+    act(world, {.kind = EventKind::Admitted, .attempt = 1}, "admitted");
+    REQUIRE(world.hasEnded());
+    REQUIRE(world.state.ran == Ran::No);
+}
+
 // A slow service gets several times its load: each failed read is sent again, by every agent.
 TEST_CASE("retries and hedges end with their budgets")
 {
