--- /dev/null
+++ b/tests/OperatorProcessTest.cpp
@@ -0,0 +1,77 @@
+#include "Deployment.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+
+using namespace bergamotweir::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+Plan smallPlan(const std::string &name)
+{
+    Plan plan;
+    plan.name = name;
+    plan.table = "service,keyed,weight\nfees,no,1\n";
+    plan.upstreams = {{"fees", {"bne-a", "bne-b"}, {}}};
+    return plan;
+}
+
+nlohmann::json parse(const CommandResult &result)
+{
+    INFO(result.output);
+    nlohmann::json json = nlohmann::json::parse(result.output, nullptr, false);
+    REQUIRE(json.is_object());
+    return json;
+}
+
+} // namespace
+
+TEST_CASE("process fault: a change sent again after its leader died is made once, and undoes nothing", "[process]")
+{
+    // The operator's answer is lost with the leader. A colleague puts a newer table through the next leader; then the
+    // operator sends the first change again. It must neither be made a second time nor bring the older table back.
+    Deployment deployment(smallPlan("resend"));
+    const std::string first = deployment.writeFile("first.csv", "service,keyed,weight\nfees,no,2\n");
+    const std::string second = deployment.writeFile("second.csv", "service,keyed,weight\nfees,no,3\n");
+    const std::vector<std::string> put{
+        "table", "put", first, "--base", "current", "--change-id", "mine", "--json", "--timeout", "15"};
+    const nlohmann::json once = parse(deployment.run(put));
+    REQUIRE(once["exit_code"] == 0);
+    const int leader = deployment.leader();
+    REQUIRE(leader >= 0);
+    Deployment::kill(deployment.controls[static_cast<std::size_t>(leader)].control);
+    const nlohmann::json other =
+        parse(deployment.run({"table", "put", second, "--base", "current", "--json", "--timeout", "15"}));
+    REQUIRE(other["exit_code"] == 0);
+    const nlohmann::json again = parse(deployment.run(put));
+    CHECK(again["exit_code"] == 0);
+    CHECK(again["version"] == once["version"]);
+    CHECK(again["table_version"] == once["table_version"]);
+    const nlohmann::json now = parse(deployment.run({"table", "get", "--json"}));
+    CHECK(now["table_version"] == other["table_version"]);
+    CHECK(now["csv"] == "service,keyed,weight\nfees,no,3\n");
+}
+
+TEST_CASE("process fault: table put names an agent that is frozen, and it has the change after its return", "[process]")
+{
+    // An agent's VM stands still while a table is put. The operator waits; the change is committed, but must not be
+    // reported as in force everywhere. When the VM goes on, the agent takes the change without being told again.
+    Deployment deployment(smallPlan("frozen-wait"));
+    const std::string next = deployment.writeFile("next.csv", "service,keyed,weight\nfees,no,2\n");
+    std::vector<std::string> put{
+        "table", "put", next, "--base", "current", "--change-id", "mine", "--json", "--wait", "1"};
+    UpstreamVm &frozen = deployment.vms[1];
+    Deployment::signal(frozen.agent, SIGSTOP);
+    const nlohmann::json first = parse(deployment.run(put));
+    Deployment::signal(frozen.agent, SIGCONT);
+    CHECK(first["exit_code"] == 4);
+    CHECK(first["in_force"]["missing"] == nlohmann::json::array({"a-" + frozen.name}));
+    CHECK(first["in_force"]["confirmed"] == nlohmann::json::array({"a-" + deployment.vms[0].name}));
+    put.back() = "20";
+    const nlohmann::json second = parse(deployment.run(put));
+    CHECK(second["exit_code"] == 0);
+    CHECK(second["version"] == first["version"]);
+}
