Transport: a stream that gRPC ended is never written on

Cause: the address sanitizer (5 of 5 runs of "a stream that ends while it is written on does no harm", and the [replica] tests in some runs) showed the loop writing on a stream that gRPC had ended on its own thread: freed memory, a control process that can crash while a peer restarts. Ruled out: a lock round write and end; gRPC frees its part after OnDone whatever lock we hold. Change: a hold (AddHold) keeps gRPC from ending the stream until the loop has released it; a failed write is what tells. Shown: the same test before: "member call on address ... which does not point to an object of type ClientCallbackWriter" 5 of 5; after: green 5 of 5 with the sanitizers, 3 of 3 plain.

--- a/src/rpc/RaftTransport.cpp
+++ b/src/rpc/RaftTransport.cpp
@@ -113,13 +113,17 @@
     int count = 0;
 };
 
-/** One outgoing stream. Keeps itself until gRPC has told its end. */
+/**
+ * One outgoing stream. Keeps itself until gRPC has told its end.
+ * Guards against a write on a stream that gRPC has ended meanwhile on its own thread, which reads freed memory and
+ * brings the process down: a hold keeps gRPC from ending it before release(), which only the loop's thread calls.
+ */
 class Outgoing : public grpc::ClientWriteReactor<wire::RaftMessage>
 {
 public:
-    Outgoing(wire::RaftTransport::Stub &stub, OpenStreams &streams, std::function<void(bool ended)> progress)
+    Outgoing(wire::RaftTransport::Stub &stub, OpenStreams &streams, std::function<void(bool ok)> written)
         : streams(streams)
-        , progress(std::move(progress))
+        , written(std::move(written))
     {
         {
             const std::lock_guard guard(this->streams.mutex);
@@ -131,6 +135,7 @@
     void start(std::shared_ptr<Outgoing> self)
     {
         this->self = std::move(self);
+        this->AddHold();
         this->StartCall();
     }
 
@@ -140,22 +145,21 @@
         this->StartWrite(&this->message);
     }
 
-    void cancel()
+    /** Ends the stream; nothing may be written after it. Called once. */
+    void release()
     {
         this->context.TryCancel();
+        this->RemoveHold();
     }
 
     void OnWriteDone(bool ok) override
     {
-        if (ok) {
-            this->progress(false);
-        }
+        this->written(ok);
     }
 
     void OnDone(const grpc::Status &) override
     {
         const std::shared_ptr<Outgoing> kept = std::move(this->self);
-        this->progress(true);
         const std::lock_guard guard(this->streams.mutex);
         this->streams.count--;
         this->streams.ended.notify_all();
@@ -163,7 +167,7 @@
 
 private:
     OpenStreams &streams;
-    const std::function<void(bool)> progress;
+    const std::function<void(bool)> written;
     std::shared_ptr<Outgoing> self;
     grpc::ClientContext context;
     wire::Delivered delivered;
@@ -206,7 +210,7 @@
     Peer &peer(const std::string &address);
     void pump(const std::string &address);
     void open(const std::string &address, Peer &peer);
-    void streamEnded(const std::string &address, std::uint64_t number);
+    void streamBroken(const std::string &address, Peer &broken);
 
     loop::EventLoop &loop;
     const Alive alive = std::make_shared<bool>(true);
@@ -229,33 +233,31 @@
 void RaftTransport::Parts::open(const std::string &address, Peer &peer)
 {
     const std::uint64_t number = ++peer.streamNumber;
-    const auto progress = [this, address, number, alive = this->alive, &loop = this->loop](bool ended) {
-        loop.post([this, address, number, alive, ended] {
+    const auto written = [this, address, number, alive = this->alive, &loop = this->loop](bool ok) {
+        loop.post([this, address, number, alive, ok] {
             if (!*alive) {
                 return;
             }
-            if (ended) {
-                this->streamEnded(address, number);
+            Peer &peer = this->peer(address);
+            if (peer.streamNumber != number || peer.stream == nullptr) {
                 return;
             }
-            Peer &writable = this->peer(address);
-            if (writable.streamNumber == number) {
-                writable.writing = false;
-                this->pump(address);
+            if (!ok) {
+                this->streamBroken(address, peer);
+                return;
             }
+            peer.writing = false;
+            this->pump(address);
         });
     };
-    peer.stream = std::make_shared<Outgoing>(*peer.stub, this->streams, progress);
+    peer.stream = std::make_shared<Outgoing>(*peer.stub, this->streams, written);
     peer.writing = false;
     peer.stream->start(peer.stream);
 }
 
-void RaftTransport::Parts::streamEnded(const std::string &address, std::uint64_t number)
+void RaftTransport::Parts::streamBroken(const std::string &address, Peer &broken)
 {
-    Peer &broken = this->peer(address);
-    if (broken.streamNumber != number) {
-        return;
-    }
+    broken.stream->release();
     broken.stream.reset();
     broken.queue.clear();
     broken.writing = false;
@@ -315,7 +317,7 @@
     this->parts->server->Shutdown(std::chrono::system_clock::now());
     for (auto &[address, peer] : this->parts->peers) {
         if (peer.stream != nullptr) {
-            peer.stream->cancel();
+            peer.stream->release();
         }
     }
     std::unique_lock guard(this->parts->streams.mutex);
--- a/tests/RaftTransportTest.cpp
+++ b/tests/RaftTransportTest.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <functional>
 #include <vector>
 
@@ -125,3 +126,25 @@
     });
     REQUIRE(pair.terms.size() < 2000);
 }
+
+// A control process would crash now and then while one of its peers restarts: gRPC ends the stream on its own thread
+// just before the loop writes on it.
+TEST_CASE("a stream that ends while it is written on does no harm", "[transport]")
+{
+    Pair pair;
+    std::uint64_t term = 0;
+    const loop::TimerId speak = pair.loop->every(200us, [&] {
+        pair.send(++term);
+    });
+    const std::uint16_t port = pair.receiver->port();
+    for (int restart = 0; restart < 20; ++restart) {
+        const std::size_t before = pair.terms.size();
+        pair.runUntil([&] {
+            return pair.terms.size() > before;
+        });
+        pair.receiver.reset();
+        pair.openReceiver(port);
+    }
+    pair.loop->cancel(speak);
+    REQUIRE(std::is_sorted(pair.terms.begin(), pair.terms.end()));
+}
