--- a/tests/HttpServerTest.cpp
+++ b/tests/HttpServerTest.cpp
@@ -7,6 +7,8 @@
 #include <catch2/catch.hpp>
 #include <pcg_random.hpp>
 
+#include <utility>
+
 using namespace bergamotweir;
 using namespace bergamotweir::net;
 using namespace std::chrono_literals;
@@ -168,6 +170,39 @@
     CHECK(bodies == std::vector<std::string>{"body"});
 }
 
+/*
+ * Story: callers open more connections than allowed. A user behind them must be served once one is closed; were the
+ * server to forget its listening socket at the limit, nobody would ever be again.
+ */
+TEST_CASE("connections beyond the limit wait and are served when others close")
+{
+    Bench bench;
+    const HttpServerSettings settings = HttpServerSettingsBuilder().maxConnections(2).build().value();
+    bench.server = HttpServer::listen(*bench.loop, settings, [&](const std::shared_ptr<Exchange> &exchange) {
+                       exchange->answer(textAnswer("served"));
+                   }).value();
+    const std::string_view request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    std::vector<int> sockets;
+    std::vector<std::size_t> answered;
+    for (std::size_t i = 0; i < 6; ++i) {
+        sockets.push_back(bench.connect());
+        REQUIRE(::send(sockets[i], request.data(), request.size(), MSG_NOSIGNAL) > 0);
+        bench.loop->watch(sockets[i], {.readable = true}, [&, i](loop::Readiness) {
+            answered.push_back(i);
+            bench.loop->unwatch(sockets[i]);
+            // The first two keep their connections open until both were answered.
+            if (answered.size() >= 2) {
+                for (const std::size_t done : answered) {
+                    close(std::exchange(sockets[done], -1));
+                }
+                answered.size() == sockets.size() ? bench.loop->stop() : void();
+            }
+        });
+    }
+    bench.run();
+    CHECK(answered.size() == 6);
+}
+
 TEST_CASE("an answer to HEAD states the length of the body it leaves out")
 {
     Bench bench;
