--- a/include/control/TableHistory.h
+++ b/include/control/TableHistory.h
@@ -25,6 +25,8 @@
 public:
     /** Tables kept in full, for reading back and for naming what a conflicting change differs in. */
     static constexpr std::size_t MostTables = 32;
+    /** Bytes of the tables kept in full; the newest one is kept whatever its size. */
+    static constexpr std::size_t MostTableBytes = std::size_t{8} * 1024 * 1024;
     /** Changes whose ids are kept; at 12,000 changes a day more than eight hours. */
     static constexpr std::size_t MostChanges = 4096;
     /** Differing rows that a conflict names. */
@@ -62,6 +64,7 @@
     /** @return the first answer when the change id is known, else nothing */
     bool answerResend(const std::string &changeId, std::uint64_t contentHash, wire::OperatorReply &reply) const;
     void remember(wire::ChangeRecord record);
+    void dropOldTables();
     wire::OperatorReply conflict(const wire::PutTable &change, const table::Table &wanted) const;
 
     std::deque<wire::TableText> tables;
--- a/src/control/TableHistory.cpp
+++ b/src/control/TableHistory.cpp
@@ -86,9 +86,7 @@
     text.set_author(change.author());
     text.set_change_id(change.change_id());
     this->tables.push_back(std::move(text));
-    if (this->tables.size() > MostTables) {
-        this->tables.pop_front();
-    }
+    this->dropOldTables();
     wire::ChangeRecord record;
     record.set_change_id(change.change_id());
     record.set_content_hash(content);
@@ -244,6 +242,18 @@
     }
 }
 
+void TableHistory::dropOldTables()
+{
+    std::size_t bytes = 0;
+    for (const wire::TableText &text : this->tables) {
+        bytes += text.csv().size();
+    }
+    while (this->tables.size() > 1 && (this->tables.size() > MostTables || bytes > MostTableBytes)) {
+        bytes -= this->tables.front().csv().size();
+        this->tables.pop_front();
+    }
+}
+
 wire::OperatorReply TableHistory::conflict(const wire::PutTable &change, const table::Table &wanted) const
 {
     const std::string place = "base version " + std::to_string(change.base_version());
--- a/tests/ControlStateFaultTest.cpp
+++ b/tests/ControlStateFaultTest.cpp
@@ -115,6 +115,7 @@
         INFO("seed " << seed);
         LossyLog log(seed);
         std::map<std::string, std::uint64_t> acknowledged;
+        std::set<std::string> refused;
         std::vector<wire::Command> open(3);
         std::uint64_t lastVersion = 0;
         for (int round = 0; round < 60; ++round) {
@@ -131,14 +132,20 @@
             if (!answer) {
                 continue;
             }
-            if (answer->operator_reply().status() == wire::OPERATOR_STATUS_DONE) {
-                acknowledged[change.put_table().change_id()] = answer->operator_reply().table_version();
+            const wire::OperatorReply &reply = answer->operator_reply();
+            if (reply.status() == wire::OPERATOR_STATUS_DONE) {
+                // Any other number would have undone a change that its author never saw.
+                REQUIRE(reply.table_version() == change.put_table().base_version() + 1);
+                acknowledged[change.put_table().change_id()] = reply.table_version();
+            } else {
+                refused.insert(change.put_table().change_id());
             }
             change.Clear();
         }
         std::map<std::string, std::uint64_t> kept;
         for (const wire::HistoryEntry &entry : log.state.tables().history(1000)) {
             REQUIRE(kept.emplace(entry.change_id(), entry.table_version()).second);
+            REQUIRE_FALSE(refused.contains(entry.change_id()));
         }
         REQUIRE(kept.size() == lastVersion);
         for (const auto &[change, version] : acknowledged) {
