--- a/tests/ControlStateTest.cpp
+++ b/tests/ControlStateTest.cpp
@@ -132,14 +132,15 @@
 
 TEST_CASE("old tables are dropped by number and by bytes, the newest one never")
 {
+    constexpr std::size_t Megabyte = 1 << 20;
     Log log;
-    const std::string large = "#" + std::string(1024 * 1024, 'x') + "\n" + FirstTable;
+    const std::string large = "#" + std::string(Megabyte, 'x') + "\n" + FirstTable;
     for (std::uint64_t version = 0; version < 10; ++version) {
         REQUIRE(log.put(std::to_string(version), version, large).status() == wire::OPERATOR_STATUS_DONE);
     }
     REQUIRE(log.state.tables().text(1) == nullptr);
     REQUIRE(log.state.tables().text(10) != nullptr);
-    REQUIRE(log.state.snapshot().size() < control::TableHistory::MostTableBytes + 1024 * 1024);
+    REQUIRE(log.state.snapshot().size() < control::TableHistory::MostTableBytes + Megabyte);
 }
 
 // A leader that is behind proposes an owner from an older assignment; applied, it would take back a newer owner while
