Requests: an owner that can't be reached is waited for, not tried three times

Cause (scripts/demo, agent killed): 23 requests refused with 503 within 60 ms of the loss, though their keys had a new owner half a second later and their deadline was 1 s: a refused connection counted as a try, and an upstream that takes no work answered 'no room'. Change: for keyed services NotSent counts as a route out of step, like not-owner, and waits within the deadline; a gate whose upstream isn't serving says not-owner; unkeyed requests ask another upstream at once on such an end.

--- a/include/agent/Gate.h
+++ b/include/agent/Gate.h
@@ -25,7 +25,9 @@
     /** It can't be served in time; it surely did not run. */
     NoRoom,
     /** The same, at the limit of the table. */
-    OverLimit
+    OverLimit,
+    /** The upstream takes no work now; said by the gate's owner. */
+    NotServing
 };
 
 /** How an admitted request left the upstream. */
--- a/src/agent/RequestStep.cpp
+++ b/src/agent/RequestStep.cpp
@@ -204,10 +204,14 @@
     }
 }
 
-/** Whether the end says that routes or leases were out of step, which mends itself within a moment. */
-bool isRouteEnd(AttemptEnd end)
+/**
+ * Whether the end says that the owner is being changed or can't be reached, which mends itself within a second.
+ * Guard against refusing what could be served. It shows as a burst of 503 after the loss of a VM: three quick tries at
+ * an owner that is gone, while a new one has the key half a second later. Such an end isn't counted as a try.
+ */
+bool isRouteEnd(const RequestState &state)
 {
-    return end == AttemptEnd::NotOwner;
+    return state.lastEnd == AttemptEnd::NotOwner || (state.facts.keyed && state.lastEnd == AttemptEnd::NotSent);
 }
 
 void attemptFailed(
@@ -222,8 +226,13 @@
         refuseAttempt(state, actions);
         return;
     }
-    if (isRouteEnd(state.lastEnd)) {
-        state.tries--;
+    if (isRouteEnd(state)) {
+        const bool askAnother = !state.facts.keyed && state.tries < MaxTries;
+        if (askAnother) {
+            route(state, actions);
+            return;
+        }
+        state.tries = 0;
         state.tried.clear();
         wait(state, now, context, actions);
         return;
--- a/src/process/LocalUpstream.cpp
+++ b/src/process/LocalUpstream.cpp
@@ -222,7 +222,7 @@
 agent::Admission LocalUpstream::enter(agent::TicketId ticket, BootTime deadline)
 {
     if (this->present != UpstreamStatus::Serving) {
-        return agent::Admission::NoRoom;
+        return agent::Admission::NotServing;
     }
     const agent::Admission admission = agent::arrive(this->gate, {ticket, deadline}, BootClock::now());
     if (admission == agent::Admission::Queued) {
--- a/src/process/RequestRunner.cpp
+++ b/src/process/RequestRunner.cpp
@@ -328,7 +328,8 @@
 {
     std::vector<Number> woken;
     for (const auto &[number, request] : this->running) {
-        if (request->waits && request->state.lastEnd == AttemptEnd::NotOwner) {
+        if (request->waits
+            && (request->state.lastEnd == AttemptEnd::NotOwner || request->state.lastEnd == AttemptEnd::NotSent)) {
             woken.push_back(number);
         }
     }
@@ -369,7 +370,7 @@
     this->tickets[ticket] = {request.number, action.attempt};
     agent::noteSent(this->state.services[request.state.facts.service].routing, action.upstream, BootClock::now());
     const agent::Admission admission =
-        upstream == nullptr ? agent::Admission::NoRoom : upstream->enter(ticket, request.state.facts.deadline);
+        upstream == nullptr ? agent::Admission::NotServing : upstream->enter(ticket, request.state.facts.deadline);
     switch (admission) {
     case agent::Admission::Admitted:
         this->handle(request.number, {.kind = EventKind::Admitted, .attempt = action.attempt});
@@ -379,6 +380,9 @@
     case agent::Admission::NoRoom:
         this->attemptEnded(request.number, action.attempt, AttemptEnd::NoRoom, false, {});
         break;
+    case agent::Admission::NotServing:
+        this->attemptEnded(request.number, action.attempt, AttemptEnd::NotOwner, false, {});
+        break;
     case agent::Admission::OverLimit:
         this->attemptEnded(request.number, action.attempt, AttemptEnd::OverLimit, false, {});
         break;
--- a/tests/RequestStepTest.cpp
+++ b/tests/RequestStepTest.cpp
@@ -273,6 +273,30 @@
     REQUIRE(world.state.ran == Ran::Yes);
 }
 
+// A burst of refusals follows the loss of a VM, though its keys have a new owner half a second later: three quick tries
+// at the lost agent used up what a request may do.
+TEST_CASE("a request waits for the next owner of its key when the present one can't be reached")
+{
+    World world = accepted("POST", true, false);
+    for (unsigned attempt = 1; attempt <= 20; attempt++) {
+        act(world, {.kind = EventKind::Routed, .upstream = Far}, "far");
+        act(world, endOf(attempt, AttemptEnd::NotSent, false), "not-sent");
+        REQUIRE(world.state.stage == Stage::Waiting);
+        world.now += 25ms;
+        act(world, {.kind = EventKind::Woken}, "woken");
+    }
+    REQUIRE(world.retries.tokens == 10);
+}
+
+TEST_CASE("a request of an unkeyed service asks another upstream at once when one has left")
+{
+    World world = accepted("POST", false, false);
+    act(world, {.kind = EventKind::Routed, .upstream = Far}, "far");
+    act(world, endOf(1, AttemptEnd::NotOwner, false), "not-owner");
+    REQUIRE(world.state.stage == Stage::Running);
+    REQUIRE(world.state.tried == std::vector<std::uint32_t>{Far});
+}
+
 TEST_CASE("a request that can't wait any longer is refused at once and truly")
 {
     World world = accepted("POST", true, false);
