--- /dev/null
+++ b/tests/AgentProcessTest.cpp
@@ -0,0 +1,109 @@
+#include "Deployment.h"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <thread>
+
+using namespace bergamotweir::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+Plan slowEnrolments(const std::string &name)
+{
+    Plan plan;
+    plan.name = name;
+    plan.controls = 1;
+    plan.table = "service,keyed,timeout_ms\nenrolments,yes,3000\n";
+    plan.upstreams = {{.service = "enrolments",
+                       .failureDomains = {"bne-a", "bne-b"},
+                       .upstreamFlags = {"--service-time-us", "400000", "--jitter", "0"}}};
+    return plan;
+}
+
+Ask enrol(const std::string &id)
+{
+    return {.method = "POST",
+            .path = "/s/enrolments/seats",
+            .headers = {"Routing-Key: class-7", "Test-Id: " + id},
+            .body = id,
+            .timeout = 5000ms};
+}
+
+/** Sends a request that takes 400 ms, and does something to the deployment while it runs. */
+Reply askDuring(Deployment &deployment, const UpstreamVm &vm, const std::string &id, const std::function<void()> &fault)
+{
+    Reply reply;
+    std::thread caller([&] {
+        reply = Deployment::ask(vm, enrol(id));
+    });
+    REQUIRE(Deployment::eventually(3s, [&] {
+        return deployment.executions(id) == 1;
+    }));
+    fault();
+    caller.join();
+    return reply;
+}
+
+bool isServed(const UpstreamVm &vm, const std::string &id)
+{
+    return Deployment::eventually(5s, [&] {
+        return Deployment::ask(vm, enrol(id)).status == 200;
+    });
+}
+
+} // namespace
+
+// An enrolment is cut off, or its class has two owners: the upstream stops in good order, closes its listening socket
+// first and finishes its work, and its agent takes the refused connections for a crash.
+TEST_CASE("an upstream that stops in good order finishes its work before its keys go on", "[process]")
+{
+    Deployment deployment(slowEnrolments("upstream-stop"));
+    REQUIRE(isServed(deployment.vms[0], "first"));
+    UpstreamVm &owner = deployment.vm(deployment.owner("enrolments", "class-7"));
+    const Reply reply = askDuring(deployment, deployment.vms[0], "during", [&] {
+        Deployment::signal(owner.upstream, SIGTERM);
+    });
+    REQUIRE(reply.status == 200);
+    REQUIRE(reply.headers.at("test-id") == "during");
+    REQUIRE(Deployment::waitForExit(owner.upstream, 5s) == 0);
+    REQUIRE(isServed(deployment.vms[0], "after"));
+    REQUIRE(deployment.executions("during") == 1);
+    REQUIRE(deployment.executions("after") == 1);
+}
+
+// An enrolment runs twice: its agent was stopped for an update while it ran, and another one sent it again.
+TEST_CASE("an agent that stops finishes what is in progress and hands its keys over", "[process]")
+{
+    Deployment deployment(slowEnrolments("agent-stop"));
+    REQUIRE(isServed(deployment.vms[0], "first"));
+    UpstreamVm &owner = deployment.vm(deployment.owner("enrolments", "class-7"));
+    UpstreamVm &other = owner.name == deployment.vms[0].name ? deployment.vms[1] : deployment.vms[0];
+    const Reply reply = askDuring(deployment, other, "during", [&] {
+        Deployment::signal(owner.agent, SIGTERM);
+    });
+    REQUIRE(reply.status == 200);
+    REQUIRE(Deployment::ask(other, enrol("next")).status == 200);
+    REQUIRE(Deployment::waitForExit(owner.agent, 10s) == 0);
+    REQUIRE(deployment.executions("during") == 1);
+    REQUIRE(deployment.executions("next") == 1);
+}
+
+// A payment is told nothing true: its upstream died while it ran, and it must neither run again nor be called "not
+// run".
+TEST_CASE("a payment in progress at a crash is told that it may have run, at once, and isn't sent again", "[process]")
+{
+    Deployment deployment(slowEnrolments("crash-during"));
+    REQUIRE(isServed(deployment.vms[0], "first"));
+    UpstreamVm &owner = deployment.vm(deployment.owner("enrolments", "class-7"));
+    const auto begin = std::chrono::steady_clock::now();
+    const Reply reply = askDuring(deployment, deployment.vms[0], "during", [&] {
+        Deployment::kill(owner.upstream);
+    });
+    REQUIRE(std::chrono::steady_clock::now() - begin < 2s);
+    REQUIRE(reply.status == 502);
+    REQUIRE(reply.headers.at("request-ran") == "unknown");
+    REQUIRE(isServed(deployment.vms[0], "after"));
+    REQUIRE(deployment.executions("during") == 1);
+}
