Operators' inputs: property tests of command lines, replica lists and burn reports, with fixed seeds

Found on the way: fromJson() turned fractions and negative counts into other numbers (1e300 to an unsigned number is undefined); it refuses them now.

--- a/src/report/BurnJson.cpp
+++ b/src/report/BurnJson.cpp
@@ -10,6 +10,12 @@
 
 constexpr std::array<const char *, Windows.size()> WindowNames{"5m", "1h", "30m", "6h"};
 
+/** Refuses fractions and negative numbers, which a plain conversion would turn into some other number. */
+std::uint64_t wholeNumber(const Json &json, const char *name)
+{
+    return json.at(name).get_ref<const Json::number_unsigned_t &>();
+}
+
 Json toJson(const Counts &counts)
 {
     return {{"total", counts.total}, {"refused", counts.refused}, {"failed", counts.failed}, {"late", counts.late}};
@@ -17,10 +23,10 @@
 
 Counts toCounts(const Json &json)
 {
-    return {.total = json.at("total").get<std::uint64_t>(),
-            .refused = json.at("refused").get<std::uint64_t>(),
-            .failed = json.at("failed").get<std::uint64_t>(),
-            .late = json.at("late").get<std::uint64_t>()};
+    return {.total = wholeNumber(json, "total"),
+            .refused = wholeNumber(json, "refused"),
+            .failed = wholeNumber(json, "failed"),
+            .late = wholeNumber(json, "late")};
 }
 
 Json toJson(const Burn &burn)
@@ -48,9 +54,9 @@
 LatencySummary toLatency(const Json &json)
 {
     const auto time = [&](const char *name) {
-        return std::chrono::nanoseconds(json.at(name).get<std::int64_t>());
+        return std::chrono::nanoseconds(wholeNumber(json, name));
     };
-    return {.count = json.at("count").get<std::uint64_t>(),
+    return {.count = wholeNumber(json, "count"),
             .mean = time("mean_ns"),
             .p50 = time("p50_ns"),
             .p99 = time("p99_ns"),
@@ -88,7 +94,7 @@
     ServiceReport service;
     service.service = json.at("service").get<std::string>();
     service.objectives.sloAvailability = json.at("slo_availability").get<double>();
-    service.objectives.sloLatency = std::chrono::milliseconds(json.at("slo_latency_ms").get<std::int64_t>());
+    service.objectives.sloLatency = std::chrono::milliseconds(wholeNumber(json, "slo_latency_ms"));
     service.objectives.sloPercentile = json.at("slo_percentile").get<double>();
     for (std::size_t i = 0; i < Windows.size(); ++i) {
         service.windows[i] = toCounts(json.at("windows").at(WindowNames[i]));
@@ -126,8 +132,8 @@
     try {
         const Json json = Json::parse(text);
         BurnReport report;
-        report.agents = json.at("agents").get<unsigned>();
-        report.counting = std::chrono::seconds(json.at("counting_s").get<std::int64_t>());
+        report.agents = static_cast<unsigned>(wholeNumber(json, "agents"));
+        report.counting = std::chrono::seconds(wholeNumber(json, "counting_s"));
         report.unreachable = json.at("unreachable").get<std::vector<std::string>>();
         for (const Json &service : json.at("services")) {
             report.services.push_back(toService(service));
--- /dev/null
+++ b/tests/OperatorInputPropertyTest.cpp
@@ -0,0 +1,130 @@
+#include "Property.h"
+#include "cli/Command.h"
+#include "cli/ProcessSettings.h"
+#include "cli/ReadSettings.h"
+#include "cli/ReplicaList.h"
+#include "cli/Values.h"
+#include "report/BurnReport.h"
+#include "report/BurnState.h"
+#include "table/Table.h"
+
+#include <cmath>
+
+using namespace bergamotweir;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t Seed = 20261203;
+constexpr int Runs = 2000;
+
+/** A word of a command line: a flag, a value that some setting takes, or anything. */
+std::string anyWord()
+{
+    const std::vector<std::string> likely{"--control",
+                                          "--agent-name",
+                                          "--caller-port=1",
+                                          "--json",
+                                          "--base",
+                                          "--replicas",
+                                          "--",
+                                          "-",
+                                          "--wait=",
+                                          "7",
+                                          "127.0.0.1:7001",
+                                          "current",
+                                          "bne-a",
+                                          "--seed",
+                                          "-h",
+                                          "c1=1.2.3.4:5/6,,",
+                                          "99999999999",
+                                          "\xff\xfe",
+                                          "--c",
+                                          "",
+                                          "--address",
+                                          "1.2.3.4",
+                                          "failure-domain",
+                                          "--log-level"};
+    return *rc::gen::inRange(0, 4) == 0 ? *rc::gen::arbitrary<std::string>() : *rc::gen::elementOf(likely);
+}
+
+std::string goodReport()
+{
+    report::BurnState state{.start = BootTime(1h), .services = {}};
+    report::setObjectives(state, table::Table::parse("service\nfees\n").value());
+    report::record(state, {"fees", "f1", "bne-a", report::Outcome::Failed, 1ms}, BootTime(1h));
+    return report::toJson(report::makeReport(state, BootTime(1h)));
+}
+
+} // namespace
+
+TEST_CASE("any command line is either taken or refused with the place of each finding")
+{
+    test::checkProperty(Seed, Runs, [] {
+        const auto which = *rc::gen::inRange<std::size_t>(0, cli::allCommands().size());
+        const cli::Command &command = cli::allCommands()[which];
+        std::vector<std::string> words;
+        for (int count = *rc::gen::inRange(0, 12); count > 0; --count) {
+            // A command line can't hold a zero byte.
+            std::string word = anyWord();
+            std::erase(word, '\0');
+            words.push_back(std::move(word));
+        }
+        const Result<cli::Values> values = cli::readSettings(command, words, [](const std::string &) {
+            return *rc::gen::inRange(0, 2) == 0 ? std::nullopt : std::optional<std::string>(anyWord());
+        });
+        if (values) {
+            for (const cli::Setting &setting : command.settings) {
+                RC_ASSERT(!setting.required || !values.value().text(setting.name).empty());
+            }
+            return;
+        }
+        RC_ASSERT(!values.error().empty());
+        for (const Finding &finding : values.error()) {
+            RC_ASSERT(!finding.place.empty() && !finding.message.empty());
+        }
+    });
+}
+
+TEST_CASE("any list of replicas is refused, or names each with an id and two addresses of its own")
+{
+    test::checkProperty(Seed + 1, Runs, [] {
+        std::string text = "c1=127.0.0.1:7101/7001,c2=127.0.0.1:7102/7002";
+        for (int count = *rc::gen::inRange(0, 4); count > 0; --count) {
+            text[*rc::gen::inRange<std::size_t>(0, text.size())] = *rc::gen::elementOf(std::string("c12=.:/,0789 "));
+        }
+        const std::optional<wire::Membership> membership = cli::readReplicas(text);
+        if (!membership) {
+            return;
+        }
+        std::set<std::string> taken;
+        for (const wire::Replica &replica : membership->replicas()) {
+            RC_ASSERT(taken.insert("id " + replica.id()).second);
+            RC_ASSERT(taken.insert(replica.address()).second);
+            RC_ASSERT(taken.insert(replica.control_address()).second);
+        }
+    });
+}
+
+TEST_CASE("a damaged burn report is refused or read, and never stops the command")
+{
+    const std::string good = goodReport();
+    unsigned read = 0;
+    test::checkProperty(Seed + 2, Runs, [&] {
+        std::string text = good;
+        for (int count = *rc::gen::inRange(1, 4); count > 0; --count) {
+            text[*rc::gen::inRange<std::size_t>(0, text.size())] =
+                *rc::gen::elementOf(std::string("0-19eE.\"{}[],:nt"));
+        }
+        const Result<report::BurnReport> report = report::fromJson(text);
+        if (!report) {
+            RC_ASSERT(!report.error().empty());
+            return;
+        }
+        ++read;
+        RC_ASSERT(!report::toText(report.value()).empty());
+        RC_ASSERT(report::fromJson(report::toJson(report.value())).has_value());
+    });
+    CHECK(read > 0);
+    CHECK(read < Runs);
+}
