Table: ties checked only where rows share their names, differences laid over each other without copies of text

Cause, by scripts/bench table on the tree before: every cell of every row was rendered twice to look for ties, and both tables were copied to be compared.

--- a/src/table/RowDifference.cpp
+++ b/src/table/RowDifference.cpp
@@ -4,24 +4,34 @@
 #include "table/Table.h"
 
 #include <map>
+#include <optional>
+#include <string_view>
 #include <tuple>
 
 namespace bergamotweir::table {
 
 namespace {
 
-using Names = std::tuple<std::string, std::string, std::string>;
+/** Names of a row; they live as long as the tables. */
+using Names = std::tuple<std::string_view, std::string_view, std::string_view>;
 
-std::map<Names, Row> byNames(const Table &table)
+/** The rows for the same names in both tables, each laid together; nothing where a table has none. */
+struct RowPair {
+    std::optional<Row> before;
+    std::optional<Row> after;
+};
+
+void lay(std::optional<Row> &into, const Row &row)
 {
-    std::map<Names, Row> merged;
-    for (const Row &row : table.rows()) {
-        const auto [entry, inserted] = merged.try_emplace({row.service, row.failureDomain, row.upstream}, row);
-        for (const Column &column : valueColumns()) {
-            column.fill(entry->second, row);
-        }
+    if (!into) {
+        into = row;
+        // The place in the file makes no difference.
+        into->number = 0;
+        return;
+    }
+    for (const Column &column : valueColumns()) {
+        column.fill(*into, row);
     }
-    return merged;
 }
 
 std::vector<CellDifference> cellDifferences(const Row &before, const Row &after)
@@ -40,26 +50,25 @@
 
 std::vector<RowDifference> differences(const Table &before, const Table &after)
 {
-    const std::map<Names, Row> old = byNames(before);
-    const std::map<Names, Row> now = byNames(after);
-    std::map<Names, std::pair<Row, Row>> both;
-    for (const auto &[names, row] : old) {
-        both[names].first = row;
+    std::map<Names, RowPair> pairs;
+    for (const Row &row : before.rows()) {
+        lay(pairs[{row.service, row.failureDomain, row.upstream}].before, row);
     }
-    for (const auto &[names, row] : now) {
-        both[names].second = row;
+    for (const Row &row : after.rows()) {
+        lay(pairs[{row.service, row.failureDomain, row.upstream}].after, row);
     }
     std::vector<RowDifference> result;
-    for (const auto &[names, pair] : both) {
-        std::vector<CellDifference> cells = cellDifferences(pair.first, pair.second);
-        // A row that sets nothing still makes its service known.
-        if (!cells.empty() || old.contains(names) != now.contains(names)) {
-            const auto &[service, failureDomain, upstream] = names;
-            if (cells.empty()) {
-                cells.push_back({"row", old.contains(names) ? "there" : "", now.contains(names) ? "there" : ""});
-            }
-            result.push_back({service, failureDomain, upstream, std::move(cells)});
+    for (const auto &[names, pair] : pairs) {
+        if (pair.before == pair.after) {
+            continue;
+        }
+        std::vector<CellDifference> cells = cellDifferences(pair.before.value_or(Row()), pair.after.value_or(Row()));
+        if (cells.empty()) {
+            // A row that sets nothing still makes its service known.
+            cells.push_back({"row", pair.before ? "there" : "", pair.after ? "there" : ""});
         }
+        const auto &[service, failureDomain, upstream] = names;
+        result.push_back({std::string(service), std::string(failureDomain), std::string(upstream), std::move(cells)});
     }
     return result;
 }
--- a/src/table/TableReader.cpp
+++ b/src/table/TableReader.cpp
@@ -190,6 +190,9 @@
         byNames[{row.service, row.failureDomain, row.upstream}].push_back(&row);
     }
     for (const auto &[names, rows] : byNames) {
+        if (rows.size() < 2) {
+            continue;
+        }
         for (const Column &column : valueColumns()) {
             const Row *first = nullptr;
             for (const Row *row : rows) {
