--- a/tests/CoordinatorTest.cpp
+++ b/tests/CoordinatorTest.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace bergamotweir;
 using namespace std::chrono_literals;
 using test::ControlPump;
@@ -166,3 +168,29 @@
         REQUIRE(pump.allServed());
     }
 }
+
+// Prints, for docs/design/ownership.md: run by name.
+TEST_CASE("measure: longest time without service of any key, by fault, in fake time", "[.measure]")
+{
+    constexpr std::pair<Fault, const char *> Kinds[] = {{Fault::MarkOut, "planned move"},
+                                                        {Fault::CrashUpstream, "upstream crash"},
+                                                        {Fault::KillAgent, "agent kill"},
+                                                        {Fault::ChangeLeader, "leader change"}};
+    for (const auto &[fault, name] : Kinds) {
+        std::vector<std::chrono::nanoseconds> gaps;
+        for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+            ControlPump pump(seed, 4, true);
+            settle(pump);
+            pump.inject(fault);
+            pump.run(2000ms);
+            REQUIRE_THAT(pump.broken, Catch::Equals(""));
+            gaps.push_back(pump.longestGap);
+        }
+        std::sort(gaps.begin(), gaps.end());
+        const auto inMilliseconds = [](std::chrono::nanoseconds gap) {
+            return std::chrono::duration_cast<std::chrono::milliseconds>(gap).count();
+        };
+        WARN(name << ": p50 " << inMilliseconds(gaps[50]) << " ms, p99 " << inMilliseconds(gaps[98]) << " ms, most "
+                  << inMilliseconds(gaps[99]) << " ms");
+    }
+}
