--- a/src/rpc/ControlService.cpp
+++ b/src/rpc/ControlService.cpp
@@ -23,6 +23,10 @@
 /** A peer that answers no HTTP/2 ping for so long is gone: its VM was lost without a word. */
 constexpr int KeepaliveMilliseconds = 5000;
 
+/** Sessions and unary calls in progress; each costs memory, and beyond these a replica could not keep up anyway. */
+constexpr std::size_t MostSessions = 16384;
+constexpr std::size_t MostCalls = 16384;
+
 constexpr std::chrono::milliseconds ShutdownPatience{200};
 
 using Outgoing = std::shared_ptr<const wire::ControlMessage>;
@@ -244,7 +248,7 @@
     };
     auto *const stream = new SessionStream(std::move(handlers));
     this->sessions[name].stream = stream;
-    if (this->stopped) {
+    if (this->stopped || this->sessions.size() > MostSessions) {
         stream->abort();
     }
     stream->readNext();
@@ -305,7 +309,7 @@
     pending->reactor = reactor;
     pending->reply = reply;
     const std::lock_guard guard(this->mutex);
-    if (this->stopped) {
+    if (this->stopped || this->abandons.size() >= MostCalls) {
         pending->abandon();
         return reactor;
     }
