Operator process tests: a missing member of an answer fails the test instead of ending the test process

When the guard was taken out, the missing member aborted the test process, and the deployment's processes stayed behind.

For the lead, not mended: one control replica of three ended with a segmentation fault after SIGTERM (log ends at "control: stopping"), once, right after refused member changes (add with an unreachable address, promote, remove) while two agents were stopping at the same time. Cause not known.

--- a/tests/OperatorProcessTest.cpp
+++ b/tests/OperatorProcessTest.cpp
@@ -19,6 +19,12 @@
     return plan;
 }
 
+/** @return a member of an answer; null when it isn't there, where operator[] would end the whole test process */
+nlohmann::json member(const nlohmann::json &answer, const std::string &name)
+{
+    return answer.is_object() ? answer.value(name, nlohmann::json()) : nlohmann::json();
+}
+
 nlohmann::json parse(const CommandResult &result)
 {
     INFO(result.output);
@@ -39,20 +45,20 @@
     const std::vector<std::string> put{
         "table", "put", first, "--base", "current", "--change-id", "mine", "--json", "--timeout", "15"};
     const nlohmann::json once = parse(deployment.run(put));
-    REQUIRE(once["exit_code"] == 0);
+    REQUIRE(member(once, "exit_code") == 0);
     const int leader = deployment.leader();
     REQUIRE(leader >= 0);
     Deployment::kill(deployment.controls[static_cast<std::size_t>(leader)].control);
     const nlohmann::json other =
         parse(deployment.run({"table", "put", second, "--base", "current", "--json", "--timeout", "15"}));
-    REQUIRE(other["exit_code"] == 0);
+    REQUIRE(member(other, "exit_code") == 0);
     const nlohmann::json again = parse(deployment.run(put));
-    CHECK(again["exit_code"] == 0);
-    CHECK(again["version"] == once["version"]);
-    CHECK(again["table_version"] == once["table_version"]);
+    CHECK(member(again, "exit_code") == 0);
+    CHECK(member(again, "version") == member(once, "version"));
+    CHECK(member(again, "table_version") == member(once, "table_version"));
     const nlohmann::json now = parse(deployment.run({"table", "get", "--json"}));
-    CHECK(now["table_version"] == other["table_version"]);
-    CHECK(now["csv"] == "service,keyed,weight\nfees,no,3\n");
+    CHECK(member(now, "table_version") == member(other, "table_version"));
+    CHECK(member(now, "csv") == "service,keyed,weight\nfees,no,3\n");
 }
 
 TEST_CASE("process fault: table put names an agent that is frozen, and it has the change after its return", "[process]")
@@ -67,11 +73,11 @@
     Deployment::signal(frozen.agent, SIGSTOP);
     const nlohmann::json first = parse(deployment.run(put));
     Deployment::signal(frozen.agent, SIGCONT);
-    CHECK(first["exit_code"] == 4);
-    CHECK(first["in_force"]["missing"] == nlohmann::json::array({"a-" + frozen.name}));
-    CHECK(first["in_force"]["confirmed"] == nlohmann::json::array({"a-" + deployment.vms[0].name}));
+    CHECK(member(first, "exit_code") == 4);
+    CHECK(member(member(first, "in_force"), "missing") == nlohmann::json::array({"a-" + frozen.name}));
+    CHECK(member(member(first, "in_force"), "confirmed") == nlohmann::json::array({"a-" + deployment.vms[0].name}));
     put.back() = "20";
     const nlohmann::json second = parse(deployment.run(put));
-    CHECK(second["exit_code"] == 0);
-    CHECK(second["version"] == first["version"]);
+    CHECK(member(second, "exit_code") == 0);
+    CHECK(member(second, "version") == member(first, "version"));
 }
