--- a/src/process/LocalUpstream.cpp
+++ b/src/process/LocalUpstream.cpp
@@ -13,8 +13,6 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds HealthInterval{100};
-/** Grants run as long as the lease does; renewed well before, and only for an upstream that looks at them. */
-constexpr milliseconds GrantInterval{180};
 /** Without any answer for so long the upstream counts as frozen. */
 constexpr milliseconds FrozenAfter{500};
 constexpr milliseconds SilentAfter{3000};
@@ -70,11 +68,6 @@
     return settings;
 }
 
-std::uint64_t endOf(const std::vector<agent::Slice> &slices, std::size_t index)
-{
-    return index + 1 < slices.size() ? slices[index + 1].begin : 0;
-}
-
 } // namespace
 
 /** One request at the upstream. */
@@ -147,89 +140,6 @@
     this->moveQueue();
 }
 
-std::vector<Grant> LocalUpstream::grants() const
-{
-    const BootTime now = BootClock::now();
-    const std::uint32_t own = this->id();
-    Grant grant;
-    grant.service = this->latest.service;
-    const auto found = this->state.map.slices.find(grant.service);
-    if (own == 0 || found == this->state.map.slices.end() || !agent::holds(this->state.lease, now)) {
-        return {};
-    }
-    const std::vector<agent::Slice> &slices = found->second;
-    for (std::size_t index = 0; index < slices.size(); index++) {
-        const agent::Slice &slice = slices[index];
-        const agent::SliceKey key{grant.service, slice.begin, slice.epoch};
-        if (slice.owner != own || this->state.ownership.revoked.contains(key)
-            || this->state.ownership.released.contains(key)) {
-            continue;
-        }
-        grant.ranges.push_back({slice.begin, endOf(slices, index)});
-        grant.epoch = std::max(grant.epoch, slice.epoch);
-    }
-    // The upstream refuses an epoch older than one it was told, and moved slices may have taken the newest with them.
-    grant.epoch = std::max(grant.epoch, this->grantedEpoch);
-    // The rounding down keeps the upstream's grant inside the lease.
-    grant.expires = std::chrono::duration_cast<milliseconds>(this->state.lease.validUntil - now);
-    return {grant};
-}
-
-void LocalUpstream::renewGrants()
-{
-    const bool due = this->latest.checksGrants && BootClock::now() - this->grantedAt >= GrantInterval;
-    if (due || this->grantedAt == BootTime()) {
-        this->sendGrants();
-    }
-}
-
-void LocalUpstream::sendGrants()
-{
-    if (this->present == UpstreamStatus::Crashed) {
-        return;
-    }
-    if (this->granting) {
-        this->grantAgain = true;
-        return;
-    }
-    for (const Grant &grant : this->grants()) {
-        this->grantedAt = BootClock::now();
-        this->granting = true;
-        const std::uint64_t epoch = grant.epoch;
-        this->client.send(grantsCall(upstreamAddress(this->latest), grant),
-                          [this, epoch](const net::CallResult &result) {
-                              this->granting = false;
-                              if (result.end == net::CallEnd::Answered) {
-                                  this->grantedEpoch = std::max(this->grantedEpoch, epoch);
-                              }
-                              if (std::exchange(this->grantAgain, false)) {
-                                  this->sendGrants();
-                              }
-                          });
-    }
-}
-
-void LocalUpstream::sendRevoke(const wire::Revoke &order)
-{
-    const auto slices = this->state.map.slices.find(this->latest.service);
-    Grant revoked;
-    revoked.service = this->latest.service;
-    for (const wire::SliceRef &slice : order.slices()) {
-        if (slice.service() != this->latest.service || slices == this->state.map.slices.end()) {
-            continue;
-        }
-        for (std::size_t index = 0; index < slices->second.size(); index++) {
-            if (slices->second[index].begin == slice.begin()) {
-                revoked.ranges.push_back({slice.begin(), endOf(slices->second, index)});
-                revoked.epoch = std::max({revoked.epoch, slice.epoch(), this->grantedEpoch});
-            }
-        }
-    }
-    if (!revoked.ranges.empty()) {
-        this->client.send(revokeCall(upstreamAddress(this->latest), revoked), [](const net::CallResult &) {});
-    }
-}
-
 agent::Admission LocalUpstream::enter(agent::TicketId ticket, BootTime deadline)
 {
     if (this->present != UpstreamStatus::Serving) {
--- a/src/process/RequestRunner.cpp
+++ b/src/process/RequestRunner.cpp
@@ -4,11 +4,11 @@
 #include "net/Problem.h"
 #include "process/AgentState.h"
 #include "process/LocalUpstream.h"
+#include "process/RunningRequest.h"
 #include "rpc/ClaimClient.h"
 
 #include <algorithm>
 #include <cassert>
-#include <cstdlib>
 
 namespace bergamotweir::process {
 
@@ -21,9 +21,6 @@
 
 constexpr std::size_t MaxRunning = 16384;
 constexpr std::size_t MaxWaiting = 4096;
-constexpr milliseconds RecordTimeout{10000};
-/** Answers larger than this aren't kept with a claim. */
-constexpr std::size_t MaxRecordedBody = 16384;
 /** Taken off the deadline at each hop, so that the agent that the caller waits for is the last to give up. */
 constexpr milliseconds HopMargin{2};
 
@@ -67,47 +64,8 @@
     return {agent::attemptEndFromText(*end).value_or(AttemptEnd::Broken), mayHaveRun};
 }
 
-double readLoad(const net::HttpAnswer &answer)
-{
-    const std::string *load = net::findHeader(answer.headers, LoadHeader);
-    return load == nullptr ? -1 : std::strtod(load->c_str(), nullptr);
-}
-
-AttemptEnd endOf(const agent::RefusalFacts &refusal)
-{
-    return refusal.cause == agent::RefusalCause::DeadlinePassed ? AttemptEnd::TimedOut : refusal.end;
-}
-
 } // namespace
 
-struct RequestRunner::LiveAttempt {
-    std::uint32_t upstream = 0;
-    bool local = false;
-    std::uint64_t ticket = 0;
-    net::CallId call = 0;
-    BootTime begunAt;
-    net::HttpAnswer answer;
-};
-
-struct RequestRunner::Running {
-    Number number = 0;
-    Origin origin = Origin::Caller;
-    std::shared_ptr<net::Exchange> exchange;
-    ParsedRequest parsed;
-    agent::RequestState state;
-    BootTime acceptedAt;
-    std::map<unsigned, LiveAttempt> attempts;
-    wire::ClaimReply claim;
-    bool claimPending = false;
-    /** Events that came up while an earlier one was handled. */
-    std::deque<agent::RequestEvent> events;
-    bool handling = false;
-    bool waits = false;
-    loop::TimerId deadlineTimer = 0;
-    loop::TimerId waitTimer = 0;
-    loop::TimerId hedgeTimer = 0;
-};
-
 RequestRunner::RequestRunner(loop::EventLoop &loop, AgentState &state, RequestRunnerNeeds needs)
     : loop(loop)
     , state(state)
@@ -492,27 +450,6 @@
     request.attempts[id] = std::move(attempt);
 }
 
-void RequestRunner::cancel(Running &request, unsigned attempt)
-{
-    const auto found = request.attempts.find(attempt);
-    if (found == request.attempts.end()) {
-        return;
-    }
-    const LiveAttempt &live = found->second;
-    if (live.local) {
-        if (LocalUpstream *upstream = this->needs.localUpstream(live.upstream); upstream != nullptr) {
-            upstream->cancel(live.ticket);
-        }
-        this->tickets.erase(live.ticket);
-    } else {
-        this->peers.cancel(live.call);
-    }
-    const BootTime now = BootClock::now();
-    agent::noteCancelled(
-        this->state.services[request.state.facts.service].routing, live.upstream, now - live.begunAt, now);
-    request.attempts.erase(found);
-}
-
 void RequestRunner::attemptEnded(
     Number number, unsigned attempt, AttemptEnd end, bool mayHaveRun, net::HttpAnswer answer)
 {
@@ -534,101 +471,6 @@
     this->handle(number, {.kind = EventKind::AttemptEnded, .attempt = attempt, .end = end, .mayHaveRun = mayHaveRun});
 }
 
-void RequestRunner::noteRouting(Running &request, const LiveAttempt &attempt, AttemptEnd end)
-{
-    agent::ServiceRouting &routing = this->state.services[request.state.facts.service].routing;
-    const BootTime now = BootClock::now();
-    const auto waited = now - attempt.begunAt;
-    switch (end) {
-    case AttemptEnd::Answered: {
-        const LocalUpstream *local = attempt.local ? this->needs.localUpstream(attempt.upstream) : nullptr;
-        const double load = local != nullptr ? local->load() : readLoad(attempt.answer);
-        agent::noteAnswered(routing, attempt.upstream, waited, load, now);
-        break;
-    }
-    case AttemptEnd::NoRoom:
-    case AttemptEnd::OverLimit:
-    case AttemptEnd::NotOwner:
-    case AttemptEnd::Quarantined:
-        agent::noteShed(routing, attempt.upstream, now);
-        break;
-    default:
-        agent::noteFailed(routing, attempt.upstream, waited, now);
-        break;
-    }
-}
-
-void RequestRunner::relay(Running &request, unsigned attempt)
-{
-    const LiveAttempt &live = request.attempts.at(attempt);
-    net::HttpAnswer answer = answerForCaller(live.answer);
-    if (request.origin == Origin::Peer) {
-        const LocalUpstream *local = this->needs.localUpstream(live.upstream);
-        answer.headers.push_back({EndHeader, std::string(agent::toText(AttemptEnd::Answered))});
-        answer.headers.push_back({LoadHeader, std::to_string(local == nullptr ? 0 : local->load())});
-    } else {
-        this->needs.ended({.service = request.state.facts.service,
-                           .upstream = live.upstream,
-                           .status = answer.status,
-                           .latency = BootClock::now() - request.acceptedAt});
-    }
-    request.exchange->answer(std::move(answer));
-}
-
-void RequestRunner::relayRecorded(Running &request)
-{
-    const wire::ClaimOutcome &outcome = request.claim.outcome();
-    net::HttpAnswer answer;
-    answer.status = static_cast<int>(outcome.status());
-    if (!outcome.content_type().empty()) {
-        answer.headers.push_back({"Content-Type", outcome.content_type()});
-    }
-    answer.body = outcome.body();
-    if (request.origin != Origin::Peer) {
-        this->needs.ended({.service = request.state.facts.service,
-                           .status = answer.status,
-                           .latency = BootClock::now() - request.acceptedAt});
-    }
-    request.exchange->answer(std::move(answer));
-}
-
-void RequestRunner::refuse(Running &request, const agent::RefusalFacts &refusal)
-{
-    net::HttpAnswer answer = refusalAnswer(refusal, this->state.random);
-    if (request.origin == Origin::Peer) {
-        answer.headers.push_back({EndHeader, std::string(agent::toText(endOf(refusal)))});
-    } else {
-        this->needs.ended({.service = request.state.facts.service,
-                           .upstream = request.state.tried.empty() ? 0 : request.state.tried.back(),
-                           .status = refusal.status,
-                           .refused = true,
-                           .latency = BootClock::now() - request.acceptedAt});
-    }
-    request.exchange->answer(std::move(answer));
-}
-
-void RequestRunner::record(Running &request, const agent::RequestAction &action)
-{
-    wire::ClaimOutcome outcome;
-    outcome.set_service(request.state.facts.service);
-    outcome.set_idempotency_key(request.parsed.idempotencyKey);
-    outcome.set_attempt(request.parsed.requestId);
-    outcome.set_released(action.outcome == agent::ClaimEnd::Released);
-    outcome.set_unknown(action.outcome == agent::ClaimEnd::Unknown);
-    if (action.outcome == agent::ClaimEnd::Answered) {
-        const net::HttpAnswer &answer = request.attempts.at(action.attempt).answer;
-        outcome.set_status(static_cast<std::uint32_t>(answer.status));
-        outcome.set_body_dropped(answer.body.size() > MaxRecordedBody);
-        if (!outcome.body_dropped()) {
-            outcome.set_body(answer.body);
-        }
-        if (const std::string *type = net::findHeader(answer.headers, "Content-Type"); type != nullptr) {
-            outcome.set_content_type(*type);
-        }
-    }
-    this->needs.claims->recordOutcome(outcome, RecordTimeout, [](const wire::OutcomeReply &) {});
-}
-
 void RequestRunner::finish(Running &request)
 {
     this->loop.cancel(request.deadlineTimer);
