Agents tell control their slices' loads and hottest keys

Cause: control isolates hot keys and weighs slices by load, but no agent ever told it any: a key with a third of a service's requests stayed in its slice for good. Change: LoadSketch counts requests per owned slice and watches 64 keys a service (Space-Saving); told with one heartbeat a second, bounded at 16 keys a service, memory independent of keys. Ruled out: exact counts per key (memory grows with keys); telling with each heartbeat (ten times the bytes).

--- /dev/null
+++ b/include/agent/LoadSketch.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "agent/Ownership.h"
+#include "agent/RouteMap.h"
+#include "base/BootClock.h"
+#include "control.pb.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bergamotweir::agent {
+
+/** One key that a sketch watches. */
+struct WatchedKey {
+    std::uint64_t hash = 0;
+    /** Requests counted, at most error of which may belong to keys that were watched here before. */
+    std::uint64_t count = 0;
+    std::uint64_t error = 0;
+};
+
+/** Requests to one service since the last report. */
+struct ServiceLoad {
+    std::uint64_t requests = 0;
+    /** By the slice's begin. */
+    std::map<std::uint64_t, std::uint64_t> slices;
+    std::vector<WatchedKey> keys;
+};
+
+/**
+ * What an upstream's load consists of: requests per slice and the heaviest keys, in memory that doesn't grow with keys
+ * (Space-Saving, Metwally et al. 2005: a key with more than a MostKeys-th of the requests is always among those
+ * watched). Owned by the agent; told to control with every tenth heartbeat and then begun anew.
+ */
+struct LoadSketch {
+    /** Keys watched for a service. */
+    static constexpr std::size_t MostKeys = 64;
+    /** Keys told for a service. */
+    static constexpr std::size_t MostTold = 16;
+    /** A key is told when it surely has this share of the service's requests here. */
+    static constexpr double LeastShare = 0.02;
+
+    std::map<std::string, ServiceLoad, std::less<>> services;
+    BootTime since{};
+};
+
+/** Counts a request to a keyed service that was dispatched here. */
+void countRequest(LoadSketch &sketch, const RouteMap &map, std::string_view service, std::uint64_t hash);
+
+/**
+ * Tells the rates since the last report and begins anew.
+ * Every slice owned here is told, also one without requests: control would go on counting with its last rate.
+ */
+void reportLoad(LoadSketch &sketch, const RouteMap &map, const Ownership &ownership, BootTime now, wire::Renew &renew);
+
+} // namespace bergamotweir::agent
--- /dev/null
+++ b/src/agent/LoadSketch.cpp
@@ -0,0 +1,102 @@
+#include "agent/LoadSketch.h"
+
+#include <algorithm>
+
+namespace bergamotweir::agent {
+
+namespace {
+
+void watchKey(std::vector<WatchedKey> &keys, std::uint64_t hash)
+{
+    const auto known = std::find_if(keys.begin(), keys.end(), [hash](const WatchedKey &key) {
+        return key.hash == hash;
+    });
+    if (known != keys.end()) {
+        ++known->count;
+        return;
+    }
+    if (keys.size() < LoadSketch::MostKeys) {
+        keys.push_back({.hash = hash, .count = 1, .error = 0});
+        return;
+    }
+    const auto lightest =
+        std::min_element(keys.begin(), keys.end(), [](const WatchedKey &left, const WatchedKey &right) {
+            return left.count < right.count;
+        });
+    *lightest = {.hash = hash, .count = lightest->count + 1, .error = lightest->count};
+}
+
+float perSecond(std::uint64_t count, double seconds)
+{
+    return static_cast<float>(static_cast<double>(count) / seconds);
+}
+
+void tellSlices(const std::string &service,
+                const std::vector<Slice> &slices,
+                const ServiceLoad &load,
+                const Ownership &ownership,
+                double seconds,
+                wire::Renew &renew)
+{
+    for (const Slice &slice : slices) {
+        if (!ownership.ownUpstreams.contains(slice.owner)) {
+            continue;
+        }
+        const auto count = load.slices.find(slice.begin);
+        wire::SliceLoad &told = *renew.add_loads();
+        told.set_service(service);
+        told.set_begin(slice.begin);
+        told.set_rate(count == load.slices.end() ? 0 : perSecond(count->second, seconds));
+    }
+}
+
+void tellKeys(const std::string &service, ServiceLoad &load, double seconds, wire::Renew &renew)
+{
+    const double least = LoadSketch::LeastShare * static_cast<double>(load.requests);
+    std::erase_if(load.keys, [least](const WatchedKey &key) {
+        return static_cast<double>(key.count - key.error) < least;
+    });
+    std::sort(load.keys.begin(), load.keys.end(), [](const WatchedKey &left, const WatchedKey &right) {
+        return left.count - left.error > right.count - right.error;
+    });
+    for (std::size_t number = 0; number < std::min(load.keys.size(), LoadSketch::MostTold); ++number) {
+        wire::HotKey &told = *renew.add_hot_keys();
+        told.set_service(service);
+        told.set_hash(load.keys[number].hash);
+        told.set_rate(perSecond(load.keys[number].count - load.keys[number].error, seconds));
+    }
+}
+
+} // namespace
+
+void countRequest(LoadSketch &sketch, const RouteMap &map, std::string_view service, std::uint64_t hash)
+{
+    const std::optional<Slice> slice = findSlice(map, service, hash);
+    if (!slice) {
+        return;
+    }
+    auto load = sketch.services.find(service);
+    if (load == sketch.services.end()) {
+        load = sketch.services.emplace(service, ServiceLoad{}).first;
+    }
+    ++load->second.requests;
+    ++load->second.slices[slice->begin];
+    watchKey(load->second.keys, hash);
+}
+
+void reportLoad(LoadSketch &sketch, const RouteMap &map, const Ownership &ownership, BootTime now, wire::Renew &renew)
+{
+    const double seconds = std::chrono::duration<double>(now - sketch.since).count();
+    if (seconds <= 0) {
+        return;
+    }
+    for (const auto &[service, slices] : map.slices) {
+        ServiceLoad &load = sketch.services[service];
+        tellSlices(service, slices, load, ownership, seconds, renew);
+        tellKeys(service, load, seconds, renew);
+    }
+    sketch.services.clear();
+    sketch.since = now;
+}
+
+} // namespace bergamotweir::agent
--- a/src/process/AgentState.h
+++ b/src/process/AgentState.h
@@ -2,6 +2,7 @@
 
 #include "agent/CrashWatch.h"
 #include "agent/Lease.h"
+#include "agent/LoadSketch.h"
 #include "agent/Ownership.h"
 #include "agent/RetryBudget.h"
 #include "agent/RouteMap.h"
@@ -28,6 +29,7 @@
     agent::Lease lease;
     agent::Ownership ownership;
     agent::CrashWatch crashes;
+    agent::LoadSketch load;
     std::map<std::string, ServiceState, std::less<>> services;
     pcg32 random;
     /** Bound after the servers listen: where other agents and operators reach this one. */
--- a/src/process/ControlLink.cpp
+++ b/src/process/ControlLink.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds RenewInterval{100};
+/** Loads change over seconds: telling them with every heartbeat would double its bytes for nothing. */
+constexpr std::chrono::seconds LoadInterval{1};
 
 constexpr loop::Log Log("session");
 
@@ -139,6 +141,10 @@
     wire::AgentMessage message;
     message.mutable_renew()->set_sequence(agent::noteRenewal(this->state.lease, BootClock::now()));
     *message.mutable_renew()->mutable_in_force() = this->state.map.version;
+    const BootTime now = BootClock::now();
+    if (now - this->state.load.since >= LoadInterval) {
+        agent::reportLoad(this->state.load, this->state.map, this->state.ownership, now, *message.mutable_renew());
+    }
     this->session->send(message);
 }
 
--- a/src/process/LocalUpstream.cpp
+++ b/src/process/LocalUpstream.cpp
@@ -161,6 +161,7 @@
     entry.dispatchedAt = now;
     if (entry.request.keyed) {
         agent::beginWork(this->state.ownership, entry.request.service, entry.request.hash);
+        agent::countRequest(this->state.load, this->state.map, entry.request.service, entry.request.hash);
     }
     agent::began(this->state.crashes, entry.request.fingerprint);
     net::HttpCall call = std::move(entry.request.call);
--- a/tests/ProcessFaultTest.cpp
+++ b/tests/ProcessFaultTest.cpp
@@ -417,3 +417,32 @@
         REQUIRE(isServed(vm, 1000ms));
     }
 }
+
+// A class opens for enrolment and its key alone fills an upstream, together with every key of the same slice.
+// Order: a third of all requests go to one key; its agent tells control; the key gets a slice of its own and keeps
+// being served meanwhile. Cause of a miss: loads that agents count but never tell.
+TEST_CASE("process fault: a key that turned hot gets a slice of its own without a refusal", "[process]")
+{
+    Deployment deployment(enrolments("hot-key"));
+    waitUntilServed(deployment);
+    const auto slice = [&] {
+        const CommandResult told = deployment.run({"owner", "enrolments", Key, "--json"});
+        return nlohmann::json::parse(told.output, nullptr, false);
+    };
+    const nlohmann::json before = slice();
+    REQUIRE(before.is_object());
+    REQUIRE(before["slice_begin"] != before["hash"]);
+    unsigned number = 0;
+    const bool isolated = Deployment::eventually(40s, [&] {
+        for (unsigned count = 0; count < 300; ++count, ++number) {
+            const std::string key = number % 3 == 0 ? KeyHeader : "Routing-Key: other-" + std::to_string(number);
+            const UpstreamVm &vm = deployment.vms[number % deployment.vms.size()];
+            const Reply reply = Deployment::ask(vm, {.path = "/s/enrolments/x", .headers = {key}});
+            INFO(reply.body);
+            REQUIRE(reply.status == 200);
+        }
+        const nlohmann::json now = slice();
+        return now.is_object() && now["slice_begin"] == now["hash"];
+    });
+    REQUIRE(isolated);
+}
