Transport: a stream is freed before its channel may close; one function opens every channel

Cause: OnDone counted the stream as ended first and freed it, with its reference to the channel, after that; a transport closed in between would leave the last reference to gRPC's thread, the abort found in the session client. Found by reading for the same pattern; not seen in the transport itself, so no test goes red without it. Change: freed, then counted. RaftTransport and the session open channels by the same function with settings.

--- a/include/rpc/Channel.h
+++ b/include/rpc/Channel.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <memory>
 #include <string>
 
@@ -12,12 +13,25 @@
 /** The largest message that any endpoint between the system's processes accepts. */
 constexpr int MaxMessageBytes = 16 * 1024 * 1024;
 
+/** How patient a channel is. */
+struct ChannelSettings {
+    int mostMessageBytes = MaxMessageBytes;
+    std::chrono::milliseconds connectTimeout{200};
+    /** A process that restarts must be found again well inside a lease. */
+    std::chrono::milliseconds firstReconnect{20};
+    std::chrono::milliseconds longestReconnect{200};
+    /** Pings an idle connection so often; 0 for never. */
+    std::chrono::milliseconds ping{0};
+    std::chrono::milliseconds pingTimeout{1000};
+};
+
 /**
  * Opens a channel to another process of the system; connects when first used.
  * Plain TCP to one address: no resolver, proxy or load balancing of the library takes part.
  * @param address IP:port
- * @return the channel, shared by all calls to that address
+ * @param settings how patient it is
+ * @return the channel, with a connection of its own; its last reference must not go on one of gRPC's threads
  */
-std::shared_ptr<grpc::Channel> openChannel(const std::string &address);
+std::shared_ptr<grpc::Channel> openChannel(const std::string &address, const ChannelSettings &settings = {});
 
 } // namespace bergamotweir::rpc
--- a/src/rpc/Channel.cpp
+++ b/src/rpc/Channel.cpp
@@ -10,24 +10,30 @@
 
 namespace {
 
-// A process that restarts must be found again well inside a lease.
-constexpr std::chrono::milliseconds FirstReconnect{20};
-constexpr std::chrono::milliseconds LongestReconnect{200};
+void setMillis(grpc::ChannelArguments &arguments, const char *name, std::chrono::milliseconds value)
+{
+    arguments.SetInt(name, static_cast<int>(value.count()));
+}
 
 } // namespace
 
-std::shared_ptr<grpc::Channel> openChannel(const std::string &address)
+std::shared_ptr<grpc::Channel> openChannel(const std::string &address, const ChannelSettings &settings)
 {
     grpc::ChannelArguments arguments;
-    arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, static_cast<int>(FirstReconnect.count()));
-    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, static_cast<int>(LongestReconnect.count()));
-    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, static_cast<int>(LongestReconnect.count()));
+    setMillis(arguments, GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, settings.firstReconnect);
+    setMillis(arguments, GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, settings.connectTimeout);
+    setMillis(arguments, GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, settings.longestReconnect);
+    if (settings.ping.count() > 0) {
+        setMillis(arguments, GRPC_ARG_KEEPALIVE_TIME_MS, settings.ping);
+        setMillis(arguments, GRPC_ARG_KEEPALIVE_TIMEOUT_MS, settings.pingTimeout);
+        arguments.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
+    }
     // A connection belongs to one user of it: a stalled stream must not hold up another one's.
     arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
     arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
     arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
-    arguments.SetMaxReceiveMessageSize(MaxMessageBytes);
-    arguments.SetMaxSendMessageSize(MaxMessageBytes);
+    arguments.SetMaxReceiveMessageSize(settings.mostMessageBytes);
+    arguments.SetMaxSendMessageSize(settings.mostMessageBytes);
     return grpc::CreateCustomChannel("ipv4:" + address, grpc::InsecureChannelCredentials(), arguments);
 }
 
--- a/src/rpc/RaftTransport.cpp
+++ b/src/rpc/RaftTransport.cpp
@@ -2,6 +2,7 @@
 
 #include "loop/EventLoop.h"
 #include "raft.grpc.pb.h"
+#include "rpc/Channel.h"
 
 #include <grpcpp/grpcpp.h>
 
@@ -157,12 +158,16 @@
         this->written(ok);
     }
 
+    // Freed before it is counted as ended: the transport closes its channels once the count is zero, and a channel
+    // whose last reference goes on one of gRPC's threads makes gRPC abort the process.
     void OnDone(const grpc::Status &) override
     {
-        const std::shared_ptr<Outgoing> kept = std::move(this->self);
-        const std::lock_guard guard(this->streams.mutex);
-        this->streams.count--;
-        this->streams.ended.notify_all();
+        OpenStreams &open = this->streams;
+        std::shared_ptr<Outgoing> kept = std::move(this->self);
+        kept.reset();
+        const std::lock_guard guard(open.mutex);
+        open.count--;
+        open.ended.notify_all();
     }
 
 private:
@@ -183,20 +188,16 @@
     bool pausing = false;
 };
 
-std::shared_ptr<grpc::Channel> openChannel(const std::string &address)
+ChannelSettings channelSettings()
 {
-    grpc::ChannelArguments arguments;
-    arguments.SetMaxReceiveMessageSize(static_cast<int>(RaftTransport::MaxMessageBytes));
-    arguments.SetMaxSendMessageSize(static_cast<int>(RaftTransport::MaxMessageBytes));
-    arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, PingInterval.count());
-    arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, PingTimeout.count());
-    arguments.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
-    arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, ReconnectPause.count());
-    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, ConnectTimeout.count());
-    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, MaxReconnectBackoff.count());
-    arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
-    arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
-    return grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), arguments);
+    ChannelSettings settings;
+    settings.mostMessageBytes = static_cast<int>(RaftTransport::MaxMessageBytes);
+    settings.connectTimeout = ConnectTimeout;
+    settings.firstReconnect = ReconnectPause;
+    settings.longestReconnect = MaxReconnectBackoff;
+    settings.ping = PingInterval;
+    settings.pingTimeout = PingTimeout;
+    return settings;
 }
 
 } // namespace
@@ -225,7 +226,7 @@
 {
     Peer &found = this->peers[address];
     if (found.stub == nullptr) {
-        found.stub = wire::RaftTransport::NewStub(openChannel(address));
+        found.stub = wire::RaftTransport::NewStub(openChannel(address, channelSettings()));
     }
     return found;
 }
