Gate: a restarted agent starts from the limit that the one before it had learned

Change: the stopping agent says limit and reference with its last word to control; the next one resumes from them if the incarnation is the same. A killed agent and a new incarnation start at one as before. Shown able to fail: without the resume 'an agent that restarts beside a warm upstream' never gets its limit back; without the reference 'a gate that resumes' gives a cold upstream 12 instead of 3. Measured: limit after a restart equal to the one before, 1 for a new incarnation. The refusals of a rolling restart under load were not measured before and after.

--- a/include/agent/AdaptiveLimit.h
+++ b/include/agent/AdaptiveLimit.h
@@ -52,6 +52,22 @@
     LatencyWindow window;
 };
 
+/** What is known about an upstream that has been served for a while. */
+struct LearnedLimit {
+    /** 0 when nothing is known. */
+    unsigned limit = 0;
+    std::chrono::nanoseconds reference{0};
+};
+
+/** @return what a later gate of the same incarnation may start from */
+LearnedLimit learned(const AdaptiveLimit &limit);
+
+/**
+ * Starts from what an earlier gate of the same incarnation had learned; ignored when nothing is known.
+ * The reference comes along, so that an upstream which turned cold in between is noticed in the first window.
+ */
+void resume(AdaptiveLimit &limit, const LearnedLimit &learned, BootTime now);
+
 /** @return how many requests may be in progress now, 1..ceiling */
 unsigned allowed(const AdaptiveLimit &limit);
 
--- a/src/agent/AdaptiveLimit.cpp
+++ b/src/agent/AdaptiveLimit.cpp
@@ -142,6 +142,30 @@
 
 } // namespace
 
+LearnedLimit learned(const AdaptiveLimit &limit)
+{
+    if (limit.reference.count() == 0) {
+        return {};
+    }
+    return {.limit = allowed(limit), .reference = limit.reference};
+}
+
+void resume(AdaptiveLimit &limit, const LearnedLimit &learned, BootTime now)
+{
+    if (learned.limit == 0 || learned.reference.count() <= 0) {
+        return;
+    }
+    startCold(limit, now);
+    limit.limit = learned.limit;
+    limit.reference = learned.reference;
+    limit.wasCrowded = true;
+    clampLimit(limit);
+    if (allowed(limit) == limit.ceiling) {
+        limit.phase = LimitPhase::Steady;
+        limit.wasCrowded = false;
+    }
+}
+
 unsigned allowed(const AdaptiveLimit &limit)
 {
     return std::clamp(static_cast<unsigned>(limit.limit), 1U, limit.ceiling);
--- a/src/process/AgentProcess.cpp
+++ b/src/process/AgentProcess.cpp
@@ -242,6 +242,7 @@
         this->runner->gateDecided(ticket, admitted);
     };
     auto upstream = std::make_unique<LocalUpstream>(this->loop, this->state, announcement, std::move(events));
+    upstream->resumeLimit();
     Log.info(announcement.name + ": announced for " + announcement.service);
     this->control->tell(upstream->info());
     this->upstreams.emplace(name, std::move(upstream));
@@ -253,6 +254,7 @@
     this->report.tableChanged();
     for (const auto &[name, upstream] : this->upstreams) {
         upstream->applyTable();
+        upstream->resumeLimit();
     }
     this->rebuildCandidates();
     this->sendGrants();
--- a/src/process/LocalUpstream.cpp
+++ b/src/process/LocalUpstream.cpp
@@ -121,6 +121,7 @@
         Log.info(announcement.name + ": new incarnation, starting cold");
         this->processEnded();
         agent::restart(this->gate, now);
+        this->mayResume = false;
     }
     const bool differs = announcement != this->latest;
     this->latest = announcement;
@@ -140,6 +141,25 @@
     this->moveQueue();
 }
 
+// Guards against refusals after each planned restart of an agent. They show as seconds of 503 beside an upstream that
+// is warm all along: the new gate starts at one request. What the stopping agent told control about this very
+// incarnation still holds; a killed agent tells nothing, and a new incarnation starts cold.
+void LocalUpstream::resumeLimit()
+{
+    if (!this->mayResume || this->state.map.version.index() == 0) {
+        return;
+    }
+    this->mayResume = false;
+    const wire::UpstreamInfo *const known = agent::findUpstream(this->state.map, this->id());
+    if (known == nullptr || known->incarnation() != this->latest.incarnation) {
+        return;
+    }
+    agent::resume(
+        this->gate.limit,
+        {.limit = known->learned_limit(), .reference = std::chrono::microseconds(known->learned_latency_us())},
+        BootClock::now());
+}
+
 agent::Admission LocalUpstream::enter(agent::TicketId ticket, BootTime deadline)
 {
     if (this->present != UpstreamStatus::Serving) {
@@ -405,6 +425,12 @@
     info.set_checks_grants(this->latest.checksGrants);
     info.set_serving(this->present == UpstreamStatus::Serving && !this->state.stopping);
     info.set_operator_address(this->state.operatorAddress);
+    if (this->state.stopping) {
+        const agent::LearnedLimit learned = agent::learned(this->gate.limit);
+        const auto latency = std::chrono::duration_cast<std::chrono::microseconds>(learned.reference);
+        info.set_learned_limit(learned.limit);
+        info.set_learned_latency_us(static_cast<std::uint32_t>(latency.count()));
+    }
     return info;
 }
 
--- a/src/process/LocalUpstream.h
+++ b/src/process/LocalUpstream.h
@@ -70,6 +70,9 @@
     /** Takes the limits of a changed table. */
     void applyTable();
 
+    /** Starts from what the agent before this one had learned, once, as soon as control's state is known. */
+    void resumeLimit();
+
     /** Sends the grants that map and lease allow now; to be called after each change. */
     void sendGrants();
 
@@ -126,6 +129,7 @@
     LocalUpstreamEvents events;
     net::HttpClient client;
     agent::Gate gate;
+    bool mayResume = true;
     std::map<agent::TicketId, Work> work;
     UpstreamStatus present = UpstreamStatus::Serving;
     BootTime lastAnnounced;
--- a/tests/AgentProcessTest.cpp
+++ b/tests/AgentProcessTest.cpp
@@ -1,6 +1,7 @@
 #include "Deployment.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 #include <csignal>
 #include <thread>
@@ -53,6 +54,13 @@
     });
 }
 
+/** @return how many requests an agent lets through to its upstream at once, 0 when it doesn't say */
+unsigned allowedBy(const UpstreamVm &vm)
+{
+    const nlohmann::json health = nlohmann::json::parse(Deployment::get(vm.operatorPort, "/healthz"), nullptr, false);
+    return health.is_object() && health.contains("upstreams") ? health["upstreams"][0].value("allowed", 0U) : 0;
+}
+
 } // namespace
 
 // An enrolment is cut off, or its class has two owners: the upstream stops in good order, closes its listening socket
@@ -107,3 +115,30 @@
     REQUIRE(isServed(deployment.vms[0], "after"));
     REQUIRE(deployment.executions("during") == 1);
 }
+
+// Callers are refused for seconds after each planned restart of an agent, although its upstream was warm all along.
+// Order: the gate has grown; the agent stops and starts; its gate starts again at one request.
+// Cause: what the gate had learned ends with the process. A restarted upstream must start cold all the same.
+TEST_CASE("an agent that restarts beside a warm upstream starts from the limit that was learned", "[process]")
+{
+    Plan plan = slowEnrolments("resume-limit");
+    plan.upstreams.front().upstreamFlags = {"--service-time-us", "1000", "--jitter", "0"};
+    Deployment deployment(std::move(plan));
+    REQUIRE(isServed(deployment.vms[0], "first"));
+    UpstreamVm &owner = deployment.vm(deployment.owner("enrolments", "class-7"));
+    REQUIRE(Deployment::eventually(10s, [&] {
+        return Deployment::ask(owner, enrol("warm")).status == 200 && allowedBy(owner) > 1;
+    }));
+    const unsigned before = allowedBy(owner);
+    Deployment::signal(owner.agent, SIGTERM);
+    REQUIRE(Deployment::waitForExit(owner.agent, 10s) == 0);
+    Deployment::start(owner.agent);
+    REQUIRE(Deployment::eventually(5s, [&] {
+        return allowedBy(owner) == before;
+    }));
+    Deployment::kill(owner.upstream);
+    Deployment::start(owner.upstream);
+    REQUIRE(Deployment::eventually(5s, [&] {
+        return allowedBy(owner) == 1;
+    }));
+}
--- a/tests/GateTest.cpp
+++ b/tests/GateTest.cpp
@@ -159,3 +159,30 @@
     finish(gate, WorkEnd::Answered, 1ms, Start + 5ms);
     REQUIRE(arrive(gate, {3, Start + 1s}, Start + 5ms) == Admission::Admitted);
 }
+
+// After each planned restart of an agent callers are refused for seconds, although the upstream was warm all along; or
+// an upstream that lost its cache in between gets its full load at once.
+// Order: an agent stops and says what it had learned; the next one starts from it; the upstream is as before, or cold.
+TEST_CASE("a gate that resumes starts at the learned limit, and notices an upstream that turned cold in between")
+{
+    agent::AdaptiveLimit before;
+    agent::setCeiling(before, 12);
+    REQUIRE(agent::learned(before).limit == 0);
+    agent::AdaptiveLimit fresh = before;
+    agent::resume(fresh, agent::learned(before), BootTime{});
+    REQUIRE(agent::allowed(fresh) == 1);
+
+    const agent::LearnedLimit learned{.limit = 20, .reference = std::chrono::milliseconds(4)};
+    agent::AdaptiveLimit warm = before;
+    agent::resume(warm, learned, BootTime{});
+    REQUIRE(agent::allowed(warm) == 12);
+    agent::AdaptiveLimit cold = warm;
+    BootTime now{};
+    for (int answer = 0; answer < 40; ++answer) {
+        now += std::chrono::milliseconds(5);
+        agent::noteAnswer(warm, std::chrono::milliseconds(4), 12, now);
+        agent::noteAnswer(cold, std::chrono::milliseconds(16), 12, now);
+    }
+    REQUIRE(agent::allowed(warm) == 12);
+    REQUIRE(agent::allowed(cold) == 3);
+}
