Wall-clock times as a type in every signature

Cause: house style; claims, quarantine and operators' changes passed milliseconds as bare integers. Change: UnixTime (system clock, milliseconds) and its two conversions at the messages' edge. No behaviour changes.

--- a/include/control/ClaimStore.h
+++ b/include/control/ClaimStore.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "base/UnixTime.h"
 #include "control.pb.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -39,12 +41,12 @@
     wire::OutcomeReply record(const wire::ClaimOutcome &outcome);
 
     /** Drops claims taken before a moment. */
-    void expire(std::uint64_t beforeUnixMs);
+    void expire(UnixTime before);
 
     std::size_t size() const;
 
-    /** @return when the oldest claim was taken, 0 when there is none */
-    std::uint64_t oldestUnixMs() const;
+    /** @return when the oldest claim was taken, nothing when there is none */
+    std::optional<UnixTime> oldest() const;
 
     /**
      * Appends all claims to a serialised StateSnapshot that has none. They are by far the most of it, and are written
@@ -64,7 +66,7 @@
     std::size_t mostClaims;
     std::size_t answerBytes = 0;
     std::map<Name, wire::ClaimRecord> claims;
-    std::set<std::pair<std::uint64_t, Name>> byTime;
+    std::set<std::pair<UnixTime, Name>> byTime;
 };
 
 } // namespace bergamotweir::control
--- a/include/control/QuarantineStore.h
+++ b/include/control/QuarantineStore.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "base/UnixTime.h"
 #include "control.pb.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -30,13 +32,13 @@
     std::vector<std::uint64_t> report(const wire::ReportCrash &crash);
 
     /** Forgets what was last seen before a moment. @return the fingerprints that leave quarantine */
-    std::vector<std::uint64_t> expire(std::uint64_t beforeUnixMs);
+    std::vector<std::uint64_t> expire(UnixTime before);
 
     /** @return all fingerprints in quarantine */
     std::vector<std::uint64_t> quarantined() const;
 
-    /** @return when the record seen longest ago was last seen, 0 when there is none */
-    std::uint64_t oldestUnixMs() const;
+    /** @return when the record seen longest ago was last seen, nothing when there is none */
+    std::optional<UnixTime> oldest() const;
 
     /** Adds everything to a snapshot. */
     void save(wire::StateSnapshot &to) const;
@@ -47,7 +49,7 @@
 private:
     struct Suspect {
         std::set<std::string> incarnations;
-        std::uint64_t lastUnixMs = 0;
+        UnixTime lastSeen;
         bool quarantined = false;
     };
 
--- a/src/cli/Change.cpp
+++ b/src/cli/Change.cpp
@@ -102,14 +102,11 @@
 
 ChangeStamp stamp(const Values &values, Context &context)
 {
-    using std::chrono::duration_cast;
-    using std::chrono::milliseconds;
     const std::string author = values.text("author");
     return {
         .changeId = values.given("change-id") ? values.text("change-id") : context.newChangeId(),
         .author = author.empty() ? context.environment("USER").value_or("operator") : author,
-        .unixMs =
-            static_cast<std::uint64_t>(duration_cast<milliseconds>(context.wallClock().time_since_epoch()).count()),
+        .time = std::chrono::time_point_cast<std::chrono::milliseconds>(context.wallClock()),
     };
 }
 
--- a/src/cli/Change.h
+++ b/src/cli/Change.h
@@ -2,6 +2,7 @@
 
 #include "Answer.h"
 #include "base/Result.h"
+#include "base/UnixTime.h"
 #include "table/ChangeWarnings.h"
 #include "table/Table.h"
 
@@ -23,7 +24,7 @@
 struct ChangeStamp {
     std::string changeId;
     std::string author;
-    std::uint64_t unixMs = 0;
+    UnixTime time;
 };
 
 /** Reads table, marks and upstreams in force; a failure says that nothing was changed. */
--- a/src/cli/MarkCommands.cpp
+++ b/src/cli/MarkCommands.cpp
@@ -63,7 +63,7 @@
     message.set_name(mark.name);
     message.set_in_service(mark.inService);
     message.set_author(change.author);
-    message.set_unix_ms(change.unixMs);
+    message.set_unix_ms(toUnixMillis(change.time));
     Answer answer = makeChange(request, change.changeId, values, context);
     for (const Finding &finding : unknownName(now, mark)) {
         answer.findings.push_back(finding);
--- a/src/cli/TableCommands.cpp
+++ b/src/cli/TableCommands.cpp
@@ -69,9 +69,9 @@
     return now.tableVersion;
 }
 
-std::string utc(std::uint64_t unixMs)
+std::string utc(UnixTime time)
 {
-    const auto seconds = static_cast<std::time_t>(unixMs / 1000);
+    const std::time_t seconds = std::chrono::system_clock::to_time_t(time);
     std::tm parts{};
     gmtime_r(&seconds, &parts);
     std::ostringstream text;
@@ -133,7 +133,7 @@
     put.set_base_version(baseVersion(now, values, context));
     put.set_csv(file.value().csv);
     put.set_author(change.author);
-    put.set_unix_ms(change.unixMs);
+    put.set_unix_ms(toUnixMillis(change.time));
     Answer answer = makeChange(request, change.changeId, values, context);
     const std::vector<table::RowDifference> changed = table::differences(now.table, next);
     answer.details["differences"] = toJson(changed);
@@ -156,8 +156,8 @@
                                              {"author", entry.author()},
                                              {"unix_ms", entry.unix_ms()},
                                              {"what", entry.what()}});
-        answer.text += std::to_string(entry.table_version()) + "  " + utc(entry.unix_ms()) + "  " + entry.author()
-                       + "  " + entry.change_id() + "  " + entry.what() + "\n";
+        answer.text += std::to_string(entry.table_version()) + "  " + utc(fromUnixMillis(entry.unix_ms())) + "  "
+                       + entry.author() + "  " + entry.change_id() + "  " + entry.what() + "\n";
     }
     return print(answer, values, context);
 }
--- a/src/control/ClaimStore.cpp
+++ b/src/control/ClaimStore.cpp
@@ -51,7 +51,7 @@
         return verdict(wire::CLAIM_VERDICT_FULL);
     }
     *this->claims[name].mutable_request() = request;
-    this->byTime.emplace(request.unix_ms(), name);
+    this->byTime.emplace(fromUnixMillis(request.unix_ms()), name);
     return verdict(wire::CLAIM_VERDICT_GRANTED);
 }
 
@@ -87,9 +87,9 @@
     return reply;
 }
 
-void ClaimStore::expire(std::uint64_t beforeUnixMs)
+void ClaimStore::expire(UnixTime before)
 {
-    while (!this->byTime.empty() && this->byTime.begin()->first < beforeUnixMs) {
+    while (!this->byTime.empty() && this->byTime.begin()->first < before) {
         const Name name = this->byTime.begin()->second;
         this->erase(name);
     }
@@ -100,9 +100,9 @@
     return this->claims.size();
 }
 
-std::uint64_t ClaimStore::oldestUnixMs() const
+std::optional<UnixTime> ClaimStore::oldest() const
 {
-    return this->byTime.empty() ? 0 : this->byTime.begin()->first;
+    return this->byTime.empty() ? std::nullopt : std::optional(this->byTime.begin()->first);
 }
 
 void ClaimStore::appendTo(std::string &snapshot) const
@@ -133,7 +133,7 @@
     for (const wire::ClaimRecord &record : from.claims()) {
         const Name name(record.request().service(), record.request().idempotency_key());
         this->claims.emplace(name, record);
-        this->byTime.emplace(record.request().unix_ms(), name);
+        this->byTime.emplace(fromUnixMillis(record.request().unix_ms()), name);
         this->answerBytes += record.outcome().body().size();
     }
 }
@@ -142,7 +142,7 @@
 {
     const auto found = this->claims.find(name);
     this->answerBytes -= found->second.outcome().body().size();
-    this->byTime.erase({found->second.request().unix_ms(), name});
+    this->byTime.erase({fromUnixMillis(found->second.request().unix_ms()), name});
     this->claims.erase(found);
 }
 
--- a/src/control/QuarantineStore.cpp
+++ b/src/control/QuarantineStore.cpp
@@ -13,7 +13,7 @@
             this->makeRoom();
         }
         Suspect &suspect = this->suspects[reported.fingerprint()];
-        suspect.lastUnixMs = std::max<std::uint64_t>(suspect.lastUnixMs, reported.unix_ms());
+        suspect.lastSeen = std::max(suspect.lastSeen, fromUnixMillis(reported.unix_ms()));
         if (suspect.quarantined) {
             continue;
         }
@@ -26,11 +26,11 @@
     return added;
 }
 
-std::vector<std::uint64_t> QuarantineStore::expire(std::uint64_t beforeUnixMs)
+std::vector<std::uint64_t> QuarantineStore::expire(UnixTime before)
 {
     std::vector<std::uint64_t> left;
     for (auto suspect = this->suspects.begin(); suspect != this->suspects.end();) {
-        if (suspect->second.lastUnixMs >= beforeUnixMs) {
+        if (suspect->second.lastSeen >= before) {
             ++suspect;
             continue;
         }
@@ -53,11 +53,11 @@
     return all;
 }
 
-std::uint64_t QuarantineStore::oldestUnixMs() const
+std::optional<UnixTime> QuarantineStore::oldest() const
 {
-    std::uint64_t oldest = 0;
+    std::optional<UnixTime> oldest;
     for (const auto &[fingerprint, suspect] : this->suspects) {
-        oldest = oldest == 0 ? suspect.lastUnixMs : std::min(oldest, suspect.lastUnixMs);
+        oldest = std::min(oldest.value_or(suspect.lastSeen), suspect.lastSeen);
     }
     return oldest;
 }
@@ -67,7 +67,7 @@
     for (const auto &[fingerprint, suspect] : this->suspects) {
         wire::QuarantineRecord &record = *to.add_quarantine();
         record.set_fingerprint(fingerprint);
-        record.set_last_unix_ms(suspect.lastUnixMs);
+        record.set_last_unix_ms(toUnixMillis(suspect.lastSeen));
         record.set_quarantined(suspect.quarantined);
         for (const std::string &incarnation : suspect.incarnations) {
             record.add_incarnations(incarnation);
@@ -80,7 +80,7 @@
     this->suspects.clear();
     for (const wire::QuarantineRecord &record : from.quarantine()) {
         Suspect &suspect = this->suspects[record.fingerprint()];
-        suspect.lastUnixMs = record.last_unix_ms();
+        suspect.lastSeen = fromUnixMillis(record.last_unix_ms());
         suspect.quarantined = record.quarantined();
         suspect.incarnations.insert(record.incarnations().begin(), record.incarnations().end());
     }
@@ -92,8 +92,8 @@
         return;
     }
     const auto older = [](const auto &left, const auto &right) {
-        return std::tuple(left.second.quarantined, left.second.lastUnixMs)
-               < std::tuple(right.second.quarantined, right.second.lastUnixMs);
+        return std::tuple(left.second.quarantined, left.second.lastSeen)
+               < std::tuple(right.second.quarantined, right.second.lastSeen);
     };
     this->suspects.erase(std::min_element(this->suspects.begin(), this->suspects.end(), older));
 }
--- a/src/control/State.cpp
+++ b/src/control/State.cpp
@@ -148,8 +148,9 @@
 
 void State::expire(const wire::ExpireClaims &expiry, Applied &applied)
 {
-    this->claimStore.expire(expiry.before_unix_ms());
-    for (const std::uint64_t fingerprint : this->quarantineStore.expire(expiry.quarantine_before_unix_ms())) {
+    this->claimStore.expire(fromUnixMillis(expiry.before_unix_ms()));
+    for (const std::uint64_t fingerprint :
+         this->quarantineStore.expire(fromUnixMillis(expiry.quarantine_before_unix_ms()))) {
         applied.update.add_released_from_quarantine(fingerprint);
         applied.visible = true;
     }
--- a/src/process/ControlProcess.cpp
+++ b/src/process/ControlProcess.cpp
@@ -437,21 +437,17 @@
     if (!this->node->isLeader()) {
         return;
     }
-    using std::chrono::duration_cast;
-    using std::chrono::milliseconds;
-    const std::uint64_t now = unixMilliseconds();
-    const auto claimsBefore = now - static_cast<std::uint64_t>(milliseconds(ClaimWindow).count());
-    const auto quarantineBefore = now - static_cast<std::uint64_t>(milliseconds(QuarantineWindow).count());
-    const std::uint64_t oldestClaim = this->state.claims().oldestUnixMs();
-    const std::uint64_t oldestSuspect = this->state.quarantine().oldestUnixMs();
-    const bool claimDue = oldestClaim != 0 && oldestClaim < claimsBefore;
-    const bool suspectDue = oldestSuspect != 0 && oldestSuspect < quarantineBefore;
+    const UnixTime now = fromUnixMillis(unixMilliseconds());
+    const UnixTime claimsBefore = now - ClaimWindow;
+    const UnixTime quarantineBefore = now - QuarantineWindow;
+    const bool claimDue = this->state.claims().oldest().value_or(now) < claimsBefore;
+    const bool suspectDue = this->state.quarantine().oldest().value_or(now) < quarantineBefore;
     if (!claimDue && !suspectDue) {
         return;
     }
     wire::Command command;
-    command.mutable_expire_claims()->set_before_unix_ms(claimsBefore);
-    command.mutable_expire_claims()->set_quarantine_before_unix_ms(quarantineBefore);
+    command.mutable_expire_claims()->set_before_unix_ms(toUnixMillis(claimsBefore));
+    command.mutable_expire_claims()->set_quarantine_before_unix_ms(toUnixMillis(quarantineBefore));
     this->node->propose(command.SerializeAsString(), [](const ProposeResult &) {});
 }
 
