Garbage on every port of every process, replica and control ports included

Change: a test of real processes: noise, half a request and an HTTP/2 preface with noise on each port; all processes live and each agent still reaches the key's owner.

--- a/tests/WholePathTest.cpp
+++ b/tests/WholePathTest.cpp
@@ -1,6 +1,11 @@
 #include "Deployment.h"
 
 #include <catch2/catch.hpp>
+#include <pcg_random.hpp>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 using namespace bergamotweir::test;
 using namespace std::chrono_literals;
@@ -19,6 +24,47 @@
     return plan;
 }
 
+/** @return the ports that a process was told to listen on, found by its flags */
+std::vector<std::uint16_t> portsOf(const Process &process)
+{
+    std::vector<std::uint16_t> ports;
+    for (std::size_t index = 0; index + 1 < process.arguments.size(); ++index) {
+        if (process.arguments[index].ends_with("-port")) {
+            ports.push_back(static_cast<std::uint16_t>(std::stoul(process.arguments[index + 1])));
+        }
+    }
+    return ports;
+}
+
+/** Sends bytes to a port and leaves; a peer that closes early is no failure. */
+void sendBytes(std::uint16_t port, const std::string &bytes)
+{
+    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+    INFO("port " << port);
+    REQUIRE(connect(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0);
+    for (std::size_t sent = 0; sent < bytes.size();) {
+        const auto count = send(descriptor, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+        if (count <= 0) {
+            break;
+        }
+        sent += static_cast<std::size_t>(count);
+    }
+    close(descriptor);
+}
+
+std::string randomBytes(pcg32 &random, std::size_t size)
+{
+    std::string bytes(size, '\0');
+    for (char &byte : bytes) {
+        byte = static_cast<char>(random(256));
+    }
+    return bytes;
+}
+
 } // namespace
 
 TEST_CASE("a request to any agent reaches the sole owner of its key, and its whole answer comes back", "[process]")
@@ -61,3 +107,34 @@
     REQUIRE(large.status == 431);
     REQUIRE(Deployment::ask(vm, {.path = "/s/catalogue/x"}).status == 200);
 }
+
+// A port scanner, or a program that speaks another protocol, brings a process down and with it its keys.
+// Order: each port of each process gets noise, half a request, and the preface of HTTP/2 with noise after it.
+TEST_CASE("garbage on any port of any process makes none fall", "[process]")
+{
+    Deployment deployment(smallPlan("garbage"));
+    pcg32 random(20261202);
+    std::vector<Process *> processes;
+    for (ControlVm &control : deployment.controls) {
+        processes.push_back(&control.control);
+    }
+    for (UpstreamVm &vm : deployment.vms) {
+        processes.push_back(&vm.agent);
+    }
+    for (const Process *process : processes) {
+        REQUIRE(portsOf(*process).size() >= 2);
+        for (const std::uint16_t port : portsOf(*process)) {
+            sendBytes(port, randomBytes(random, 1 + random(70000)));
+            sendBytes(port, "POST /s/enrolments/x HTTP/1.1\r\nContent-Length: 100\r\n\r\nhalf");
+            sendBytes(port, "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + randomBytes(random, 1 + random(5000)));
+        }
+    }
+    for (const UpstreamVm &vm : deployment.vms) {
+        REQUIRE(Deployment::eventually(5s, [&] {
+            return Deployment::ask(vm, {.path = "/s/enrolments/x", .headers = {"Routing-Key: class-7"}}).status == 200;
+        }));
+    }
+    for (Process *process : processes) {
+        REQUIRE(!Deployment::hasEnded(*process));
+    }
+}
