--- a/include/agent/Gate.h
+++ b/include/agent/Gate.h
@@ -63,6 +63,10 @@
     /** Open connections without a request. */
     unsigned idleConnections = 0;
     BootTime nextConnection;
+    /** The upstream is cold before this point, as it says itself. */
+    BootTime coldUntil;
+    /** A cold upstream gets no further request before this point. */
+    BootTime nextCold;
     /** Mean time that a request takes, smoothed; 0 when not known. */
     std::chrono::nanoseconds serviceTime{0};
 };
@@ -76,6 +80,13 @@
 /** A new incarnation of the upstream: cold, without connections. */
 void restart(Gate &gate, BootTime now);
 
+/**
+ * The upstream says how long it stays cold.
+ * Guard against crashing a cold upstream. It shows when one that has just started gets the load of a warm one: its
+ * requests take twice as long, and above a rate that it states it ends. Until then requests go out evenly spaced.
+ */
+void setCold(Gate &gate, BootTime until);
+
 /** A request arrives. */
 Admission arrive(Gate &gate, const Ticket &ticket, BootTime now);
 
--- a/include/agent/GateSettings.h
+++ b/include/agent/GateSettings.h
@@ -20,7 +20,9 @@
     unsigned queueLength = 64;
     /** Longest wait that is worth more than a refusal. */
     std::chrono::milliseconds longestWait{250};
-    /** False keeps the limit at the ceiling: the baseline of the measurements. */
+    /** Requests a second that the upstream bears while it is cold; 0 where nothing is known. */
+    double coldPerSecond = 0;
+    /** False keeps the limit at the ceiling: for upstreams whose slots are known, and as a baseline. */
     bool adaptive = true;
 
     bool operator==(const GateSettings &other) const = default;
@@ -36,6 +38,7 @@
     GateSettingsBuilder &connectionPace(std::chrono::microseconds value);
     GateSettingsBuilder &queueLength(unsigned value);
     GateSettingsBuilder &longestWait(std::chrono::milliseconds value);
+    GateSettingsBuilder &coldPerSecond(double value);
     GateSettingsBuilder &adaptive(bool value);
 
     /** @return the settings, or everything that is wrong with them */
--- a/include/agent/Ownership.h
+++ b/include/agent/Ownership.h
@@ -2,6 +2,8 @@
 
 #include "agent/RouteMap.h"
 
+#include <vector>
+
 namespace bergamotweir::agent {
 
 struct Lease;
@@ -15,6 +17,15 @@
     bool operator<(const SliceKey &other) const;
 };
 
+/** A range of keys that an upstream may hold by a grant of its own, both ends included. */
+struct HeldRange {
+    std::uint64_t first = 0;
+    std::uint64_t last = 0;
+    std::uint64_t epoch = 0;
+
+    bool operator==(const HeldRange &other) const = default;
+};
+
 /**
  * The slices of the agent's own upstreams: which are being given up, and what work is in progress on them.
  * Owned by the agent process.
@@ -28,6 +39,17 @@
     std::set<SliceKey> released;
     /** Hashes of the keys on which work is in progress at an upstream, per service. */
     std::map<std::string, std::multiset<std::uint64_t>, std::less<>> work;
+    /**
+     * Whether upstreams keep grants of their own, renewed when they send a heartbeat. Such an upstream serves a key
+     * only while it holds it, and a revoked slice is released only once the upstream holds it no more.
+     */
+    bool upstreamsHold = false;
+    /** Per service, what the upstream may hold at this moment. */
+    std::map<std::string, std::vector<HeldRange>, std::less<>> held;
+    /** Revoked slices that the upstream was told to give up: no new work from then on. */
+    std::set<SliceKey> withheld;
+    /** What upstreams gave out with slices that they gave up, for the next owner. */
+    std::map<SliceKey, std::string> handovers;
 };
 
 /** Why a keyed request may not be dispatched here. */
@@ -61,6 +83,9 @@
                  std::uint64_t hash,
                  BootTime now);
 
+/** @return whether one of the ranges, under the slice's epoch, covers all of the slice */
+bool covers(const std::vector<HeldRange> &held, const RouteMap &map, std::string_view service, const Slice &slice);
+
 /** Counts work on a key from its dispatch until it has surely ended; endWork() is called with the same key. */
 void beginWork(Ownership &ownership, const std::string &service, std::uint64_t hash);
 void endWork(Ownership &ownership, const std::string &service, std::uint64_t hash);
--- a/include/agent/RequestState.h
+++ b/include/agent/RequestState.h
@@ -4,6 +4,7 @@
 #include "base/BootClock.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -42,6 +43,9 @@
     AttemptStage stage = AttemptStage::Queued;
 };
 
+/** Attempts of one request at most, hedges and retries together; waiting for an owner isn't counted. */
+constexpr unsigned MaxTries = 3;
+
 /** What is known of a request when it is accepted. */
 struct RequestFacts {
     std::string service;
@@ -54,6 +58,12 @@
     /** It came from another agent, which keeps claims and retries to itself. */
     bool forwarded = false;
     BootTime deadline;
+    /** Whether a request that may have run may be sent again, where the routes say so; else the method tells. */
+    std::optional<bool> repeatable = std::nullopt;
+    /** Most upstreams that it may be sent to. */
+    unsigned mostTries = MaxTries;
+    /** Whether a second send may run beside a slow first one. */
+    bool hedged = true;
 };
 
 /**
@@ -79,6 +89,9 @@
     AttemptEnd lastEnd = AttemptEnd::NotOwner;
 };
 
+/** @return whether the request may be sent again although an earlier send may have run */
+bool mayRepeat(const RequestFacts &facts);
+
 /** @return whether RFC 9110 lets the method be sent twice */
 bool isIdempotent(const std::string &method);
 
--- a/include/agent/RequestStep.h
+++ b/include/agent/RequestStep.h
@@ -17,8 +17,6 @@
     pcg32 *random = nullptr;
 };
 
-/** Attempts of one request at most, hedges and retries together; waiting for an owner isn't counted. */
-constexpr unsigned MaxTries = 3;
 /** Bounds of the pause before a request that found no owner or no room looks again. */
 constexpr std::chrono::milliseconds ShortestPause{5};
 constexpr std::chrono::milliseconds LongestPause{25};
--- a/include/agent/RouteMap.h
+++ b/include/agent/RouteMap.h
@@ -21,6 +21,8 @@
     /** Upstream id; 0 means that nobody does. */
     std::uint32_t owner = 0;
     std::uint64_t epoch = 0;
+    /** What the owner before gave out with its release; empty when it gave nothing. */
+    std::string handover = {};
 
     bool operator==(const Slice &other) const = default;
 };
@@ -65,6 +67,12 @@
 /** @return the slice that holds @p hash, or nothing when the service has none */
 std::optional<Slice> findSlice(const RouteMap &map, std::string_view service, std::uint64_t hash);
 
+/**
+ * @param slice one of the service's slices
+ * @return the last hash that it holds
+ */
+std::uint64_t lastHashOf(const RouteMap &map, std::string_view service, const Slice &slice);
+
 /** @return the upstream with that id, or nullptr */
 const wire::UpstreamInfo *findUpstream(const RouteMap &map, std::uint32_t id);
 
--- a/include/control/Coordinator.h
+++ b/include/control/Coordinator.h
@@ -65,6 +65,8 @@
     void proposed(std::uint64_t proposal, ProposalEnd end);
     /** The confirmation round asked for last ended. */
     void confirmed(bool leads, BootTime now);
+    /** @param addresses where agents may look for a leader: IP:port of every control replica */
+    void setControls(std::vector<std::string> addresses);
     /** Looks at everything that time alone brings about; to be called every 20 ms or so. */
     void tick(BootTime now);
 
@@ -178,6 +180,7 @@
     std::map<std::string, Watch> watches;
     std::uint64_t lastProposal = 0;
     UpdateBatch batch;
+    std::vector<std::string> controls;
     BootTime lastTick;
     std::vector<Action> actions;
 };
--- a/include/control/MoveBook.h
+++ b/include/control/MoveBook.h
@@ -34,6 +34,8 @@
     std::string takenFrom;
     /** Work that nobody can be asked about has surely ended by then; the change of owner waits for it. */
     BootTime notBefore;
+    /** What the owner's upstream gave out with its release, for the next one; may be empty. */
+    std::string handover;
 };
 
 /** A slice of a service. */
--- a/include/control/SliceMap.h
+++ b/include/control/SliceMap.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <string>
 
 namespace bergamotweir::control {
 
@@ -14,6 +15,8 @@
     std::uint32_t owner = 0;
     /** Grows by one at each change of owner, also when the owner gets back a slice that it had released. */
     std::uint64_t epoch = 0;
+    /** What the owner before gave out with its release; empty when it gave nothing. */
+    std::string handover = {};
 
     bool operator==(const SliceHolding &other) const = default;
 };
@@ -28,8 +31,12 @@
     /** Slices by their first hash; there is always one that begins at 0. */
     using Slices = std::map<std::uint64_t, SliceHolding>;
 
-    /** @param count at least 1 @return that many slices of equal width without an owner */
-    static SliceMap even(std::size_t count);
+    /**
+     * @param count at least 1
+     * @param grain every slice begins at a multiple of it
+     * @return that many slices of equal width, to a grain, without an owner
+     */
+    static SliceMap even(std::size_t count, std::uint64_t grain = 1);
 
     /** @return all slices, ordered by begin */
     const Slices &slices() const;
--- a/include/control/SliceSplits.h
+++ b/include/control/SliceSplits.h
@@ -32,10 +32,12 @@
  * @param wanted number of slices to reach, bounded by MostSlices
  * @param hot hashes of hot keys, ascending
  * @param moving first hashes of slices on the move; they are neither cut nor merged
+ * @param grain slices begin at multiples of it
  */
 SliceSplits planSplits(const SliceMap &map,
                        std::size_t wanted,
                        const std::vector<std::uint64_t> &hot,
-                       const std::set<std::uint64_t> &moving);
+                       const std::set<std::uint64_t> &moving,
+                       std::uint64_t grain = 1);
 
 } // namespace bergamotweir::control
--- a/include/control/State.h
+++ b/include/control/State.h
@@ -70,6 +70,9 @@
 private:
     void applyOne(const wire::Command &command, Applied &applied);
     void putTable(const wire::PutTable &change, Applied &applied);
+    void putRoutes(const wire::PutRoutes &change, Applied &applied);
+    /** Tells agents of the new table, and divides services that have become keyed. */
+    void tableChanged(Applied &applied);
     void putUpstream(const wire::PutUpstream &change, Applied &applied);
     void assignSlices(const wire::AssignSlices &change, Applied &applied);
     void reportCrash(const wire::ReportCrash &crash, Applied &applied);
--- a/include/control/TableHistory.h
+++ b/include/control/TableHistory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control.pb.h"
+#include "control/RouteBook.h"
 #include "table/ChangeWarnings.h"
 #include "table/Table.h"
 
@@ -38,11 +39,16 @@
      */
     wire::OperatorReply put(const wire::Version &version, const wire::PutTable &change);
 
+    /** Puts new routes in force. @return as RouteBook::put(), with the version */
+    wire::OperatorReply putRoutes(const wire::Version &version, const wire::PutRoutes &change);
+
     /** Marks a failure domain or an upstream in or out of service. */
     wire::OperatorReply mark(const wire::Version &version, const wire::Mark &change);
 
     /** @return the table in force */
     const table::Table &table() const;
+    /** @return the routes in force, as the operator wrote them */
+    const wire::RouteTable &routes() const;
     /** @return its number; 0 before the first table */
     std::uint64_t tableVersion() const;
     /** @return what is marked out */
@@ -73,6 +79,7 @@
     std::map<std::string, std::uint64_t> byId;
     std::uint64_t dropped = 0;
     table::Table current;
+    RouteBook routeBook;
     table::Marks marked;
 };
 
--- a/include/disk/Storage.h
+++ b/include/disk/Storage.h
@@ -47,6 +47,9 @@
                                                  const std::string &replicaId,
                                                  FileOperations files = systemFileOperations());
 
+    /** @return id of the replica that a data folder belongs to; empty for one that doesn't belong to any yet */
+    static Result<std::string> replicaIdOf(const std::filesystem::path &folder);
+
     /** Finishes what was submitted, then ends the thread. */
     ~Storage();
     Storage(const Storage &) = delete;
--- a/include/net/HttpCall.h
+++ b/include/net/HttpCall.h
@@ -22,6 +22,11 @@
     std::chrono::nanoseconds connectTimeout = std::chrono::milliseconds(300);
     /** Bytes of the answer's body; more ends the call as TooLarge. */
     std::size_t maxAnswer = 1024UL * 1024;
+    /** A field that the answer echoes: with another value, it is the answer to another request. No check without a
+     * name. */
+    Header echoed;
+    /** Whether an answer without a stated length is whole when its connection ends in order. */
+    bool untilClose = false;
     /** Never reuse an open connection. */
     bool freshConnection = false;
 };
--- a/include/process/AgentSettings.h
+++ b/include/process/AgentSettings.h
@@ -1,11 +1,14 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
 
 namespace bergamotweir::process {
 
+struct AgentProtocol;
+
 /** Settings of an agent, checked. Ports: 0 asks the kernel for a free one. */
 struct AgentSettings {
     /** Unique in the deployment. */
@@ -17,8 +20,12 @@
     std::uint16_t callerPort = 0;
     /** Requests that other agents forward. */
     std::uint16_t peerPort = 0;
-    /** The upstream's announcements; bound to loopback only. */
+    /** IP that the upstream's announcements come to. */
+    std::string announceAddress = "127.0.0.1";
+    /** The upstream's announcements. */
     std::uint16_t announcePort = 0;
+    /** Whether the agent can serve: 200 or 503; no such port when 0. */
+    std::uint16_t readyPort = 0;
     /** /healthz, /metrics, /burn. */
     std::uint16_t operatorPort = 0;
     /** IP:PORT of each control replica. */
@@ -26,6 +33,23 @@
     std::string logLevel = "info";
     /** Seeds all randomness of the process; 0 takes one from the clock and the name. */
     std::uint64_t seed = 0;
+    /** Service of the upstream beside this agent, where it is known beforehand. */
+    std::string service;
+    /** IP:port of that upstream; announcements of another address are left out. Empty takes any. */
+    std::string upstreamAddress;
+    /** How callers and upstreams speak; nullptr for the product's own protocol. */
+    const AgentProtocol *protocol = nullptr;
+    /** Time between two renewals of the lease: a fifth of it, so that some may be lost. */
+    std::chrono::milliseconds renewInterval{100};
+    /** Control that says nothing for so long is left: two renewals. */
+    std::chrono::milliseconds controlSilence{200};
+    /** A stop takes no longer, whatever is still in progress. */
+    std::chrono::milliseconds longestStop{std::chrono::seconds(20)};
+    /** A stop doesn't wait longer for control to take the keys away: the lease ends by itself. */
+    std::chrono::milliseconds longestHandOver{std::chrono::seconds(8)};
+    /** Second sends that a service's budget earns with each first one, and the most that it saves up. */
+    double retryRatio = 0.05;
+    double mostRetries = 10;
 };
 
 } // namespace bergamotweir::process
--- a/include/process/ControlSettings.h
+++ b/include/process/ControlSettings.h
@@ -1,12 +1,33 @@
 #pragma once
 
+#include "control/CoordinatorSettings.h"
 #include "raft.pb.h"
+#include "raft/RaftSettings.h"
 
+#include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace bergamotweir::process {
 
+struct OperatorProtocol;
+
+/** How a control group keeps its own membership. */
+struct GroupSettings {
+    /** Replica endpoints of the VMs that form the first group and that newcomers ask. */
+    std::vector<std::string> seeds;
+    /** The whole deployment starts for the first time: those among the seeds form the first group. */
+    bool firstStart = false;
+    /** Voters that it takes to bear the losses that must be borne: twice their number and one. */
+    std::size_t wantedVoters = 5;
+    /** With fewer voters a leader acknowledges nothing until it has waited so long for others to join. */
+    std::chrono::milliseconds gatherFor{std::chrono::seconds(10)};
+    /** A member silent for so long makes room for one that has joined: longer than a frozen VM or a restart takes. */
+    std::chrono::milliseconds goneAfter{std::chrono::seconds(8)};
+};
+
 /** Settings of a control replica, checked. Ports: 0 asks the kernel for a free one. */
 struct ControlSettings {
     /** Unique in the control group. */
@@ -28,6 +49,16 @@
     std::string logLevel = "info";
     /** Seeds all randomness of the process; 0 takes one from the clock and the id. */
     std::uint64_t seed = 0;
+    /** Set where the group keeps its own membership; operators change it otherwise. */
+    std::optional<GroupSettings> group;
+    /** Elections and heartbeats of the group. */
+    raft::RaftSettings raft;
+    /** Leases and moves. */
+    control::CoordinatorSettings coordinator;
+    /** Operators' orders over HTTP in a protocol of the deployment's; nullptr for none. */
+    const OperatorProtocol *operatorProtocol = nullptr;
+    /** Port for them. */
+    std::uint16_t orderPort = 0;
 };
 
 } // namespace bergamotweir::process
--- /dev/null
+++ b/include/process/ParsedRequest.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "agent/RequestState.h"
+
+#include <cstdint>
+#include <string>
+
+namespace bergamotweir::process {
+
+/** A request as an agent understands it. */
+struct ParsedRequest {
+    agent::RequestFacts facts;
+    std::string key;
+    std::string idempotencyKey;
+    std::uint64_t fingerprint = 0;
+    /** Service of the VM at which the request began; empty at the agent where it begins. */
+    std::string originService;
+    /** Only from another agent: its name for the request, the upstream that it wants, and whether it is a suspect. */
+    std::string requestId;
+    std::uint32_t wantedUpstream = 0;
+    bool suspect = false;
+};
+
+/** Which port a request came in by. */
+enum class Origin { Caller, Peer };
+
+} // namespace bergamotweir::process
--- a/include/process/ReplicaNode.h
+++ b/include/process/ReplicaNode.h
@@ -5,11 +5,14 @@
 #include "disk/FileOperations.h"
 #include "process/ReplicaSettings.h"
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace bergamotweir::loop {
 class EventLoop;
@@ -50,6 +53,8 @@
     std::function<void(const wire::Version &, std::string_view state)> restore;
     /** leader is true only after everything committed before has been applied. */
     std::function<void(bool leader, std::uint64_t term)> leadershipChanged;
+    /** A replica that is no member asks to be taken in; this replica leads. May be empty. */
+    std::function<void(const wire::Replica &)> joinAsked;
     /** The replica acts no more (disk failed); the process should say so and exit. May be empty. */
     std::function<void(const Findings &)> stopped;
 };
@@ -103,6 +108,15 @@
      */
     void changeMembership(const wire::ChangeMember &change, std::function<void(ProposeResult)> done);
 
+    /**
+     * Asks to be taken into a group; may be lost, so it is asked again until membership() names this replica.
+     * @param addresses replica endpoints of probable members
+     */
+    void askToJoin(const std::vector<std::string> &addresses);
+
+    /** @return ids of members that have not answered this leader for longer than @p patience */
+    std::set<std::string> silentMembers(std::chrono::nanoseconds patience) const;
+
     /** Hands leadership to a caught-up voter; done is called when it's gone or a bounded time has passed. */
     void handOver(std::function<void()> done);
 
--- /dev/null
+++ b/include/process/RequestOrder.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "agent/AttemptEnd.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace bergamotweir::process {
+
+/** What an upstream has to know of a request beside the request itself. */
+struct RequestOrder {
+    std::uint64_t epoch = 0;
+    std::string requestId;
+    /** What is left of the request's time. */
+    std::chrono::milliseconds timeout{0};
+    /** Service of the VM at which the request began; empty when it isn't known. */
+    std::string originService;
+    /** The one process of the upstream that may run it. */
+    std::string instance;
+};
+
+/** How a call to the upstream ended, in the terms of the core. */
+struct AttemptOutcome {
+    agent::AttemptEnd end = agent::AttemptEnd::Broken;
+    bool mayHaveRun = true;
+};
+
+} // namespace bergamotweir::process
--- a/include/raft/RaftCore.h
+++ b/include/raft/RaftCore.h
@@ -95,6 +95,8 @@
     /** @return empty when unknown */
     const std::string &leaderId() const;
     const wire::Membership &membership() const;
+    /** @return ids of the other members that have not answered this leader for longer than @p patience */
+    std::set<std::string> silentMembers(std::chrono::nanoseconds patience) const;
     const Log &log() const;
     std::uint64_t commitIndex() const;
     const SnapshotPtr &lastSnapshot() const;
--- a/include/rpc/ControlSession.h
+++ b/include/rpc/ControlSession.h
@@ -69,6 +69,9 @@
      */
     void send(const wire::AgentMessage &message);
 
+    /** Looks for the leader at these addresses as well, as those known from the start may be gone one day. */
+    void learn(const std::vector<std::string> &replicas);
+
     /** @return whether a replica that takes sessions has answered on the present stream */
     bool isOpen() const;
 
--- a/include/table/Policy.h
+++ b/include/table/Policy.h
@@ -28,6 +28,10 @@
     std::chrono::milliseconds sloLatency{14};
     /** The percentage that belongs to sloLatency. */
     double sloPercentile = 99;
+    /** Keys are the numbers that requests carry, kept in their order, and not hashed. */
+    bool numberedKeys = false;
+    /** Requests a second that a cold upstream bears; 0 where the table doesn't say. */
+    double warmupPerSecond = 0;
 
     bool operator==(const ServicePolicy &other) const = default;
 };
--- /dev/null
+++ b/include/table/RouteTable.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "base/Finding.h"
+
+#include <control.pb.h>
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bergamotweir::table {
+
+/** One of the services that a route's requests are divided between. */
+struct RoutePart {
+    std::string service;
+    /** Share of the requests, relative to the route's other parts. */
+    double weight = 1;
+};
+
+/** What holds for requests to one host below one path prefix. */
+struct Route {
+    std::string name;
+    std::string host;
+    /** Begins and ends with a slash. */
+    std::string prefix;
+    /** Whether a request may be sent again whatever became of an earlier send. */
+    bool idempotent = false;
+    /** Longest time that a caller is kept waiting. */
+    std::chrono::milliseconds timeout{0};
+    /** An answer within this time is as good as can be. */
+    std::chrono::milliseconds targetLatency{0};
+    /** 0 is the most urgent. */
+    unsigned priority = 0;
+    /** Most upstreams that one request may be sent to. */
+    unsigned attempts = 1;
+    /** At least one has a weight above 0. */
+    std::vector<RoutePart> parts;
+};
+
+/** What the table of routes says of a service. */
+struct RoutedService {
+    std::string name;
+    /** Path that tells whether an upstream is well. */
+    std::string healthPath;
+    /** Connections that an upstream accepts from everybody together; 0 is not stated. */
+    unsigned maxConnections = 0;
+    /** Divided by a number that each request carries. */
+    bool numberedKeys = false;
+    /** Requests a second that a cold upstream bears; 0 is not stated. */
+    double warmupPerSecond = 0;
+};
+
+/**
+ * The routes in force, an immutable value. Copies share their content. Owned by the Table that it is a part of.
+ */
+class RouteTable
+{
+public:
+    /** No routes, revision 0. */
+    RouteTable();
+
+    /** @param routes checked by findingsIn() */
+    explicit RouteTable(const wire::RouteTable &routes);
+
+    /** @return the operator's number of this version; 0 before the first one */
+    std::uint64_t revision() const;
+
+    /**
+     * @param host without regard to letter case
+     * @param path without the query
+     * @return the route of that host with the longest prefix that begins the path, or nullptr; valid as long as this
+     */
+    const Route *find(std::string_view host, std::string_view path) const;
+
+    /** @return the service, or nullptr; valid as long as this */
+    const RoutedService *service(std::string_view name) const;
+
+    /** @return all services by name */
+    const std::map<std::string, RoutedService, std::less<>> &services() const;
+
+private:
+    struct Content;
+    std::shared_ptr<const Content> content;
+};
+
+/**
+ * Checks a whole table of routes.
+ * @return every finding with its place: unknown services, parts without weight, no timeout, no attempts, bad prefixes,
+ *         names used twice
+ */
+Findings findingsIn(const wire::RouteTable &routes);
+
+/**
+ * Applies a change of named items.
+ * @param base what is in force
+ * @param change with partial set
+ * @return the whole table after it, not checked
+ */
+wire::RouteTable merged(const wire::RouteTable &base, const wire::PutRoutes &change);
+
+} // namespace bergamotweir::table
--- a/include/table/Table.h
+++ b/include/table/Table.h
@@ -2,6 +2,7 @@
 
 #include "base/Result.h"
 #include "table/Policy.h"
+#include "table/RouteTable.h"
 #include "table/Row.h"
 
 #include <memory>
@@ -38,10 +39,16 @@
      */
     static Result<Table> parse(std::string_view csv);
 
-    /** @return true when a row names this service */
+    /** @return the same rows beside other routes; services that only the routes name are known as well */
+    Table withRoutes(RouteTable routes) const;
+
+    /** @return the routes; none where the table was only parsed */
+    const RouteTable &routes() const;
+
+    /** @return true when a row or the routes name this service */
     bool hasService(std::string_view service) const;
 
-    /** @return the services that rows name, sorted */
+    /** @return the services that rows and routes name, sorted */
     std::vector<std::string> services() const;
 
     /** @return what holds for a service; the defaults where no row sets a column */
@@ -61,6 +68,7 @@
     explicit Table(std::shared_ptr<const Index> index);
 
     std::shared_ptr<const Index> index;
+    RouteTable routeTable;
 };
 
 } // namespace bergamotweir::table
--- a/src/agent/Gate.cpp
+++ b/src/agent/Gate.cpp
@@ -34,14 +34,31 @@
     gate.nextConnection = now + gate.settings.connectionPace;
 }
 
+/** @return time between two requests to a cold upstream; 0 while it is warm or nothing is known */
+nanoseconds coldInterval(const Gate &gate, BootTime now)
+{
+    if (now >= gate.coldUntil || gate.settings.coldPerSecond <= 0) {
+        return nanoseconds(0);
+    }
+    const std::chrono::duration<double> interval(1 / gate.settings.coldPerSecond);
+    return std::chrono::duration_cast<nanoseconds>(interval);
+}
+
+bool isPaced(const Gate &gate, BootTime now)
+{
+    return coldInterval(gate, now).count() > 0 && now < gate.nextCold;
+}
+
 bool mayDispatch(const Gate &gate, BootTime now)
 {
-    return gate.inProgress < allowedNow(gate) && hasConnection(gate, now);
+    return gate.inProgress < allowedNow(gate) && !isPaced(gate, now) && hasConnection(gate, now);
 }
 
 void dispatch(Gate &gate, BootTime now)
 {
     takeConnection(gate, now);
+    const nanoseconds interval = coldInterval(gate, now);
+    gate.nextCold = std::max(gate.nextCold + interval, now + interval);
     gate.inProgress++;
 }
 
@@ -51,6 +68,17 @@
     return atTableLimit ? Admission::OverLimit : Admission::NoRoom;
 }
 
+/** @return the time that a request arriving now would wait for its turn at a cold upstream */
+nanoseconds expectedColdWait(const Gate &gate, BootTime now)
+{
+    const nanoseconds interval = coldInterval(gate, now);
+    if (interval.count() == 0) {
+        return nanoseconds(0);
+    }
+    return std::max<nanoseconds>(gate.nextCold - now, nanoseconds(0))
+           + interval * static_cast<nanoseconds::rep>(gate.queue.size());
+}
+
 /** @return whether a request would still have time for its work after so long a wait */
 bool isInTime(const Gate &gate, BootTime deadline, BootTime dispatchedAt)
 {
@@ -79,13 +107,18 @@
     gate.idleConnections = 0;
 }
 
+void setCold(Gate &gate, BootTime until)
+{
+    gate.coldUntil = until;
+}
+
 Admission arrive(Gate &gate, const Ticket &ticket, BootTime now)
 {
     if (gate.queue.empty() && mayDispatch(gate, now)) {
         dispatch(gate, now);
         return Admission::Admitted;
     }
-    const nanoseconds wait = expectedWait(gate);
+    const nanoseconds wait = std::max(expectedWait(gate), expectedColdWait(gate, now));
     if (gate.queue.size() >= gate.settings.queueLength || wait > gate.settings.longestWait
         || !isInTime(gate, ticket.deadline, now + wait)) {
         return shedding(gate);
@@ -168,7 +201,9 @@
     if (gate.inProgress >= allowedNow(gate)) {
         return expiry;
     }
-    return std::min(expiry, gate.nextConnection);
+    const BootTime connection = gate.idleConnections > 0 ? BootTime() : gate.nextConnection;
+    const BootTime turn = gate.settings.coldPerSecond > 0 ? std::min(gate.nextCold, gate.coldUntil) : BootTime();
+    return std::min(expiry, std::max(connection, turn));
 }
 
 std::chrono::nanoseconds expectedWait(const Gate &gate)
--- a/src/agent/GateSettings.cpp
+++ b/src/agent/GateSettings.cpp
@@ -38,6 +38,12 @@
     return *this;
 }
 
+GateSettingsBuilder &GateSettingsBuilder::coldPerSecond(double value)
+{
+    this->settings.coldPerSecond = value;
+    return *this;
+}
+
 GateSettingsBuilder &GateSettingsBuilder::adaptive(bool value)
 {
     this->settings.adaptive = value;
--- a/src/agent/Ownership.cpp
+++ b/src/agent/Ownership.cpp
@@ -10,12 +10,36 @@
 
 namespace {
 
-void addTo(wire::Released &released, const SliceKey &key)
+void addTo(wire::Released &released, const Ownership &ownership, const SliceKey &key)
 {
     wire::SliceRef *slice = released.add_slices();
     slice->set_service(key.service);
     slice->set_begin(key.begin);
     slice->set_epoch(key.epoch);
+    if (const auto handover = ownership.handovers.find(key); handover != ownership.handovers.end()) {
+        slice->set_handover(handover->second);
+    }
+}
+
+/** @return whether the upstream may still hold a key of the slice under its epoch or an older one */
+bool isHeld(const Ownership &ownership, const RouteMap &map, const SliceKey &key)
+{
+    const auto held = ownership.held.find(key.service);
+    if (held == ownership.held.end()) {
+        return false;
+    }
+    Slice slice;
+    slice.begin = key.begin;
+    const std::uint64_t last = lastHashOf(map, key.service, slice);
+    return std::any_of(held->second.begin(), held->second.end(), [&](const HeldRange &range) {
+        return range.first <= last && key.begin <= range.last && range.epoch <= key.epoch;
+    });
+}
+
+/** @return whether a revoked slice may get new work: its upstream holds it and hasn't been told to give it up */
+bool servesUntilGivenUp(const Ownership &ownership, const SliceKey &key)
+{
+    return ownership.upstreamsHold && !ownership.withheld.contains(key);
 }
 
 /** @return whether the map still gives this very slice and epoch to one of the agent's upstreams */
@@ -67,9 +91,16 @@
         return Refusal::NotOwner;
     }
     const SliceKey key{std::string(service), found->begin, found->epoch};
-    if (ownership.revoked.contains(key) || ownership.released.contains(key)) {
+    const bool leaving = ownership.revoked.contains(key) && !servesUntilGivenUp(ownership, key);
+    if (leaving || ownership.released.contains(key)) {
         return Refusal::Moving;
     }
+    if (ownership.upstreamsHold) {
+        const auto held = ownership.held.find(service);
+        if (held == ownership.held.end() || !covers(held->second, map, service, *found)) {
+            return Refusal::Moving;
+        }
+    }
     if (!holds(lease, now)) {
         return Refusal::NoLease;
     }
@@ -77,6 +108,14 @@
     return Refusal::None;
 }
 
+bool covers(const std::vector<HeldRange> &held, const RouteMap &map, std::string_view service, const Slice &slice)
+{
+    const std::uint64_t last = lastHashOf(map, service, slice);
+    return std::any_of(held.begin(), held.end(), [&](const HeldRange &range) {
+        return range.first <= slice.begin && last <= range.last && range.epoch == slice.epoch;
+    });
+}
+
 bool ownsLocally(const Ownership &ownership,
                  const RouteMap &map,
                  const Lease &lease,
@@ -114,11 +153,12 @@
 {
     wire::Released released;
     for (auto next = ownership.revoked.begin(); next != ownership.revoked.end();) {
-        if (hasWork(ownership, map, *next)) {
+        if (hasWork(ownership, map, *next) || isHeld(ownership, map, *next)) {
             ++next;
             continue;
         }
-        addTo(released, *next);
+        addTo(released, ownership, *next);
+        ownership.withheld.erase(*next);
         ownership.released.insert(*next);
         next = ownership.revoked.erase(next);
     }
@@ -133,7 +173,7 @@
             next = ownership.released.erase(next);
             continue;
         }
-        addTo(released, *next);
+        addTo(released, ownership, *next);
         ++next;
     }
     return released;
@@ -146,6 +186,9 @@
         return slice && slice->begin == key.begin && slice->epoch > key.epoch;
     };
     std::erase_if(ownership.released, isOld);
+    std::erase_if(ownership.handovers, [&](const auto &entry) {
+        return isOld(entry.first);
+    });
 }
 
 } // namespace bergamotweir::agent
--- a/src/agent/RequestStep.cpp
+++ b/src/agent/RequestStep.cpp
@@ -166,8 +166,8 @@
 /** Only reads of unkeyed services, where another upstream can answer as well, and once. */
 bool mayHedge(const RequestState &state)
 {
-    return !state.facts.keyed && !state.facts.forwarded && isRead(state.facts.method) && !state.hedged
-           && state.tries < MaxTries;
+    return !state.facts.keyed && !state.facts.forwarded && state.facts.hedged && isRead(state.facts.method)
+           && !state.hedged && state.tries < state.facts.mostTries;
 }
 
 void routed(
@@ -221,13 +221,13 @@
     if (!state.live.empty()) {
         return;
     }
-    const bool maySendAgain = state.ran == Ran::No || isIdempotent(state.facts.method);
+    const bool maySendAgain = state.ran == Ran::No || mayRepeat(state.facts);
     if (state.facts.forwarded || !maySendAgain || state.lastEnd == AttemptEnd::Quarantined) {
         refuseAttempt(state, actions);
         return;
     }
     if (isRouteEnd(state)) {
-        const bool askAnother = !state.facts.keyed && state.tries < MaxTries;
+        const bool askAnother = !state.facts.keyed && state.tries < state.facts.mostTries;
         if (askAnother) {
             route(state, actions);
             return;
@@ -237,7 +237,7 @@
         wait(state, now, context, actions);
         return;
     }
-    if (state.tries >= MaxTries || now >= state.facts.deadline || !withdraw(*context.retries)) {
+    if (state.tries >= state.facts.mostTries || now >= state.facts.deadline || !withdraw(*context.retries)) {
         refuseAttempt(state, actions);
         return;
     }
@@ -343,6 +343,11 @@
     return std::find(Idempotent.begin(), Idempotent.end(), method) != Idempotent.end();
 }
 
+bool mayRepeat(const RequestFacts &facts)
+{
+    return facts.repeatable.value_or(isIdempotent(facts.method));
+}
+
 bool isRead(const std::string &method)
 {
     return method == "GET" || method == "HEAD";
--- a/src/agent/RouteMap.cpp
+++ b/src/agent/RouteMap.cpp
@@ -1,6 +1,7 @@
 #include "agent/RouteMap.h"
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 
 namespace bergamotweir::agent {
@@ -25,7 +26,7 @@
         }
     }
     for (const wire::SliceOwner &owner : change.slices()) {
-        const Slice slice{owner.begin(), owner.owner(), owner.epoch()};
+        const Slice slice{owner.begin(), owner.owner(), owner.epoch(), owner.handover()};
         const auto found = lowerBound(slices, slice.begin);
         if (found != slices.end() && found->begin == slice.begin) {
             *found = slice;
@@ -94,6 +95,19 @@
     return *std::prev(after);
 }
 
+std::uint64_t lastHashOf(const RouteMap &map, std::string_view service, const Slice &slice)
+{
+    const auto found = map.slices.find(service);
+    if (found == map.slices.end()) {
+        return slice.begin;
+    }
+    const auto next = std::upper_bound(
+        found->second.begin(), found->second.end(), slice.begin, [](std::uint64_t value, const Slice &other) {
+            return value < other.begin;
+        });
+    return next == found->second.end() ? std::numeric_limits<std::uint64_t>::max() : next->begin - 1;
+}
+
 const wire::UpstreamInfo *findUpstream(const RouteMap &map, std::uint32_t id)
 {
     const auto found = map.upstreams.find(id);
--- a/src/cli/AllCommands.cpp
+++ b/src/cli/AllCommands.cpp
@@ -33,6 +33,18 @@
                     "--peer-port 8101 --announce-port 8201 --operator-port 8301 "
                     "--control 127.0.0.1:7001,127.0.0.1:7002,127.0.0.1:7003",
          .run = runAgentCommand},
+        {.name = "platform control",
+         .summary = "Runs a control replica on the users' machines, with the settings file that they write.",
+         .arguments = {},
+         .settings = platformSettings(),
+         .example = "bergamotweir platform control --node-file /etc/bergamotweir/local.conf",
+         .run = runPlatformControlCommand},
+        {.name = "platform agent",
+         .summary = "Runs the agent beside an upstream on the users' machines, with the settings file that they write.",
+         .arguments = {},
+         .settings = platformSettings(),
+         .example = "bergamotweir platform agent --node-file /etc/bergamotweir/local.conf",
+         .run = runPlatformAgentCommand},
     };
 }
 
--- a/src/cli/ProcessSettings.cpp
+++ b/src/cli/ProcessSettings.cpp
@@ -75,6 +75,14 @@
     };
 }
 
+std::vector<Setting> platformSettings()
+{
+    return {
+        {"node-file", &PathKind, "Settings file that the machine's owner writes.", true},
+        LogLevelSetting,
+    };
+}
+
 Result<process::AgentSettings> toAgentSettings(const Values &values)
 {
     Findings findings;
@@ -93,6 +101,8 @@
         .controls = values.list("control"),
         .logLevel = values.text("log-level"),
         .seed = values.number("seed"),
+        .service = {},
+        .upstreamAddress = {},
     };
 }
 
@@ -111,6 +121,9 @@
         .join = values.isOn("join"),
         .logLevel = values.text("log-level"),
         .seed = values.number("seed"),
+        .group = {},
+        .raft = {},
+        .coordinator = {},
     };
     bool isListed = false;
     for (const wire::Replica &replica : settings.initial.replicas()) {
--- a/src/cli/ProcessSettings.h
+++ b/src/cli/ProcessSettings.h
@@ -17,6 +17,9 @@
 /** @return the settings that "bergamotweir control" knows */
 std::vector<Setting> controlSettings();
 
+/** @return settings of the processes on the users' machines */
+std::vector<Setting> platformSettings();
+
 /** @return the agent's settings, or what contradicts each other in them */
 Result<process::AgentSettings> toAgentSettings(const Values &values);
 
--- a/src/control/Coordinator.cpp
+++ b/src/control/Coordinator.cpp
@@ -213,6 +213,11 @@
     }
 }
 
+void Coordinator::setControls(std::vector<std::string> addresses)
+{
+    this->controls = std::move(addresses);
+}
+
 void Coordinator::tick(BootTime now)
 {
     if (!this->leading) {
@@ -348,6 +353,7 @@
         if (message == nullptr) {
             message = std::make_shared<wire::ControlMessage>();
             *message->mutable_update() = this->state.fullUpdate();
+            message->mutable_update()->mutable_controls()->Assign(this->controls.begin(), this->controls.end());
         }
         this->actions.emplace_back(SendAction{session, message});
         agent->informed = true;
--- a/src/control/CoordinatorMoves.cpp
+++ b/src/control/CoordinatorMoves.cpp
@@ -1,3 +1,4 @@
+#include "base/KeyHash.h"
 #include "control/Assignment.h"
 #include "control/Coordinator.h"
 #include "control/SliceSplits.h"
@@ -78,12 +79,17 @@
         const SliceName name(ref.service(), ref.begin());
         if (this->moveBook.find(name) == nullptr) {
             // Revoked by a leader that is gone: nobody serves it until it gets a new epoch, its owner or another.
-            this->moveBook.moves[name] = {
-                .epoch = ref.epoch(), .from = owner->id(), .to = owner->id(), .takenFrom = {}, .notBefore = {}};
+            this->moveBook.moves[name] = {.epoch = ref.epoch(),
+                                          .from = owner->id(),
+                                          .to = owner->id(),
+                                          .takenFrom = {},
+                                          .notBefore = {},
+                                          .handover = {}};
         }
         Move &move = this->moveBook.moves.at(name);
         if (move.phase == MovePhase::Revoking) {
             move.phase = MovePhase::Released;
+            move.handover = ref.handover();
             // A restarted agent says Released for what it knows of; its predecessor may have sent more.
             move.notBefore = agent.started + this->longestWork(*owner);
         }
@@ -163,10 +169,12 @@
         return watch.splitting;
     }
     const double rightful = 1.0 / static_cast<double>(memberCount);
+    const table::ServicePolicy policy = this->state.tables().table().service(service);
     const SliceSplits splits = planSplits(map,
                                           memberCount * this->settings.slicesPerUpstream,
                                           this->loads.hotKeys(service, HotKeyPart * rightful, now),
-                                          this->moveBook.begins(service));
+                                          this->moveBook.begins(service),
+                                          policy.numberedKeys ? KeyGrain : 1);
     if (splits.empty()) {
         return false;
     }
@@ -269,7 +277,12 @@
         }
         if (this->isFree(holding.owner, now)) {
             Move &move = this->moveBook.moves[name];
-            move = {.epoch = holding.epoch, .from = holding.owner, .to = want.to, .takenFrom = {}, .notBefore = {}};
+            move = {.epoch = holding.epoch,
+                    .from = holding.owner,
+                    .to = want.to,
+                    .takenFrom = {},
+                    .notBefore = {},
+                    .handover = {}};
             this->takeFromLost(move);
             continue;
         }
@@ -285,8 +298,12 @@
         }
         ++busy[holding.owner];
         ++busy[want.to];
-        this->moveBook.moves[name] = {
-            .epoch = holding.epoch, .from = holding.owner, .to = want.to, .takenFrom = {}, .notBefore = {}};
+        this->moveBook.moves[name] = {.epoch = holding.epoch,
+                                      .from = holding.owner,
+                                      .to = want.to,
+                                      .takenFrom = {},
+                                      .notBefore = {},
+                                      .handover = {}};
         revoked.push_back(name);
     }
     this->sendRevokes(revoked);
@@ -341,6 +358,7 @@
         next.set_begin(slice.second);
         next.set_owner(move.to);
         next.set_epoch(move.epoch + 1);
+        next.set_handover(move.handover);
         move.phase = MovePhase::Committing;
         proposal.slices.push_back(slice);
     }
--- a/src/control/OperatorReads.cpp
+++ b/src/control/OperatorReads.cpp
@@ -5,6 +5,7 @@
 #include "control/State.h"
 
 #include <algorithm>
+#include <cstdlib>
 
 namespace bergamotweir::control {
 
@@ -51,7 +52,9 @@
         return;
     }
     wire::OwnerReport &owner = *reply.mutable_owner();
-    owner.set_hash(hashKey(request.key()));
+    const bool numbered = state.tables().table().service(request.service()).numberedKeys;
+    owner.set_hash(numbered ? placeOfKey(std::strtoull(request.key().c_str(), nullptr, 10) % NumberedKeys)
+                            : hashKey(request.key()));
     *owner.mutable_slice() = toWire(service->second.at(owner.hash()));
     if (const wire::UpstreamInfo *const upstream = state.upstreams().find(owner.slice().owner()); upstream != nullptr) {
         *owner.mutable_upstream() = *upstream;
@@ -137,6 +140,9 @@
     case wire::OperatorRequest::kGetOwner:
         addOwner(state, request.get_owner(), reply);
         break;
+    case wire::OperatorRequest::kGetRoutes:
+        *reply.mutable_routes() = state.tables().routes();
+        break;
     case wire::OperatorRequest::kGetInForce:
         *reply.mutable_in_force() = coordinator.inForce(request.get_in_force().version());
         break;
--- /dev/null
+++ b/src/control/RouteBook.cpp
@@ -0,0 +1,89 @@
+#include "control/RouteBook.h"
+
+#include "table/RouteTable.h"
+
+namespace bergamotweir::control {
+
+namespace {
+
+void addFinding(wire::OperatorReply &reply, const Finding &finding)
+{
+    wire::FindingText &text = *reply.add_findings();
+    text.set_place(finding.place);
+    text.set_message(finding.message);
+    text.set_remedy(finding.remedy);
+}
+
+wire::OperatorReply reply(wire::OperatorStatus status, std::uint64_t revision)
+{
+    wire::OperatorReply made;
+    made.set_status(status);
+    made.set_table_version(revision);
+    return made;
+}
+
+} // namespace
+
+wire::OperatorReply RouteBook::put(const wire::PutRoutes &change)
+{
+    if (const auto known = this->revisionByHash.find(change.content_hash()); known != this->revisionByHash.end()) {
+        return reply(wire::OPERATOR_STATUS_DONE, known->second);
+    }
+    if (change.base_revision() != this->current.revision()) {
+        wire::OperatorReply conflict = reply(wire::OPERATOR_STATUS_CONFLICT, this->current.revision());
+        addFinding(conflict, {"base revision", "another one is in force", "the one in force"});
+        return conflict;
+    }
+    wire::RouteTable wanted = change.partial() ? table::merged(this->current, change) : change.table();
+    Findings findings = table::findingsIn(wanted);
+    if (wanted.revision() <= this->current.revision()) {
+        findings.push_back({"revision", "is not above the one in force", "a higher one"});
+    }
+    if (!findings.empty()) {
+        wire::OperatorReply refused = reply(wire::OPERATOR_STATUS_BAD_INPUT, this->current.revision());
+        for (const Finding &finding : findings) {
+            addFinding(refused, finding);
+        }
+        return refused;
+    }
+    this->current = std::move(wanted);
+    this->remember(change.content_hash(), this->current.revision());
+    return reply(wire::OPERATOR_STATUS_DONE, this->current.revision());
+}
+
+const wire::RouteTable &RouteBook::routes() const
+{
+    return this->current;
+}
+
+void RouteBook::save(wire::StateSnapshot &to) const
+{
+    *to.mutable_routes() = this->current;
+    for (const wire::AcceptedRoutes &one : this->accepted) {
+        *to.add_accepted_routes() = one;
+    }
+}
+
+void RouteBook::restore(const wire::StateSnapshot &from)
+{
+    *this = RouteBook();
+    this->current = from.routes();
+    for (const wire::AcceptedRoutes &one : from.accepted_routes()) {
+        this->remember(one.content_hash(), one.revision());
+    }
+}
+
+void RouteBook::remember(std::uint64_t contentHash, std::uint64_t revision)
+{
+    wire::AcceptedRoutes one;
+    one.set_content_hash(contentHash);
+    one.set_revision(revision);
+    this->accepted.push_back(one);
+    this->revisionByHash[contentHash] = revision;
+    if (this->accepted.size() > MostAccepted) {
+        this->revisionByHash.erase(this->accepted.front().content_hash());
+        this->accepted.pop_front();
+    }
+}
+
+} // namespace bergamotweir::control
--- a/src/control/SliceMap.cpp
+++ b/src/control/SliceMap.cpp
@@ -13,11 +13,13 @@
 
 } // namespace
 
-SliceMap SliceMap::even(std::size_t count)
+SliceMap SliceMap::even(std::size_t count, std::uint64_t grain)
 {
-    assert(count > 0);
+    assert(count > 0 && grain > 0);
     SliceMap map;
-    const std::uint64_t width = std::numeric_limits<std::uint64_t>::max() / count;
+    // The space's size itself, 2^64, doesn't fit: one grain is missing from the quotient, which matters for wide ones.
+    const std::uint64_t grains = std::numeric_limits<std::uint64_t>::max() / grain + (grain > 1 ? 1 : 0);
+    const std::uint64_t width = grains / count * grain;
     for (std::size_t number = 0; number < count; ++number) {
         map.entries.emplace(width * number, SliceHolding{});
     }
@@ -51,7 +53,7 @@
     if (!split && !successor) {
         return false;
     }
-    this->entries[change.begin()] = SliceHolding{change.owner(), change.epoch()};
+    this->entries[change.begin()] = SliceHolding{change.owner(), change.epoch(), change.handover()};
     return true;
 }
 
@@ -74,7 +76,7 @@
 {
     this->entries.clear();
     for (const wire::SliceOwner &slice : from.slices()) {
-        this->entries[slice.begin()] = SliceHolding{slice.owner(), slice.epoch()};
+        this->entries[slice.begin()] = SliceHolding{slice.owner(), slice.epoch(), slice.handover()};
     }
     this->entries.try_emplace(0);
 }
@@ -85,6 +87,7 @@
     owner.set_begin(slice->first);
     owner.set_owner(slice->second.owner);
     owner.set_epoch(slice->second.epoch);
+    owner.set_handover(slice->second.handover);
     return owner;
 }
 
--- a/src/control/State.cpp
+++ b/src/control/State.cpp
@@ -1,5 +1,6 @@
 #include "control/State.h"
 
+#include "base/KeyHash.h"
 #include "control/VersionOrder.h"
 
 #include <cassert>
@@ -43,6 +44,9 @@
     case wire::Command::kPutTable:
         this->putTable(command.put_table(), applied);
         break;
+    case wire::Command::kPutRoutes:
+        this->putRoutes(command.put_routes(), applied);
+        break;
     case wire::Command::kMark: {
         const table::Marks before = this->tableHistory.marks();
         *applied.result.mutable_operator_reply() = this->tableHistory.mark(this->newest, command.mark());
@@ -87,14 +91,30 @@
     if (this->tableHistory.tableVersion() == before) {
         return;
     }
+    this->tableChanged(applied);
+}
+
+void State::putRoutes(const wire::PutRoutes &change, Applied &applied)
+{
+    const std::uint64_t before = this->tableHistory.routes().revision();
+    *applied.result.mutable_operator_reply() = this->tableHistory.putRoutes(this->newest, change);
+    if (this->tableHistory.routes().revision() != before) {
+        this->tableChanged(applied);
+    }
+}
+
+void State::tableChanged(Applied &applied)
+{
     applied.visible = true;
     *applied.update.mutable_table() = this->tableHistory.inForce();
     const table::Table &table = this->tableHistory.table();
     for (const std::string &service : table.services()) {
-        if (!table.service(service).keyed || this->sliceMaps.contains(service)) {
+        const table::ServicePolicy policy = table.service(service);
+        if (!policy.keyed || this->sliceMaps.contains(service)) {
             continue;
         }
-        const auto added = this->sliceMaps.emplace(service, SliceMap::even(FirstSlices)).first;
+        const std::uint64_t grain = policy.numberedKeys ? KeyGrain : 1;
+        const auto added = this->sliceMaps.emplace(service, SliceMap::even(FirstSlices, grain)).first;
         saveSlices(service, added->second, *applied.update.add_services());
     }
 }
--- a/src/control/TableHistory.cpp
+++ b/src/control/TableHistory.cpp
@@ -79,7 +79,7 @@
         return this->conflict(change, parsed.value());
     }
     const std::size_t differing = table::differences(this->current, parsed.value()).size();
-    this->current = std::move(parsed).value();
+    this->current = parsed.value().withRoutes(this->current.routes());
     wire::TableText text;
     text.set_table_version(this->tableVersion() + 1);
     text.set_csv(change.csv());
@@ -98,6 +98,22 @@
     return doneReply(version, this->tableVersion());
 }
 
+wire::OperatorReply TableHistory::putRoutes(const wire::Version &version, const wire::PutRoutes &change)
+{
+    const std::uint64_t before = this->routeBook.routes().revision();
+    wire::OperatorReply reply = this->routeBook.put(change);
+    if (this->routeBook.routes().revision() != before) {
+        this->current = this->current.withRoutes(table::RouteTable(this->routeBook.routes()));
+    }
+    *reply.mutable_version() = version;
+    return reply;
+}
+
+const wire::RouteTable &TableHistory::routes() const
+{
+    return this->routeBook.routes();
+}
+
 wire::OperatorReply TableHistory::mark(const wire::Version &version, const wire::Mark &change)
 {
     wire::OperatorReply reply;
@@ -166,6 +182,7 @@
     if (!this->tables.empty()) {
         inForce.set_csv(this->tables.back().csv());
     }
+    *inForce.mutable_routes() = this->routeBook.routes();
     for (const std::string &name : this->marked.failureDomainsOut) {
         inForce.add_failure_domains_out(name);
     }
@@ -183,6 +200,7 @@
     for (const wire::ChangeRecord &record : this->changes) {
         *to.add_changes() = record;
     }
+    this->routeBook.save(to);
     for (const std::string &name : this->marked.failureDomainsOut) {
         to.add_failure_domains_out(name);
     }
@@ -206,6 +224,8 @@
         assert(parsed.has_value());
         this->current = std::move(parsed).value();
     }
+    this->routeBook.restore(from);
+    this->current = this->current.withRoutes(table::RouteTable(this->routeBook.routes()));
 }
 
 bool TableHistory::answerResend(const std::string &changeId, std::uint64_t content, wire::OperatorReply &reply) const
--- a/src/disk/Storage.cpp
+++ b/src/disk/Storage.cpp
@@ -319,6 +319,20 @@
 {
 }
 
+Result<std::string> Storage::replicaIdOf(const std::filesystem::path &folder)
+{
+    if (!std::filesystem::exists(folder / MetaName)) {
+        return std::string();
+    }
+    const Result<std::string> content = readWhole(folder / MetaName);
+    if (!content) {
+        return content.error();
+    }
+    wire::DiskMeta meta;
+    meta.ParseFromString(content.value());
+    return meta.replica_id();
+}
+
 Storage::~Storage()
 {
     {
--- a/src/loop/EventLoop.cpp
+++ b/src/loop/EventLoop.cpp
@@ -7,6 +7,9 @@
 #include <ace/Reactor.h>
 #include <ace/Signal.h>
 
+#include <sys/resource.h>
+
+#include <algorithm>
 #include <atomic>
 #include <cassert>
 #include <deque>
@@ -142,12 +145,26 @@
 
 /** Tasks posted by tasks run in the same turn, but must not keep sockets and timers waiting for ever. */
 constexpr int TaskRoundsPerTurn = 8;
-constexpr std::size_t MaxDescriptors = 8192;
+/** Descriptors that the loop watches at most; the reactor keeps a table entry for each. */
+constexpr rlim_t MostDescriptors = 8192;
+
+/**
+ * Guards against a process that can't start on a VM which allows few descriptors: the reactor refuses to open for more
+ * than the process may have.
+ */
+std::size_t descriptorsAllowed()
+{
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0) {
+        return MostDescriptors;
+    }
+    return std::min(limit.rlim_cur, MostDescriptors);
+}
 
 } // namespace
 
 struct EventLoop::Parts {
-    ACE_Dev_Poll_Reactor implementation{MaxDescriptors, true};
+    ACE_Dev_Poll_Reactor implementation{descriptorsAllowed(), true};
     ACE_Reactor reactor{&implementation};
     TaskQueue tasks;
     std::unordered_map<int, std::unique_ptr<Watch>> watches;
--- a/src/net/ClientCall.cpp
+++ b/src/net/ClientCall.cpp
@@ -100,6 +100,19 @@
     return close(socket);
 }
 
+/*
+ * Failure: an upstream answers a request twice, or late, on a connection that is kept. It shows as a caller who gets
+ * the answer to another caller's request. The answer's echo of the request's id tells.
+ */
+bool isForeign(const ClientCall &call)
+{
+    if (call.call.echoed.name.empty()) {
+        return false;
+    }
+    const std::string *echo = findHeader(call.answer.headers, call.call.echoed.name);
+    return echo != nullptr && *echo != call.call.echoed.value;
+}
+
 std::size_t onHeader(char *data, std::size_t, std::size_t size, void *user)
 {
     auto &call = *static_cast<ClientCall *>(user);
@@ -122,7 +135,9 @@
         curl_easy_getinfo(call.easy, CURLINFO_RESPONSE_CODE, &status);
         call.answer.status = static_cast<int>(status);
         call.headerComplete = status >= LowestFinalStatus;
-        return size;
+        call.foreign = call.headerComplete && isForeign(call);
+        // libcurl closes the connection: what follows on it belongs to other requests as well.
+        return call.foreign ? 0 : size;
     }
     const std::size_t colon = line.find(':');
     if (colon != std::string_view::npos) {
@@ -184,7 +199,8 @@
 
 /**
  * Tells whether the end of the body was stated. A body that ends with its connection looks the same when the peer
- * crashed in the middle, so it never counts as whole, with Connection: close or without.
+ * crashed in the middle, so it counts as whole only for a peer that is known to answer so, and whose connection ended
+ * in order and not with a reset.
  * Two different lengths, or a length beside chunks, are no framing either (RFC 9112, 6.3).
  */
 bool isFramed(const ClientCall &call)
@@ -206,6 +222,9 @@
             chunked = strcasecmp(header.value.c_str(), "chunked") == 0;
         }
     }
+    if (!chunked && length == nullptr) {
+        return call.call.untilClose;
+    }
     return chunked != (length != nullptr);
 }
 
@@ -220,7 +239,7 @@
     if (code == CURLE_OPERATION_TIMEDOUT) {
         return CallEnd::TimedOut;
     }
-    if (!call.headerComplete) {
+    if (!call.headerComplete || call.foreign) {
         return CallEnd::Broken;
     }
     return code == CURLE_OK && isFramed(call) ? CallEnd::Answered : CallEnd::ShortAnswer;
--- a/src/net/ClientCall.h
+++ b/src/net/ClientCall.h
@@ -35,6 +35,8 @@
     /** The blank line after the final status's header fields was read. */
     bool headerComplete = false;
     bool tooLarge = false;
+    /** The answer names another request. */
+    bool foreign = false;
     HttpAnswer answer;
     std::size_t headerBytes = 0;
 };
--- a/src/process/AgentProcess.cpp
+++ b/src/process/AgentProcess.cpp
@@ -2,10 +2,12 @@
 
 #include "loop/Log.h"
 #include "net/Problem.h"
+#include "process/OwnProtocol.h"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <limits>
 
 namespace bergamotweir::process {
 
@@ -18,10 +20,6 @@
 constexpr milliseconds StopInterval{20};
 /** After the routing has left this agent out everywhere, forwarded requests may still be on their way. */
 constexpr milliseconds ForwardsOnTheirWay{300};
-/** A stop takes no longer, whatever is still in progress. */
-constexpr std::chrono::seconds LongestStop{20};
-/** Control that can't be reached is not waited for longer: the lease ends by itself. */
-constexpr std::chrono::seconds LongestHandOver{8};
 constexpr std::size_t MaxAnnouncement = 16384;
 
 constexpr loop::Log Log("agent");
@@ -105,6 +103,8 @@
     , report(this->state)
 {
     this->state.settings = settings;
+    this->state.protocol = settings.protocol == nullptr ? &ownProtocol() : settings.protocol;
+    this->state.ownership.upstreamsHold = this->state.protocol->byHeartbeat;
     this->state.random.seed(chooseSeed(settings));
     this->state.startedAt = BootClock::now();
     const std::uint64_t start = (static_cast<std::uint64_t>(this->state.random()) << 32U) | this->state.random();
@@ -138,10 +138,14 @@
         findings);
     this->announcements = bindServer(
         this->loop,
-        on("127.0.0.1", settings.announcePort).maxBodyBytes(MaxAnnouncement),
+        on(settings.announceAddress, settings.announcePort).maxBodyBytes(MaxAnnouncement),
         "--announce-port",
         [this](const std::shared_ptr<net::Exchange> &exchange) {
-            this->announce(exchange);
+            if (this->state.protocol->byHeartbeat) {
+                this->heartbeat(exchange);
+            } else {
+                this->announce(exchange);
+            }
         },
         findings);
     this->operators = bindServer(
@@ -152,6 +156,16 @@
             this->answerOperator(exchange);
         },
         findings);
+    if (settings.readyPort != 0) {
+        this->readiness = bindServer(
+            this->loop,
+            on(settings.address, settings.readyPort),
+            "--ready-port",
+            [this](const std::shared_ptr<net::Exchange> &exchange) {
+                exchange->answer(textAnswer(this->isReady() ? 200 : 503, "text/plain", ""));
+            },
+            findings);
+    }
     return findings;
 }
 
@@ -165,11 +179,17 @@
         this->stateChanged();
     };
     events.revoked = [this](const wire::Revoke &order) {
+        if (this->state.protocol->byHeartbeat) {
+            return;
+        }
         for (const auto &[name, upstream] : this->upstreams) {
             upstream->sendRevoke(order);
         }
     };
     events.renewed = [this] {
+        if (this->state.protocol->byHeartbeat) {
+            return;
+        }
         for (const auto &[name, upstream] : this->upstreams) {
             upstream->renewGrants();
         }
@@ -221,7 +241,84 @@
     exchange->answer(textAnswer(200, "application/json", "{}"));
 }
 
-void AgentProcess::addUpstream(const Announcement &announcement)
+void AgentProcess::heartbeat(const std::shared_ptr<net::Exchange> &exchange)
+{
+    const Result<Heartbeat> read = this->state.protocol->readHeartbeat(exchange->request());
+    if (!read) {
+        Log.warn("a heartbeat can't be used: " + toText(read.error()));
+        exchange->answer(net::problem(400, "bad heartbeat", toText(read.error()), net::RequestRan::No));
+        return;
+    }
+    Heartbeat heartbeat = read.value();
+    LocalUpstream *upstream = this->upstreamOfInstance(heartbeat.announcement.instance);
+    if (heartbeat.farewell) {
+        if (upstream != nullptr) {
+            heartbeat.announcement = upstream->announcement();
+            heartbeat.sequence = std::numeric_limits<std::uint64_t>::max();
+            upstream->heartbeat(heartbeat);
+        }
+        exchange->answer(this->state.protocol->answerHeartbeat({}));
+        return;
+    }
+    if (this->isOutdated(heartbeat)) {
+        Log.warn(heartbeat.announcement.name + ": a heartbeat of another address or of a process that was replaced");
+        exchange->answer(this->state.protocol->answerHeartbeat({}));
+        return;
+    }
+    this->newestStart[heartbeat.announcement.address] = heartbeat.startedAt;
+    const auto found = this->upstreams.find({heartbeat.announcement.service, heartbeat.announcement.name});
+    if (found == this->upstreams.end()) {
+        this->endReplaced(heartbeat.announcement);
+        upstream = &this->addUpstream(heartbeat.announcement);
+    } else {
+        upstream = found->second.get();
+    }
+    exchange->answer(this->state.protocol->answerHeartbeat(upstream->heartbeat(heartbeat)));
+}
+
+bool AgentProcess::isOutdated(const Heartbeat &heartbeat) const
+{
+    const std::string &expected = this->state.settings.upstreamAddress;
+    if (!expected.empty() && heartbeat.announcement.address != expected) {
+        return true;
+    }
+    const auto newest = this->newestStart.find(heartbeat.announcement.address);
+    return newest != this->newestStart.end() && heartbeat.startedAt < newest->second;
+}
+
+LocalUpstream *AgentProcess::upstreamOfInstance(const std::string &instance)
+{
+    LocalUpstream *newest = nullptr;
+    for (const auto &[name, upstream] : this->upstreams) {
+        const bool alive = upstream->status() != UpstreamStatus::Crashed;
+        if (upstream->announcement().instance == instance && (newest == nullptr || alive)) {
+            newest = upstream.get();
+        }
+    }
+    return newest;
+}
+
+void AgentProcess::endReplaced(const Announcement &announcement)
+{
+    for (const auto &[name, upstream] : this->upstreams) {
+        if (upstream->announcement().address == announcement.address && upstream->status() != UpstreamStatus::Crashed) {
+            Log.info(name.second + ": replaced by " + announcement.name);
+            upstream->replaced();
+        }
+    }
+    std::erase_if(this->upstreams, [](const auto &entry) {
+        return entry.second->status() == UpstreamStatus::Crashed && entry.second->inProgress() == 0;
+    });
+}
+
+/** Ready are agents that know the routes and stay: others would only turn callers away. */
+bool AgentProcess::isReady() const
+{
+    return !this->state.stopping && this->state.map.version.index() != 0
+           && (this->state.table.routes().revision() != 0 || this->state.map.tableVersion != 0);
+}
+
+LocalUpstream &AgentProcess::addUpstream(const Announcement &announcement)
 {
     const UpstreamName name{announcement.service, announcement.name};
     LocalUpstreamEvents events;
@@ -245,13 +342,20 @@
     upstream->resumeLimit();
     Log.info(announcement.name + ": announced for " + announcement.service);
     this->control->tell(upstream->info());
-    this->upstreams.emplace(name, std::move(upstream));
+    LocalUpstream &added = *this->upstreams.emplace(name, std::move(upstream)).first->second;
     this->rebuildCandidates();
+    return added;
 }
 
 void AgentProcess::stateChanged()
 {
     this->report.tableChanged();
+    const bool out = this->state.map.failureDomainsOut.contains(this->state.settings.failureDomain);
+    if (!out) {
+        this->state.domainOutSince = BootTime();
+    } else if (this->state.domainOutSince == BootTime()) {
+        this->state.domainOutSince = BootClock::now();
+    }
     for (const auto &[name, upstream] : this->upstreams) {
         upstream->applyTable();
         upstream->resumeLimit();
@@ -270,13 +374,12 @@
         const table::UpstreamPolicy policy =
             this->state.table.upstream(upstream.service(), upstream.failure_domain(), upstream.name());
         const LocalUpstream *local = this->localUpstream(id);
-        const bool localReady =
-            local == nullptr || (local->status() == UpstreamStatus::Serving && !this->state.stopping);
+        const bool localReady = local == nullptr || (local->takesWork() && !this->state.stopping);
         if (!agent::isInService(this->state.map, upstream) || !policy.inService || policy.weight <= 0 || !localReady) {
             continue;
         }
         const bool localDomain = upstream.failure_domain() == this->state.settings.failureDomain;
-        this->state.services[upstream.service()].candidates.push_back({id, policy.weight, localDomain});
+        serviceOf(this->state, upstream.service()).candidates.push_back({id, policy.weight, localDomain});
     }
     for (auto &entry : this->state.services) {
         forgetOthers(entry.second);
@@ -285,6 +388,9 @@
 
 void AgentProcess::sendGrants()
 {
+    if (this->state.protocol->byHeartbeat) {
+        return;
+    }
     for (const auto &[name, upstream] : this->upstreams) {
         upstream->sendGrants();
     }
@@ -404,7 +510,7 @@
 {
     const BootTime now = BootClock::now();
     const auto stoppingFor = now - this->stoppingSince;
-    if (this->leftSince == BootTime() && (this->hasLeft() || stoppingFor > LongestHandOver)) {
+    if (this->leftSince == BootTime() && (this->hasLeft() || stoppingFor > this->state.settings.longestHandOver)) {
         Log.info(this->hasLeft() ? "stopping: out of the routing" : "stopping: control not reached");
         this->leftSince = now;
     }
@@ -418,7 +524,7 @@
     for (const auto &[name, upstream] : this->upstreams) {
         inProgress += upstream->inProgress();
     }
-    if (inProgress == 0 || stoppingFor > LongestStop) {
+    if (inProgress == 0 || stoppingFor > this->state.settings.longestStop) {
         Log.info("stopped, " + std::to_string(inProgress) + " requests in progress");
         this->loop.stop();
     }
--- a/src/process/AgentProcess.h
+++ b/src/process/AgentProcess.h
@@ -40,7 +40,15 @@
     void connect();
     void announce(const std::shared_ptr<net::Exchange> &exchange);
     void answerOperator(const std::shared_ptr<net::Exchange> &exchange);
-    void addUpstream(const Announcement &announcement);
+    /** Takes a heartbeat by the deployment's protocol. */
+    void heartbeat(const std::shared_ptr<net::Exchange> &exchange);
+    /** @return whether another process has since taken the place of the one that sent the heartbeat */
+    bool isOutdated(const Heartbeat &heartbeat) const;
+    LocalUpstream *upstreamOfInstance(const std::string &instance);
+    /** Ends the upstreams whose address another one has now, and forgets those on which nothing is left to do. */
+    void endReplaced(const Announcement &announcement);
+    bool isReady() const;
+    LocalUpstream &addUpstream(const Announcement &announcement);
     void stateChanged();
     void rebuildCandidates();
     void sendGrants();
@@ -57,7 +65,10 @@
     std::unique_ptr<net::HttpServer> peers;
     std::unique_ptr<net::HttpServer> announcements;
     std::unique_ptr<net::HttpServer> operators;
+    std::unique_ptr<net::HttpServer> readiness;
     std::map<UpstreamName, std::unique_ptr<LocalUpstream>> upstreams;
+    /** When the newest process at each address started, on its own wall clock. */
+    std::map<std::string, std::chrono::milliseconds> newestStart;
     std::unique_ptr<ControlLink> control;
     std::unique_ptr<RequestRunner> runner;
     BootTime stoppingSince;
--- a/src/process/AgentState.h
+++ b/src/process/AgentState.h
@@ -12,6 +12,8 @@
 
 namespace bergamotweir::process {
 
+struct AgentProtocol;
+
 /** What an agent keeps per service for routing. */
 struct ServiceState {
     agent::ServiceRouting routing;
@@ -38,8 +40,25 @@
     /** Random, of this start of the process. */
     std::string incarnation;
     BootTime startedAt;
+    /** How callers and upstreams speak. */
+    const AgentProtocol *protocol = nullptr;
+    /** Since when this VM's failure domain is marked out. */
+    BootTime domainOutSince;
     /** Set once SIGTERM was received. */
     bool stopping = false;
 };
 
+/** @return what is kept for a service; made with the budgets of the settings when it is new */
+inline ServiceState &serviceOf(AgentState &state, const std::string &name)
+{
+    const auto found = state.services.find(name);
+    if (found != state.services.end()) {
+        return found->second;
+    }
+    ServiceState &added = state.services[name];
+    added.retries = {
+        .ratio = state.settings.retryRatio, .most = state.settings.mostRetries, .tokens = state.settings.mostRetries};
+    return added;
+}
+
 } // namespace bergamotweir::process
--- a/src/process/ControlLink.cpp
+++ b/src/process/ControlLink.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds RenewInterval{100};
 /** Loads change over seconds: telling them with every heartbeat would double its bytes for nothing. */
 constexpr std::chrono::seconds LoadInterval{1};
 
@@ -23,6 +22,15 @@
     }
 }
 
+void readRoutes(AgentState &state, const wire::RouteTable &routes)
+{
+    if (routes.revision() == state.table.routes().revision()) {
+        return;
+    }
+    state.table = state.table.withRoutes(table::RouteTable(routes));
+    Log.info("routes of revision " + std::to_string(routes.revision()) + " in force");
+}
+
 void readTable(AgentState &state)
 {
     if (state.map.tableVersion == 0) {
@@ -34,7 +42,7 @@
         Log.error("table " + std::to_string(state.map.tableVersion) + " can't be read, the one before stays");
         return;
     }
-    state.table = std::move(table).value();
+    state.table = table.value().withRoutes(state.table.routes());
     Log.info("table " + std::to_string(state.map.tableVersion) + " in force");
 }
 
@@ -60,8 +68,12 @@
         Log.warn("session closed");
         agent::endSession(this->state.lease);
     };
-    this->session = std::make_unique<rpc::ControlSession>(loop, state.settings.controls, std::move(sessionEvents));
-    this->renewTimer = loop.every(RenewInterval, [this] {
+    this->session =
+        std::make_unique<rpc::ControlSession>(loop,
+                                              state.settings.controls,
+                                              std::move(sessionEvents),
+                                              rpc::ControlSessionPatience{.silence = state.settings.controlSilence});
+    this->renewTimer = loop.every(state.settings.renewInterval, [this] {
         this->renew();
     });
 }
@@ -120,8 +132,10 @@
     agent::forgetOldEpochs(this->state.ownership, this->state.map);
     if (update.has_table()) {
         readTable(this->state);
+        readRoutes(this->state, update.table().routes());
     }
     if (update.full()) {
+        this->session->learn({update.controls().begin(), update.controls().end()});
         wire::AgentMessage message;
         *message.mutable_released() = agent::resumeReleased(this->state.ownership, this->state.map);
         if (!message.released().slices().empty()) {
--- a/src/process/ControlProcess.cpp
+++ b/src/process/ControlProcess.cpp
@@ -4,6 +4,8 @@
 #include "loop/EventLoop.h"
 #include "loop/Log.h"
 #include "net/HttpServer.h"
+#include "process/OperatorProtocol.h"
+#include "process/ReplicaIdentity.h"
 #include "process/ReplicaSettings.h"
 
 #include <chrono>
@@ -21,6 +23,8 @@
 constexpr std::chrono::hours ClaimWindow{24};
 constexpr std::chrono::minutes QuarantineWindow{10};
 constexpr std::size_t MostClaimName = 512;
+/** Bytes of an operator's order: a table of routes, with as much again to spare. */
+constexpr std::size_t MostOrderBytes = std::size_t{4} * 1024 * 1024;
 
 std::uint64_t unixMilliseconds()
 {
@@ -64,14 +68,21 @@
 ControlProcess::ControlProcess(loop::EventLoop &loop, const ControlSettings &settings)
     : loop(loop)
     , settings(settings)
-    , coordinator(control::CoordinatorSettings{}, this->state)
+    , coordinator(settings.coordinator, this->state)
 {
 }
 
 Result<std::unique_ptr<ControlProcess>>
 ControlProcess::start(loop::EventLoop &loop, const ControlSettings &settings, std::function<void()> failed)
 {
-    std::unique_ptr<ControlProcess> process(new ControlProcess(loop, settings));
+    ControlSettings complete = settings;
+    if (complete.group) {
+        Findings wrong = takeIdentity(complete);
+        if (!wrong.empty()) {
+            return wrong;
+        }
+    }
+    std::unique_ptr<ControlProcess> process(new ControlProcess(loop, complete));
     Findings findings = process->open(std::move(failed));
     if (!findings.empty()) {
         return findings;
@@ -98,10 +109,18 @@
     if (findings.empty()) {
         findings = this->openOperatorPort();
     }
+    if (findings.empty() && this->settings.operatorProtocol != nullptr) {
+        findings = this->openOrderPort();
+    }
     if (!findings.empty()) {
         return findings;
     }
+    if (this->settings.group) {
+        this->keeper =
+            std::make_unique<GroupKeeper>(this->loop, *this->node, *this->settings.group, this->settings.replicaId);
+    }
     this->tickTimer = this->loop.every(TickInterval, [this] {
+        this->tellControls();
         this->coordinator.tick(BootClock::now());
         this->scheduleActions();
     });
@@ -123,6 +142,7 @@
                                           .dataFolder(this->settings.dataFolder)
                                           .initial(this->settings.initial)
                                           .join(this->settings.join)
+                                          .raft(this->settings.raft)
                                           .seed(this->settings.seed)
                                           .build();
     if (!replica) {
@@ -143,6 +163,11 @@
     hooks.leadershipChanged = [this](bool leader, std::uint64_t) {
         this->leadershipChanged(leader);
     };
+    hooks.joinAsked = [this](const wire::Replica &replica) {
+        if (this->keeper) {
+            this->keeper->joinAsked(replica);
+        }
+    };
     hooks.stopped = [failed = std::move(failed)](const Findings &findings) {
         Log.error(findings);
         failed();
@@ -174,6 +199,60 @@
     return {};
 }
 
+Findings ControlProcess::openOrderPort()
+{
+    Result<net::HttpServerSettings> http = net::HttpServerSettingsBuilder()
+                                               .address(this->settings.address)
+                                               .port(this->settings.orderPort)
+                                               .maxBodyBytes(MostOrderBytes)
+                                               .build();
+    if (!http) {
+        return http.error();
+    }
+    Result<std::unique_ptr<net::HttpServer>> listening =
+        net::HttpServer::listen(this->loop, http.value(), [this](const std::shared_ptr<net::Exchange> &exchange) {
+            this->order(exchange);
+        });
+    if (!listening) {
+        return listening.error();
+    }
+    this->orderServer = std::move(listening).value();
+    return {};
+}
+
+void ControlProcess::order(const std::shared_ptr<net::Exchange> &exchange)
+{
+    const OperatorProtocol &protocol = *this->settings.operatorProtocol;
+    auto read = protocol.read(exchange->request());
+    if (auto *refusal = std::get_if<net::HttpAnswer>(&read)) {
+        exchange->answer(std::move(*refusal));
+        return;
+    }
+    auto &order = std::get<wire::OperatorRequest>(read);
+    if (order.has_mark() && order.mark().change_id().empty()) {
+        // A mark sent again changes nothing, so each may have an id of its own.
+        order.mutable_mark()->set_change_id(this->settings.replicaId + "-" + std::to_string(this->node->term()) + "-"
+                                            + std::to_string(unixMilliseconds()) + "-"
+                                            + std::to_string(++this->ordersTaken));
+    }
+    this->operate(order, [this, &protocol, exchange, order](const wire::OperatorReply &reply) {
+        if (reply.status() == wire::OPERATOR_STATUS_NOT_LEADER) {
+            exchange->answer(protocol.redirect(exchange->request(), this->leaderOrderAddress()));
+            return;
+        }
+        exchange->answer(protocol.write(order, reply));
+    });
+}
+
+std::string ControlProcess::leaderOrderAddress() const
+{
+    const std::string control = this->node->isLeader() ? std::string() : this->node->leaderControlAddress();
+    if (control.empty()) {
+        return {};
+    }
+    return endpoint(control.substr(0, control.rfind(':')), this->settings.orderPort);
+}
+
 rpc::ControlServiceEvents ControlProcess::serviceEvents()
 {
     rpc::ControlServiceEvents events;
@@ -240,6 +319,19 @@
     this->scheduleActions();
 }
 
+void ControlProcess::tellControls()
+{
+    if (!this->node->isLeader()) {
+        return;
+    }
+    std::vector<std::string> addresses;
+    const wire::Membership membership = this->node->membership();
+    for (const wire::Replica &replica : membership.replicas()) {
+        addresses.push_back(replica.control_address());
+    }
+    this->coordinator.setControls(std::move(addresses));
+}
+
 void ControlProcess::scheduleActions()
 {
     if (std::exchange(this->actionsScheduled, true)) {
@@ -339,8 +431,19 @@
         answer(this->notLeader());
         return;
     }
+    const bool changes = request.has_put_table() || request.has_mark() || request.has_put_routes();
+    if (changes && this->keeper && !this->keeper->mayAcknowledge()) {
+        wire::OperatorReply notYet = this->notLeader();
+        notYet.clear_leader_address();
+        answer(std::move(notYet));
+        return;
+    }
     wire::Command command;
     switch (request.body_case()) {
+    case wire::OperatorRequest::kPutRoutes:
+        *command.mutable_put_routes() = request.put_routes();
+        this->change(std::move(command), answer);
+        break;
     case wire::OperatorRequest::kPutTable:
         *command.mutable_put_table() = request.put_table();
         this->change(std::move(command), answer);
--- a/src/process/ControlProcess.h
+++ b/src/process/ControlProcess.h
@@ -4,6 +4,7 @@
 #include "control/Coordinator.h"
 #include "control/State.h"
 #include "process/ControlSettings.h"
+#include "process/GroupKeeper.h"
 #include "process/ReplicaNode.h"
 #include "rpc/ControlService.h"
 
@@ -54,10 +55,16 @@
     Findings open(std::function<void()> failed);
     Findings openNode(std::function<void()> failed);
     Findings openOperatorPort();
+    Findings openOrderPort();
+    /** Takes an operator's order by the deployment's protocol. */
+    void order(const std::shared_ptr<net::Exchange> &exchange);
+    /** @return IP:port where the leader takes orders; empty when no leader is known */
+    std::string leaderOrderAddress() const;
     rpc::ControlServiceEvents serviceEvents();
     std::string apply(const wire::Version &version, std::string_view bytes);
     void leadershipChanged(bool leader);
     void closeWithRedirect(control::SessionId session);
+    void tellControls();
     /** Carries out what the coordinator wants, once the present event has been handled. */
     void scheduleActions();
     void perform(control::ProposeAction action);
@@ -87,7 +94,11 @@
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
     std::unique_ptr<rpc::ControlService> service;
     std::unique_ptr<net::HttpServer> operatorServer;
+    std::unique_ptr<net::HttpServer> orderServer;
     std::unique_ptr<ReplicaNode> node;
+    /** Only where the group keeps its own membership. */
+    std::unique_ptr<GroupKeeper> keeper;
+    std::uint64_t ordersTaken = 0;
 };
 
 } // namespace bergamotweir::process
--- /dev/null
+++ b/src/process/GroupKeeper.cpp
@@ -0,0 +1,131 @@
+#include "process/GroupKeeper.h"
+
+#include "loop/Log.h"
+#include "process/ReplicaNode.h"
+#include "raft/GroupPlan.h"
+
+#include <algorithm>
+
+namespace bergamotweir::process {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/** How often the membership is looked at, and a join asked for: well below the second that a join may take. */
+constexpr milliseconds LookInterval{100};
+/** A joiner that hasn't asked again for so long is forgotten; it asks with every look. */
+constexpr milliseconds JoinerAge{1000};
+/** A member that hears of no leader for so long may have been removed while it was away, and asks to be taken in. */
+constexpr milliseconds LeaderlessFor{2000};
+
+constexpr loop::Log Log("group");
+
+bool isMember(const wire::Membership &membership, const std::string &id)
+{
+    return std::any_of(membership.replicas().begin(), membership.replicas().end(), [&](const wire::Replica &replica) {
+        return replica.id() == id;
+    });
+}
+
+} // namespace
+
+GroupKeeper::GroupKeeper(loop::EventLoop &loop, ReplicaNode &node, GroupSettings settings, std::string replicaId)
+    : loop(loop)
+    , node(node)
+    , settings(std::move(settings))
+    , replicaId(std::move(replicaId))
+    , leaderSeen(BootClock::now())
+{
+    this->timer = loop.every(LookInterval, [this] {
+        this->look();
+    });
+}
+
+GroupKeeper::~GroupKeeper()
+{
+    *this->alive = false;
+    this->loop.cancel(this->timer);
+}
+
+void GroupKeeper::joinAsked(const wire::Replica &replica)
+{
+    if (!this->joiners.contains(replica.id())) {
+        Log.info(replica.id() + " at " + replica.address() + " asks to join");
+    }
+    this->joiners[replica.id()] = {replica, BootClock::now()};
+}
+
+bool GroupKeeper::mayAcknowledge() const
+{
+    if (raft::countVoters(this->node.membership()) >= this->settings.wantedVoters) {
+        return true;
+    }
+    return this->leadsSince != BootTime() && BootClock::now() - this->leadsSince >= this->settings.gatherFor;
+}
+
+void GroupKeeper::look()
+{
+    const BootTime now = BootClock::now();
+    if (!this->node.leaderId().empty()) {
+        this->leaderSeen = now;
+    }
+    if (!this->node.isLeader()) {
+        this->leadsSince = BootTime();
+        this->joiners.clear();
+        if (!isMember(this->node.membership(), this->replicaId) || now - this->leaderSeen >= LeaderlessFor) {
+            this->askToJoin();
+        }
+        return;
+    }
+    if (this->leadsSince == BootTime()) {
+        this->leadsSince = now;
+    }
+    this->changeMembership(now);
+}
+
+void GroupKeeper::askToJoin()
+{
+    std::vector<std::string> addresses = this->settings.seeds;
+    const wire::Membership membership = this->node.membership();
+    for (const wire::Replica &replica : membership.replicas()) {
+        addresses.push_back(replica.address());
+    }
+    std::sort(addresses.begin(), addresses.end());
+    addresses.erase(std::unique(addresses.begin(), addresses.end()), addresses.end());
+    this->node.askToJoin(addresses);
+}
+
+void GroupKeeper::changeMembership(BootTime now)
+{
+    raft::GroupFacts facts;
+    facts.members = this->node.membership();
+    facts.gone = this->node.silentMembers(this->settings.goneAfter);
+    facts.wantedVoters = this->settings.wantedVoters;
+    std::erase_if(this->joiners, [&](const auto &entry) {
+        return isMember(facts.members, entry.first) || now - entry.second.askedAt > JoinerAge;
+    });
+    for (const auto &[id, joiner] : this->joiners) {
+        facts.joiners.push_back(joiner.replica);
+    }
+    if (this->changing) {
+        return;
+    }
+    const std::optional<wire::ChangeMember> change = raft::nextChange(facts);
+    if (!change) {
+        return;
+    }
+    this->changing = true;
+    this->node.changeMembership(*change, [this, alive = this->alive, change](const ProposeResult &result) {
+        if (!*alive) {
+            return;
+        }
+        this->changing = false;
+        if (result.kind == ProposeEnd::Applied) {
+            Log.info(wire::ChangeMember::Change_Name(change->change()) + " of " + change->replica().id() + " done, "
+                     + std::to_string(raft::countVoters(this->node.membership())) + " voters");
+        }
+    });
+}
+
+} // namespace bergamotweir::process
--- a/src/process/LocalUpstream.cpp
+++ b/src/process/LocalUpstream.cpp
@@ -1,6 +1,7 @@
 #include "process/LocalUpstream.h"
 
 #include "loop/Log.h"
+#include "process/AgentProtocol.h"
 #include "process/AgentState.h"
 
 #include <algorithm>
@@ -19,6 +20,18 @@
 constexpr milliseconds CancelInterval{100};
 /** Work that was given up and not confirmed as ended counts until so long past its deadline. */
 constexpr milliseconds LingerPastDeadline{1000};
+/** An upstream with heartbeats that has neither sent one nor answered for so long counts as frozen: two may be late. */
+constexpr milliseconds HeartbeatSilence{3500};
+constexpr milliseconds SilenceLook{500};
+/** How long a leaving upstream still gets requests: they are on their way while the others hear of it. */
+constexpr milliseconds LeavingServes{1000};
+/** How long an upstream in a failure domain marked out still gets requests that were on their way or have no other. */
+constexpr milliseconds MarkedOutServes{3500};
+/** Part of a cold upstream's rate that it is given: over it for a while does no harm, well over it does. */
+constexpr double ColdShare = 1.2;
+/** Idle connections are closed well before upstreams close them by themselves, so that no request meets a closing one.
+ */
+constexpr std::chrono::seconds HeartbeatIdleAge{6};
 /** Connections kept free for orders and health. */
 constexpr unsigned OrderConnections = 4;
 
@@ -56,13 +69,18 @@
         .ceiling(limited ? policy.limit : announcement.slots)
         .ceilingIsTableLimit(limited)
         .connections(connectionsFor(announcement))
+        .coldPerSecond(ColdShare * state.table.service(announcement.service).warmupPerSecond)
+        .adaptive(!state.protocol->byHeartbeat)
         .build()
         .value();
 }
 
-net::HttpClientSettings clientSettings(const Announcement &announcement)
+net::HttpClientSettings clientSettings(const AgentState &state, const Announcement &announcement)
 {
     net::HttpClientSettings settings;
+    if (state.protocol->byHeartbeat) {
+        settings.maxIdleAge = HeartbeatIdleAge;
+    }
     settings.maxIdleConnections = announcement.connections;
     settings.maxConnectionsPerPeer = announcement.connections;
     return settings;
@@ -93,12 +111,20 @@
     , state(state)
     , latest(std::move(announcement))
     , events(std::move(events))
-    , client(loop, clientSettings(this->latest))
+    , client(loop, clientSettings(state, this->latest))
     , gate(agent::makeGate(gateSettings(state, this->latest), BootClock::now()))
     , lastAnnounced(BootClock::now())
     , lastAnswer(this->lastAnnounced)
     , alive(std::make_shared<bool>(true))
 {
+    if (state.protocol->byHeartbeat) {
+        this->healthTimer = this->loop.every(SilenceLook, [this] {
+            if (this->isSilent(BootClock::now())) {
+                this->setStatus(UpstreamStatus::Frozen);
+            }
+        });
+        return;
+    }
     this->healthTimer = this->loop.every(HealthInterval, [this] {
         this->checkHealth(false);
     });
@@ -109,6 +135,7 @@
     *this->alive = false;
     this->loop.cancel(this->healthTimer);
     this->loop.cancel(this->queueTimer);
+    this->loop.cancel(this->holdTimer);
 }
 
 void LocalUpstream::announced(const Announcement &announcement)
@@ -162,7 +189,7 @@
 
 agent::Admission LocalUpstream::enter(agent::TicketId ticket, BootTime deadline)
 {
-    if (this->present != UpstreamStatus::Serving) {
+    if (this->present != UpstreamStatus::Serving || this->isOutOfService(BootClock::now())) {
         return agent::Admission::NotServing;
     }
     const agent::Admission admission = agent::arrive(this->gate, {ticket, deadline}, BootClock::now());
@@ -185,10 +212,12 @@
     }
     agent::began(this->state.crashes, entry.request.fingerprint);
     net::HttpCall call = std::move(entry.request.call);
-    addOrder(call,
-             {std::max(entry.request.epoch, this->grantedEpoch),
-              entry.request.requestId,
-              std::chrono::duration_cast<milliseconds>(entry.request.deadline - now)});
+    this->state.protocol->addOrder(call,
+                                   {std::max(entry.request.epoch, this->grantedEpoch),
+                                    entry.request.requestId,
+                                    std::chrono::duration_cast<milliseconds>(entry.request.deadline - now),
+                                    entry.request.originService,
+                                    this->latest.instance});
     entry.address = upstreamAddress(this->latest);
     call.address = entry.address;
     call.timeout = entry.request.deadline - now;
@@ -216,8 +245,14 @@
         return;
     }
     found->second.done = nullptr;
-    this->linger(ticket);
-    this->client.cancel(found->second.call);
+    const net::CallId call = found->second.call;
+    if (this->state.protocol->byHeartbeat) {
+        // Closing the connection ends the work; what the upstream holds it tells itself.
+        this->endWork(ticket, agent::WorkEnd::Lost, false);
+    } else {
+        this->linger(ticket);
+    }
+    this->client.cancel(call);
 }
 
 void LocalUpstream::answered(agent::TicketId ticket, net::CallResult result)
@@ -226,7 +261,7 @@
     if (found == this->work.end() || found->second.lingering) {
         return;
     }
-    const AttemptOutcome outcome = readOutcome(result);
+    const AttemptOutcome outcome = this->state.protocol->readOutcome(result);
     const auto done = std::exchange(found->second.done, nullptr);
     if (result.end == net::CallEnd::Answered) {
         this->lastAnswer = BootClock::now();
@@ -239,8 +274,12 @@
         const bool late = result.end == net::CallEnd::TimedOut;
         found->second.broken = result.end == net::CallEnd::Broken || result.end == net::CallEnd::ShortAnswer;
         found->second.end = late ? agent::WorkEnd::TimedOut : agent::WorkEnd::Lost;
-        this->linger(ticket);
-        this->checkHealth(true);
+        if (late && this->state.protocol->byHeartbeat) {
+            this->endWork(ticket, agent::WorkEnd::TimedOut, false);
+        } else {
+            this->linger(ticket);
+            this->checkHealth(true);
+        }
     }
     if (done) {
         done({outcome, std::move(result.answer)});
@@ -255,7 +294,9 @@
 void LocalUpstream::linger(agent::TicketId ticket)
 {
     this->work.at(ticket).lingering = true;
-    this->askToCancel(ticket);
+    if (!this->state.protocol->byHeartbeat) {
+        this->askToCancel(ticket);
+    }
 }
 
 void LocalUpstream::askToCancel(agent::TicketId ticket)
@@ -307,18 +348,22 @@
     if (this->present == UpstreamStatus::Crashed) {
         return;
     }
-    if (now - this->lastAnnounced > SilentAfter || now - this->lastAnswer > FrozenAfter) {
+    const bool byHeartbeat = this->state.protocol->byHeartbeat;
+    if (!byHeartbeat && (now - this->lastAnnounced > SilentAfter || now - this->lastAnswer > FrozenAfter)) {
         this->setStatus(UpstreamStatus::Frozen);
     }
     if (this->probing) {
         return;
     }
     this->probing = true;
-    net::HttpCall call = healthCall(upstreamAddress(this->latest), FrozenAfter);
+    const table::RoutedService *const routed = this->state.table.routes().service(this->latest.service);
+    net::HttpCall call = this->state.protocol->healthCall(
+        upstreamAddress(this->latest), routed == nullptr ? "/health" : routed->healthPath, FrozenAfter);
     call.freshConnection = freshConnection;
     this->client.send(std::move(call), [this](const net::CallResult &result) {
         this->probing = false;
         this->healthAnswered(result);
+        this->endLingering();
     });
 }
 
@@ -335,7 +380,7 @@
     const bool refused = result.end == net::CallEnd::NotSent && result.elapsed < FrozenAfter;
     if (refused) {
         this->processEnded();
-    } else if (result.end == net::CallEnd::Broken) {
+    } else if (result.end == net::CallEnd::Broken && !this->state.protocol->byHeartbeat) {
         this->checkHealth(true);
     }
 }
@@ -357,6 +402,9 @@
         }
     }
     const bool allEnded = ended.size() == this->work.size();
+    if (allEnded) {
+        this->holdsEnded();
+    }
     this->setStatus(allEnded ? UpstreamStatus::Crashed : UpstreamStatus::Frozen);
     const wire::ReportCrash report = agent::crashed(this->state.crashes, broken, this->latest.incarnation, unixTime());
     for (const agent::TicketId ticket : ended) {
@@ -368,6 +416,62 @@
     }
 }
 
+/** Work whose connection broke ends once it is known whether the whole process did. */
+void LocalUpstream::endLingering()
+{
+    if (!this->state.protocol->byHeartbeat) {
+        return;
+    }
+    std::vector<agent::TicketId> ended;
+    for (const auto &[ticket, entry] : this->work) {
+        if (entry.lingering) {
+            ended.push_back(ticket);
+        }
+    }
+    for (const agent::TicketId ticket : ended) {
+        this->endWork(ticket, agent::WorkEnd::Lost, false);
+    }
+}
+
+bool LocalUpstream::isSilent(BootTime now) const
+{
+    return this->present == UpstreamStatus::Serving
+           && now - std::max(this->lastAnnounced, this->lastAnswer) > HeartbeatSilence;
+}
+
+/** @return whether it gets no work any more: it left, or its failure domain was marked out, a while ago */
+bool LocalUpstream::isOutOfService(BootTime now) const
+{
+    const bool left = this->leavingSince != BootTime() && now - this->leavingSince >= LeavingServes;
+    const bool out = this->state.domainOutSince != BootTime() && now - this->state.domainOutSince >= MarkedOutServes;
+    return left || out;
+}
+
+void LocalUpstream::replaced()
+{
+    std::vector<agent::TicketId> open;
+    for (const auto &[ticket, entry] : this->work) {
+        if (!entry.lingering) {
+            open.push_back(ticket);
+        }
+    }
+    this->holdsEnded();
+    this->setStatus(UpstreamStatus::Crashed);
+    for (const agent::TicketId ticket : open) {
+        const auto found = this->work.find(ticket);
+        if (found != this->work.end()) {
+            this->client.cancel(found->second.call);
+            this->answered(ticket, {.end = net::CallEnd::Broken, .mayHaveRun = true, .answer = {}, .elapsed = {}});
+        }
+    }
+    this->endLingering();
+}
+
+bool LocalUpstream::takesWork() const
+{
+    return this->present == UpstreamStatus::Serving && this->leavingSince == BootTime();
+}
+
 void LocalUpstream::setStatus(UpstreamStatus status)
 {
     if (status == this->present) {
@@ -423,7 +527,7 @@
     info.set_slots(this->latest.slots);
     info.set_connections(this->latest.connections);
     info.set_checks_grants(this->latest.checksGrants);
-    info.set_serving(this->present == UpstreamStatus::Serving && !this->state.stopping);
+    info.set_serving(this->takesWork() && !this->state.stopping);
     info.set_operator_address(this->state.operatorAddress);
     if (this->state.stopping) {
         const agent::LearnedLimit learned = agent::learned(this->gate.limit);
--- a/src/process/LocalUpstream.h
+++ b/src/process/LocalUpstream.h
@@ -3,11 +3,13 @@
 #include "agent/Gate.h"
 #include "loop/EventLoop.h"
 #include "net/HttpClient.h"
+#include "process/Heartbeat.h"
 #include "process/UpstreamProtocol.h"
 
 #include <control.pb.h>
 
 #include <map>
+#include <optional>
 
 namespace bergamotweir::process {
 
@@ -33,6 +35,8 @@
     std::uint64_t epoch = 0;
     std::uint64_t fingerprint = 0;
     BootTime deadline;
+    /** Service of the VM at which the request began. */
+    std::string originService;
 };
 
 /** What came of it. */
@@ -67,6 +71,15 @@
     /** Takes an announcement of the same service and name; a new incarnation starts cold. */
     void announced(const Announcement &announcement);
 
+    /**
+     * Takes a heartbeat of an upstream that keeps grants of its own.
+     * @return what it is to hold from now on
+     */
+    HeartbeatAnswer heartbeat(const Heartbeat &heartbeat);
+
+    /** Another process has the upstream's address: this one has surely ended. */
+    void replaced();
+
     /** Takes the limits of a changed table. */
     void applyTable();
 
@@ -101,6 +114,10 @@
 
     const Announcement &announcement() const;
     UpstreamStatus status() const;
+
+    /** @return whether other agents should send requests here */
+    bool takesWork() const;
+
     double load() const;
 
     /** @return how many requests the upstream is trusted with, and why */
@@ -118,6 +135,13 @@
     void askToCancel(agent::TicketId ticket);
     void endWork(agent::TicketId ticket, agent::WorkEnd end, bool answeredInFull);
     void processEnded();
+    void endLingering();
+    bool isSilent(BootTime now) const;
+    bool isOutOfService(BootTime now) const;
+    void holdsReported(const Heartbeat &heartbeat);
+    std::vector<KeyGrant> grantKeys();
+    void noteHeld(const std::vector<KeyGrant> &grants, std::chrono::milliseconds holdFor);
+    void holdsEnded();
     void setStatus(UpstreamStatus status);
     void moveQueue();
     void armQueueTimer();
@@ -138,6 +162,11 @@
     bool granting = false;
     bool grantAgain = false;
     BootTime grantedAt;
+    /** Heartbeats: the newest one's sequence, since when it is leaving, and when everything it may hold has run out. */
+    std::optional<std::uint64_t> sequence;
+    BootTime leavingSince;
+    BootTime heldUntil;
+    loop::TimerId holdTimer = 0;
     /** Newest epoch that the upstream has taken; all its ranges were told again under it. */
     std::uint64_t grantedEpoch = 0;
     loop::TimerId healthTimer = 0;
--- /dev/null
+++ b/src/process/OwnProtocol.cpp
@@ -0,0 +1,45 @@
+#include "process/OwnProtocol.h"
+
+#include "process/RequestText.h"
+#include "process/UpstreamProtocol.h"
+
+namespace bergamotweir::process {
+
+namespace {
+
+std::variant<ParsedRequest, net::HttpAnswer>
+readOwnRequest(const net::HttpRequest &request, const table::Table &table, pcg32 &, BootTime now)
+{
+    return parseRequest(request, table, Origin::Caller, now);
+}
+
+net::HttpAnswer refuseOwn(const Refusal &refusal)
+{
+    return refusalAnswer(refusal.facts, *refusal.random);
+}
+
+net::HttpCall ownHealthCall(const std::string &address, const std::string &, std::chrono::milliseconds timeout)
+{
+    return healthCall(address, timeout);
+}
+
+} // namespace
+
+const AgentProtocol &ownProtocol()
+{
+    static const AgentProtocol protocol{
+        .readRequest = readOwnRequest,
+        .headersToForward = headersToForward,
+        .answerForCaller = answerForCaller,
+        .refuse = refuseOwn,
+        .addOrder = addOrder,
+        .readOutcome = readOutcome,
+        .readHeartbeat = nullptr,
+        .answerHeartbeat = nullptr,
+        .healthCall = ownHealthCall,
+        .byHeartbeat = false,
+    };
+    return protocol;
+}
+
+} // namespace bergamotweir::process
--- a/src/process/ReplicaNode.cpp
+++ b/src/process/ReplicaNode.cpp
@@ -48,6 +48,7 @@
 
     Findings openParts(disk::FileOperations files);
     void postIfAlive(std::function<void()> task);
+    void joinAsked(const wire::RaftMessage &message);
     void scheduleTurn();
     void endTurn();
     void endProposals();
@@ -93,6 +94,10 @@
     const rpc::RaftTransportSettings listen{this->settings.address, this->settings.raftPort};
     Result<std::unique_ptr<rpc::RaftTransport>> transport =
         rpc::RaftTransport::open(this->loop, listen, [this](const wire::RaftMessage &message) {
+            if (message.has_join()) {
+                this->joinAsked(message);
+                return;
+            }
             this->core->receive(message, BootClock::now());
             this->scheduleTurn();
         });
@@ -145,6 +150,25 @@
     });
 }
 
+void ReplicaNode::Parts::joinAsked(const wire::RaftMessage &message)
+{
+    if (this->leading) {
+        if (this->hooks.joinAsked) {
+            this->hooks.joinAsked(message.join().replica());
+        }
+        return;
+    }
+    // Passed on once only: two replicas that each take the other for the leader must not keep it going.
+    const bool passedOn = !message.to().empty();
+    for (const wire::Replica &replica : this->core->membership().replicas()) {
+        if (!passedOn && replica.id() == this->core->leaderId()) {
+            wire::RaftMessage copy = message;
+            copy.set_to(replica.id());
+            this->transport->send(replica.address(), std::move(copy));
+        }
+    }
+}
+
 /** Everything posted before this turn's end shares one append and one sync. */
 void ReplicaNode::Parts::scheduleTurn()
 {
@@ -388,6 +412,26 @@
     this->parts->scheduleTurn();
 }
 
+void ReplicaNode::askToJoin(const std::vector<std::string> &addresses)
+{
+    wire::RaftMessage message;
+    message.set_from(this->parts->settings.id);
+    wire::Replica &self = *message.mutable_join()->mutable_replica();
+    self.set_id(this->parts->settings.id);
+    self.set_address(this->parts->settings.address + ":" + std::to_string(this->raftPort()));
+    self.set_control_address(this->parts->settings.controlAddress);
+    for (const std::string &address : addresses) {
+        if (address != self.address()) {
+            this->parts->transport->send(address, message);
+        }
+    }
+}
+
+std::set<std::string> ReplicaNode::silentMembers(std::chrono::nanoseconds patience) const
+{
+    return this->parts->core->silentMembers(patience);
+}
+
 void ReplicaNode::handOver(std::function<void()> done)
 {
     this->parts->handOvers.push_back(std::move(done));
--- a/src/process/RequestRunner.cpp
+++ b/src/process/RequestRunner.cpp
@@ -2,6 +2,7 @@
 
 #include "agent/RequestStep.h"
 #include "net/Problem.h"
+#include "process/AgentProtocol.h"
 #include "process/AgentState.h"
 #include "process/LocalUpstream.h"
 #include "process/RunningRequest.h"
@@ -81,11 +82,12 @@
 {
     const BootTime now = BootClock::now();
     if (this->running.size() >= MaxRunning) {
-        exchange->answer(refusalAnswer(
-            {.end = AttemptEnd::NoRoom, .status = 503, .ran = agent::Ran::No, .retryAfter = true}, this->state.random));
+        const agent::RefusalFacts refusal{
+            .end = AttemptEnd::NoRoom, .status = 503, .ran = agent::Ran::No, .retryAfter = true};
+        exchange->answer(this->state.protocol->refuse({refusal, &this->state.random}));
         return;
     }
-    auto parsed = parseRequest(exchange->request(), this->state.table, origin, now);
+    auto parsed = this->read(exchange->request(), origin, now);
     if (auto *refusal = std::get_if<net::HttpAnswer>(&parsed)) {
         if (origin == Origin::Peer) {
             // This agent's table may be behind the sender's, which waits and asks again.
@@ -102,6 +104,9 @@
     request->state.facts = request->parsed.facts;
     request->acceptedAt = now;
     const Number number = request->number;
+    if (origin == Origin::Caller) {
+        request->parsed.originService = this->state.settings.service;
+    }
     if (request->parsed.suspect) {
         agent::suspect(this->state.crashes, request->parsed.fingerprint);
     }
@@ -119,6 +124,18 @@
     this->handle(number, {.kind = quarantined ? EventKind::FoundQuarantined : EventKind::Accepted});
 }
 
+std::variant<ParsedRequest, net::HttpAnswer>
+RequestRunner::read(const net::HttpRequest &request, Origin origin, BootTime now)
+{
+    if (origin == Origin::Caller) {
+        return this->state.protocol->readRequest(request, this->state.table, this->state.random, now);
+    }
+    if (net::findHeader(request.headers, ServiceHeader) != nullptr) {
+        return readForwarded(request, now);
+    }
+    return parseRequest(request, this->state.table, origin, now);
+}
+
 void RequestRunner::handle(Number number, const agent::RequestEvent &event)
 {
     const auto found = this->running.find(number);
@@ -134,7 +151,7 @@
     while (!request.events.empty()) {
         const agent::RequestEvent next = request.events.front();
         request.events.pop_front();
-        ServiceState &service = this->state.services[request.state.facts.service];
+        ServiceState &service = serviceOf(this->state, request.state.facts.service);
         const agent::RequestContext context{&service.retries, &service.hedges, &this->state.random};
         for (const agent::RequestAction &action : agent::step(request.state, next, BootClock::now(), context)) {
             this->perform(request, action);
@@ -397,7 +414,7 @@
     const net::HttpRequest &received = request.exchange->request();
     order.call.method = received.method;
     order.call.target = received.target;
-    order.call.headers = headersToForward(received);
+    order.call.headers = this->state.protocol->headersToForward(received);
     order.call.body = received.body;
     order.requestId = request.parsed.requestId + "." + std::to_string(action.attempt);
     order.service = request.state.facts.service;
@@ -405,6 +422,7 @@
     order.hash = request.state.facts.hash;
     order.fingerprint = request.parsed.fingerprint;
     order.deadline = request.state.facts.deadline;
+    order.originService = request.parsed.originService;
     const Number number = request.number;
     const unsigned id = action.attempt;
     upstream->dispatch(attempt.ticket, std::move(order), [this, number, id](DispatchResult result) {
@@ -433,7 +451,8 @@
     call.address = upstream->peer_address();
     call.method = received.method;
     call.target = received.target;
-    call.headers = headersToForward(received);
+    call.headers = this->state.protocol->headersToForward(received);
+    addForwarding(call.headers, request.parsed);
     call.headers.push_back({HopHeader, "1"});
     call.headers.push_back({UpstreamHeader, std::to_string(action.upstream)});
     call.headers.push_back({"Request-Id", request.parsed.requestId + "." + std::to_string(id)});
--- a/src/process/RequestRunner.h
+++ b/src/process/RequestRunner.h
@@ -71,6 +71,7 @@
     struct LiveAttempt;
     using Number = std::uint64_t;
 
+    std::variant<ParsedRequest, net::HttpAnswer> read(const net::HttpRequest &request, Origin origin, BootTime now);
     void handle(Number number, const agent::RequestEvent &event);
     void perform(Running &request, const agent::RequestAction &action);
     void claim(Running &request);
--- a/src/process/RequestRunnerAnswers.cpp
+++ b/src/process/RequestRunnerAnswers.cpp
@@ -1,3 +1,4 @@
+#include "process/AgentProtocol.h"
 #include "process/AgentState.h"
 #include "process/LocalUpstream.h"
 #include "process/RunningRequest.h"
@@ -77,7 +78,7 @@
 void RequestRunner::relay(Running &request, unsigned attempt)
 {
     const LiveAttempt &live = request.attempts.at(attempt);
-    net::HttpAnswer answer = answerForCaller(live.answer);
+    net::HttpAnswer answer = this->state.protocol->answerForCaller(live.answer);
     if (request.origin == Origin::Peer) {
         const LocalUpstream *local = this->needs.localUpstream(live.upstream);
         answer.headers.push_back({EndHeader, std::string(agent::toText(AttemptEnd::Answered))});
@@ -110,7 +111,7 @@
 
 void RequestRunner::refuse(Running &request, const agent::RefusalFacts &refusal)
 {
-    net::HttpAnswer answer = refusalAnswer(refusal, this->state.random);
+    net::HttpAnswer answer = this->state.protocol->refuse({refusal, &this->state.random});
     if (request.origin == Origin::Peer) {
         answer.headers.push_back({EndHeader, std::string(agent::toText(endOf(refusal)))});
     } else {
--- a/src/process/RequestText.cpp
+++ b/src/process/RequestText.cpp
@@ -202,6 +202,38 @@
     return parsed;
 }
 
+void addForwarding(std::vector<net::Header> &headers, const ParsedRequest &parsed)
+{
+    headers.push_back({ServiceHeader, parsed.facts.service});
+    if (parsed.facts.keyed) {
+        headers.push_back({PlaceHeader, std::to_string(parsed.facts.hash)});
+    }
+    headers.push_back({FingerprintHeader, std::to_string(parsed.fingerprint)});
+    headers.push_back({RepeatableHeader, agent::mayRepeat(parsed.facts) ? "1" : "0"});
+    headers.push_back({OriginHeader, parsed.originService});
+}
+
+std::variant<ParsedRequest, net::HttpAnswer> readForwarded(const net::HttpRequest &request, BootTime now)
+{
+    ParsedRequest parsed;
+    parsed.facts.method = request.method;
+    parsed.facts.service = headerText(request, ServiceHeader);
+    parsed.originService = headerText(request, OriginHeader);
+    parsed.facts.repeatable = headerText(request, RepeatableHeader) == "1";
+    const std::optional<BootTime> deadline = readDeadline(request, milliseconds(0), now);
+    if (parsed.facts.service.empty() || !deadline || *deadline <= now) {
+        return badRequest("a forwarded request names no service or has no time left");
+    }
+    parsed.facts.deadline = *deadline;
+    if (const std::optional<std::uint64_t> place = readNumber(headerText(request, PlaceHeader))) {
+        parsed.facts.keyed = true;
+        parsed.facts.hash = *place;
+    }
+    parsed.fingerprint = readNumber(headerText(request, FingerprintHeader)).value_or(0);
+    readPeerFields(request, parsed);
+    return parsed;
+}
+
 std::vector<net::Header> headersToForward(const net::HttpRequest &request)
 {
     std::vector<net::Header> headers;
--- a/src/process/RequestText.h
+++ b/src/process/RequestText.h
@@ -3,6 +3,7 @@
 #include "agent/RequestAction.h"
 #include "net/HttpAnswer.h"
 #include "net/HttpRequest.h"
+#include "process/ParsedRequest.h"
 
 #include <pcg_random.hpp>
 
@@ -22,21 +23,12 @@
 constexpr const char *UpstreamHeader = "Bergamotweir-Upstream";
 constexpr const char *SuspectHeader = "Bergamotweir-Suspect";
 constexpr const char *LoadHeader = "Upstream-Load";
-
-/** A request as an agent understands it. */
-struct ParsedRequest {
-    agent::RequestFacts facts;
-    std::string key;
-    std::string idempotencyKey;
-    std::uint64_t fingerprint = 0;
-    /** Only from another agent: its name for the request, the upstream that it wants, and whether it is a suspect. */
-    std::string requestId;
-    std::uint32_t wantedUpstream = 0;
-    bool suspect = false;
-};
-
-/** Which port a request came in by. */
-enum class Origin { Caller, Peer };
+/** What the first agent found out about a request, so that the next one needs no table of the same version. */
+constexpr const char *ServiceHeader = "Bergamotweir-Service";
+constexpr const char *PlaceHeader = "Bergamotweir-Key-Place";
+constexpr const char *FingerprintHeader = "Bergamotweir-Fingerprint";
+constexpr const char *RepeatableHeader = "Bergamotweir-Repeatable";
+constexpr const char *OriginHeader = "Bergamotweir-Origin-Service";
 
 /**
  * Reads a request, METHOD /s/SERVICE/PATH and its header fields.
@@ -45,6 +37,12 @@
 std::variant<ParsedRequest, net::HttpAnswer>
 parseRequest(const net::HttpRequest &request, const table::Table &table, Origin origin, BootTime now);
 
+/** Adds what the next agent has to know of a request; read back by readForwarded(). */
+void addForwarding(std::vector<net::Header> &headers, const ParsedRequest &parsed);
+
+/** Reads a request that another agent has read before. @return the request, or the answer that refuses it (400) */
+std::variant<ParsedRequest, net::HttpAnswer> readForwarded(const net::HttpRequest &request, BootTime now);
+
 /** @return header fields to pass on with the request: none of a connection, none of the system's own */
 std::vector<net::Header> headersToForward(const net::HttpRequest &request);
 
--- a/src/process/RunAgent.cpp
+++ b/src/process/RunAgent.cpp
@@ -24,6 +24,10 @@
             process.value()->stop();
         });
     }
+    // The settings in force come from control; the file is read again at the next start.
+    loop.value()->onSignal(SIGHUP, [&] {
+        Log.info("told of changed settings; they count from the next start");
+    });
     loop.value()->run();
     return 0;
 }
--- a/src/process/RunControl.cpp
+++ b/src/process/RunControl.cpp
@@ -38,6 +38,9 @@
     };
     loop->onSignal(SIGTERM, stop);
     loop->onSignal(SIGINT, stop);
+    loop->onSignal(SIGHUP, [] {
+        Log.info("told of changed settings; they count from the next start");
+    });
     loop->run();
     return exitCode;
 }
--- a/src/process/UpstreamProtocol.cpp
+++ b/src/process/UpstreamProtocol.cpp
@@ -96,7 +96,7 @@
 
 std::string upstreamAddress(const Announcement &announcement)
 {
-    return "127.0.0.1:" + std::to_string(announcement.port);
+    return announcement.address.empty() ? "127.0.0.1:" + std::to_string(announcement.port) : announcement.address;
 }
 
 net::HttpCall grantsCall(const std::string &address, const Grant &grant)
@@ -142,10 +142,15 @@
 }
 
 AttemptOutcome readOutcome(const net::CallResult &result)
+{
+    return result.end == net::CallEnd::Answered ? readAnswer(result.answer) : readUnanswered(result);
+}
+
+AttemptOutcome readUnanswered(const net::CallResult &result)
 {
     switch (result.end) {
     case net::CallEnd::Answered:
-        return readAnswer(result.answer);
+        break;
     case net::CallEnd::NotSent:
         return {agent::AttemptEnd::NotSent, false};
     case net::CallEnd::ShortAnswer:
--- a/src/process/UpstreamProtocol.h
+++ b/src/process/UpstreamProtocol.h
@@ -1,9 +1,10 @@
 #pragma once
 
-#include "agent/AttemptEnd.h"
 #include "base/Result.h"
 #include "net/CallResult.h"
 #include "net/HttpCall.h"
+#include "process/Announcement.h"
+#include "process/RequestOrder.h"
 
 #include <cstdint>
 #include <string>
@@ -17,20 +18,6 @@
  * another protocol replaces this file alone.
  */
 
-/** What an upstream says of itself each second. */
-struct Announcement {
-    std::string service;
-    std::string name;
-    std::uint16_t port = 0;
-    /** Changes at each start of the upstream. */
-    std::string incarnation;
-    unsigned slots = 1;
-    unsigned connections = 1;
-    bool checksGrants = false;
-
-    bool operator==(const Announcement &other) const = default;
-};
-
 /** A range of the key hash space, end excluded; an end of 0 is the end of the space. */
 struct GrantedRange {
     std::uint64_t begin = 0;
@@ -48,25 +35,9 @@
     std::chrono::milliseconds expires{0};
 };
 
-/** What an upstream has to know of a request beside the request itself. */
-struct RequestOrder {
-    std::uint64_t epoch = 0;
-    std::string requestId;
-    std::chrono::milliseconds timeout{0};
-};
-
-/** How a call to the upstream ended, in the terms of the core. */
-struct AttemptOutcome {
-    agent::AttemptEnd end = agent::AttemptEnd::Broken;
-    bool mayHaveRun = true;
-};
-
 /** @return what the body of POST /announce says, or all that is wrong with it */
 Result<Announcement> parseAnnouncement(std::string_view body);
 
-/** @return IP:port of the upstream; upstreams are reached on loopback only */
-std::string upstreamAddress(const Announcement &announcement);
-
 net::HttpCall grantsCall(const std::string &address, const Grant &grant);
 net::HttpCall revokeCall(const std::string &address, const Grant &grant);
 net::HttpCall drainCall(const std::string &address);
@@ -83,4 +54,7 @@
  */
 AttemptOutcome readOutcome(const net::CallResult &result);
 
+/** @return how a request ended that got no whole answer; the same in every protocol */
+AttemptOutcome readUnanswered(const net::CallResult &result);
+
 } // namespace bergamotweir::process
--- a/src/raft/Membership.cpp
+++ b/src/raft/Membership.cpp
@@ -1,3 +1,4 @@
+#include "raft/GroupPlan.h"
 #include "raft/RaftCore.h"
 
 #include <algorithm>
@@ -13,14 +14,6 @@
 
 const char *const Place = "membership";
 
-int countVoters(const wire::Membership &membership)
-{
-    return static_cast<int>(
-        std::count_if(membership.replicas().begin(), membership.replicas().end(), [](const wire::Replica &replica) {
-            return replica.voter();
-        }));
-}
-
 wire::Replica *findIn(wire::Membership &membership, const std::string &id)
 {
     for (wire::Replica &replica : *membership.mutable_replicas()) {
@@ -86,6 +79,17 @@
     return counted * 2 > voters;
 }
 
+std::set<std::string> RaftCore::silentMembers(std::chrono::nanoseconds patience) const
+{
+    std::set<std::string> silent;
+    for (const auto &[id, progress] : this->progresses) {
+        if (this->now - progress.lastAnswer > patience) {
+            silent.insert(id);
+        }
+    }
+    return silent;
+}
+
 void RaftCore::rebuildProgress()
 {
     std::map<std::string, Progress> kept = std::exchange(this->progresses, {});
@@ -128,7 +132,7 @@
                             && this->now - found->second.lastAnswer <= this->settings.electionTimeoutMax;
         answering += this->isSelf(replica) || recent ? 1 : 0;
     }
-    return answering * 2 > countVoters(next);
+    return answering * 2 > static_cast<int>(countVoters(next));
 }
 
 std::optional<wire::Membership> RaftCore::membershipAfter(const wire::ChangeMember &asked, std::string &refusal) const
--- a/src/rpc/ControlSession.cpp
+++ b/src/rpc/ControlSession.cpp
@@ -183,6 +183,15 @@
     }
 }
 
+void ControlSession::learn(const std::vector<std::string> &replicas)
+{
+    for (const std::string &replica : replicas) {
+        if (std::find(this->addresses.begin(), this->addresses.end(), replica) == this->addresses.end()) {
+            this->addresses.push_back(replica);
+        }
+    }
+}
+
 bool ControlSession::isOpen() const
 {
     return this->opened;
--- a/src/table/Table.cpp
+++ b/src/table/Table.cpp
@@ -91,26 +91,46 @@
     return Table(std::move(index));
 }
 
+Table Table::withRoutes(RouteTable routes) const
+{
+    Table result = *this;
+    result.routeTable = std::move(routes);
+    return result;
+}
+
+const RouteTable &Table::routes() const
+{
+    return this->routeTable;
+}
+
 bool Table::hasService(std::string_view service) const
 {
-    return this->index->services.contains(service);
+    return this->index->services.contains(service) || this->routeTable.service(service) != nullptr;
 }
 
 std::vector<std::string> Table::services() const
 {
-    return {this->index->services.begin(), this->index->services.end()};
+    std::set<std::string> names(this->index->services.begin(), this->index->services.end());
+    for (const auto &[name, service] : this->routeTable.services()) {
+        names.insert(name);
+    }
+    return {names.begin(), names.end()};
 }
 
 ServicePolicy Table::service(std::string_view service) const
 {
     const Row row = this->index->lookUp(service, Any, Any);
     const ServicePolicy defaults;
+    const RoutedService *const routed = this->routeTable.service(service);
+    const bool numbered = routed != nullptr && routed->numberedKeys;
     return {
-        .keyed = row.keyed.value_or(defaults.keyed),
+        .keyed = row.keyed.value_or(numbered),
         .timeout = row.timeout.value_or(defaults.timeout),
         .sloAvailability = row.sloAvailability.value_or(defaults.sloAvailability),
         .sloLatency = row.sloLatency.value_or(defaults.sloLatency),
         .sloPercentile = row.sloPercentile.value_or(defaults.sloPercentile),
+        .numberedKeys = numbered,
+        .warmupPerSecond = routed == nullptr ? 0 : routed->warmupPerSecond,
     };
 }
 
--- a/tests/GateTest.cpp
+++ b/tests/GateTest.cpp
@@ -186,3 +186,51 @@
     REQUIRE(agent::allowed(warm) == 12);
     REQUIRE(agent::allowed(cold) == 3);
 }
+
+/*
+ * An upstream has just started and says that it is cold and bears 12 requests a second. Its agent gives it the load of
+ * a warm one, its slots fill, and it ends; its successor is cold again, and so on.
+ */
+TEST_CASE("gate: a cold upstream gets its requests evenly, and no more in any second than it bears with a little over")
+{
+    Gate gate = makeGate(GateSettingsBuilder()
+                             .ceiling(100)
+                             .connectionPace(0us)
+                             .coldPerSecond(12)
+                             .longestWait(1000ms)
+                             .adaptive(false)
+                             .build()
+                             .value(),
+                         Start);
+    setCold(gate, Start + 3s);
+    std::vector<BootTime> sent;
+    TicketId ticket = 0;
+    for (BootTime now = Start; now < Start + 3s; now += 5ms) {
+        if (arrive(gate, {++ticket, now + 2s}, now) == Admission::Admitted) {
+            sent.push_back(now);
+        }
+        sent.insert(sent.end(), move(gate, now).admitted.size(), now);
+    }
+    for (const BootTime begin : sent) {
+        const auto inSecond = std::count_if(sent.begin(), sent.end(), [&](BootTime at) {
+            return begin <= at && at < begin + 1s;
+        });
+        REQUIRE(inSecond <= 13);
+    }
+    REQUIRE(sent.size() >= 34);
+    const std::size_t waiting = gate.queue.size();
+    REQUIRE(waiting > 0);
+    REQUIRE(move(gate, Start + 3s).admitted.size() == waiting);
+}
+
+TEST_CASE("gate: while an upstream is cold the gate asks to be looked at when its next turn comes, not before")
+{
+    Gate gate = makeGate(
+        GateSettingsBuilder().ceiling(9).connectionPace(0us).coldPerSecond(10).adaptive(false).build().value(), Start);
+    setCold(gate, Start + 3s);
+    REQUIRE(arrive(gate, {1, Start + 2s}, Start) == Admission::Admitted);
+    REQUIRE(arrive(gate, {2, Start + 2s}, Start) == Admission::Queued);
+    REQUIRE(nextMove(gate) == Start + 100ms);
+    REQUIRE(move(gate, Start + 99ms).admitted.empty());
+    REQUIRE(move(gate, Start + 100ms).admitted.size() == 1);
+}
--- /dev/null
+++ b/tests/HeldKeysTest.cpp
@@ -0,0 +1,115 @@
+#include "agent/Lease.h"
+#include "agent/Ownership.h"
+#include "base/KeyHash.h"
+
+#include <catch2/catch.hpp>
+
+using namespace bergamotweir;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr BootTime Now{10s};
+constexpr std::uint64_t Boundary = placeOfKey(1000);
+
+/** An agent whose upstream keeps grants of its own; it owns keys 0 to 999 under epoch 4. */
+struct Agent {
+    agent::RouteMap map;
+    agent::Ownership ownership;
+    agent::Lease lease;
+
+    Agent()
+    {
+        wire::StateUpdate state;
+        state.mutable_version()->set_index(1);
+        state.set_full(true);
+        wire::ServiceSlices &slices = *state.add_services();
+        slices.set_service("seats");
+        this->add(slices, 0, 7, 4);
+        this->add(slices, Boundary, 8, 1);
+        agent::apply(this->map, state);
+        this->ownership.ownUpstreams = {7};
+        this->ownership.upstreamsHold = true;
+        this->lease.validUntil = Now + 1s;
+    }
+
+    static void add(wire::ServiceSlices &to, std::uint64_t begin, std::uint32_t owner, std::uint64_t epoch)
+    {
+        wire::SliceOwner &slice = *to.add_slices();
+        slice.set_begin(begin);
+        slice.set_owner(owner);
+        slice.set_epoch(epoch);
+    }
+
+    void hold(std::uint64_t epoch, std::uint64_t last = Boundary - 1)
+    {
+        this->ownership.held["seats"] = {{0, last, epoch}};
+    }
+
+    agent::Refusal check() const
+    {
+        agent::Slice slice;
+        return agent::checkOwnership(this->ownership, this->map, this->lease, "seats", placeOfKey(5), Now, &slice);
+    }
+
+    void revoke()
+    {
+        wire::Revoke order;
+        wire::SliceRef &slice = *order.add_slices();
+        slice.set_service("seats");
+        slice.set_epoch(4);
+        agent::revoke(this->ownership, order);
+    }
+};
+
+} // namespace
+
+TEST_CASE("held keys: an upstream gets a key only while it holds it, under the epoch in force")
+{
+    Agent agent;
+    REQUIRE(agent.check() == agent::Refusal::Moving);
+    agent.hold(3);
+    REQUIRE(agent.check() == agent::Refusal::Moving);
+    agent.hold(4, placeOfKey(500));
+    REQUIRE(agent.check() == agent::Refusal::Moving);
+    agent.hold(4);
+    REQUIRE(agent.check() == agent::Refusal::None);
+    agent.lease.validUntil = Now - 1ms;
+    REQUIRE(agent.check() == agent::Refusal::NoLease);
+}
+
+/*
+ * A slice moves to another upstream. The old one hears of it only with its next heartbeat, up to a second later, and
+ * goes on serving until then. Released before that, two upstreams would hold the slice's keys; refused before that, its
+ * callers would be turned away for nothing.
+ */
+TEST_CASE("held keys: a revoked slice is served until its upstream is told, and released once that holds it no more")
+{
+    Agent agent;
+    agent.hold(4);
+    agent.revoke();
+    REQUIRE(agent.check() == agent::Refusal::None);
+    REQUIRE(agent::takeReleased(agent.ownership, agent.map).slices().empty());
+    agent.ownership.withheld.insert({"seats", 0, 4});
+    REQUIRE(agent.check() == agent::Refusal::Moving);
+    REQUIRE(agent::takeReleased(agent.ownership, agent.map).slices().empty());
+    agent.ownership.handovers[{"seats", 0, 4}] = "state";
+    agent.ownership.held["seats"].clear();
+    agent::beginWork(agent.ownership, "seats", placeOfKey(5));
+    REQUIRE(agent::takeReleased(agent.ownership, agent.map).slices().empty());
+    agent::endWork(agent.ownership, "seats", placeOfKey(5));
+    const wire::Released released = agent::takeReleased(agent.ownership, agent.map);
+    REQUIRE(released.slices_size() == 1);
+    REQUIRE(released.slices(0).handover() == "state");
+    REQUIRE(agent.check() == agent::Refusal::Moving);
+}
+
+TEST_CASE("held keys: part of a slice still held blocks its release, a neighbour's doesn't")
+{
+    Agent agent;
+    agent.ownership.held["seats"] = {{placeOfKey(999), placeOfKey(999) + KeyGrain - 1, 2}};
+    agent.revoke();
+    REQUIRE(agent::takeReleased(agent.ownership, agent.map).slices().empty());
+    agent.ownership.held["seats"] = {{Boundary, placeOfKey(1200), 4}};
+    REQUIRE(agent::takeReleased(agent.ownership, agent.map).slices_size() == 1);
+}
--- a/tests/HttpClientTest.cpp
+++ b/tests/HttpClientTest.cpp
@@ -366,3 +366,51 @@
     CHECK(results[1].end == CallEnd::TimedOut);
     CHECK(peer.requests == 1);
 }
+
+/*
+ * An upstream answers one request twice, the second time late. The next request on the kept connection reads that
+ * answer, and its caller gets what belongs to another. The echo of the request's id tells, and the connection is
+ * closed.
+ */
+TEST_CASE("an answer that echoes another request's id is no answer, and its connection isn't used again")
+{
+    Bench bench;
+    ScriptedPeer peer(*bench.loop, [](PeerConnection &connection) {
+        connection.send("HTTP/1.1 200 OK\r\nRequest-Name: one\r\nContent-Length: 5\r\n\r\nhello");
+    });
+    HttpCall first = callTo(peer.address(), "GET");
+    first.echoed = {"request-name", "one"};
+    HttpCall second = first;
+    second.echoed.value = "two";
+    const std::vector<CallResult> results = sendInTurn(bench, {first, second, first});
+    REQUIRE(results[0].end == CallEnd::Answered);
+    REQUIRE(results[1].end == CallEnd::Broken);
+    REQUIRE(results[1].mayHaveRun);
+    REQUIRE(results[2].end == CallEnd::Answered);
+    REQUIRE(peer.accepted == 2);
+}
+
+TEST_CASE("an answer that ends with its connection counts where the peer is known for it, and was not reset")
+{
+    Bench bench;
+    ScriptedPeer *peers[2] = {nullptr, nullptr};
+    const auto answerAndEnd = [&](bool reset) {
+        return [&peers, reset](PeerConnection &connection) {
+            connection.send("HTTP/1.1 200 OK\r\n\r\nhello");
+            peers[reset ? 1 : 0]->close(connection, reset);
+        };
+    };
+    ScriptedPeer closing(*bench.loop, answerAndEnd(false));
+    ScriptedPeer resetting(*bench.loop, answerAndEnd(true));
+    peers[0] = &closing;
+    peers[1] = &resetting;
+    HttpCall call = callTo(closing.address(), "GET");
+    call.untilClose = true;
+    HttpCall cut = callTo(resetting.address(), "GET");
+    cut.untilClose = true;
+    const std::vector<CallResult> results = sendInTurn(bench, {call, cut, callTo(closing.address(), "GET")});
+    REQUIRE(results[0].end == CallEnd::Answered);
+    REQUIRE(results[0].answer.body == "hello");
+    REQUIRE(results[1].end != CallEnd::Answered);
+    REQUIRE(results[2].end == CallEnd::ShortAnswer);
+}
--- /dev/null
+++ b/tests/PlatformTest.cpp
@@ -0,0 +1,341 @@
+#include "base/KeyHash.h"
+#include "net/Header.h"
+#include "platform/Heartbeats.h"
+#include "platform/Manifest.h"
+#include "platform/Orders.h"
+#include "platform/Requests.h"
+#include "platform/Settings.h"
+#include "process/UpstreamProtocol.h"
+#include "table/Table.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace bergamotweir;
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+namespace {
+
+constexpr BootTime Now{100s};
+
+const char *const ManifestText =
+    R"({"version":"0000000a","routes":{"columns":["name","host","prefix","kind","timeout_ms","target_latency_ms",)"
+    R"("priority","traffic_split","attempts","service","note"],"rows":[)"
+    R"(["r1","a.example","/p/","idempotent",1200,600,2,[{"service":"s1","weight":90},{"service":"s2","weight":10}],2,)"
+    R"(null,null],["r2","b.example","/q/r/","non_idempotent",1500,800,1,null,1,"s2","kept"]]},)"
+    R"("services":{"columns":["name","health_path","max_connections","warmup_s","warmup_per_s","sharded"],"rows":[)"
+    R"(["s1","/health",130,3.0,4.6,true],["s2","/ok",130,3.0,4.6,null]]},)"
+    R"("limits":{"max_header_bytes":16384,"max_body_bytes":1000,"header_timeout_ms":3000,"idle_timeout_ms":15000},)"
+    R"("base_version":"00000005"})";
+
+table::Table manifestTable()
+{
+    const wire::PutRoutes change = platform::readManifest(ManifestText, false).value();
+    return table::Table().withRoutes(table::RouteTable(change.table()));
+}
+
+net::HttpRequest
+request(const std::string &method, const std::string &target, std::vector<net::Header> headers, std::string body = {})
+{
+    return {method, target, std::move(headers), std::move(body), "127.0.0.1:1"};
+}
+
+std::variant<process::ParsedRequest, net::HttpAnswer> readCaller(const net::HttpRequest &request,
+                                                                 const table::Table &table = manifestTable())
+{
+    pcg32 random(3);
+    return platform::agentProtocol().readRequest(request, table, random, Now);
+}
+
+int refusedWith(const net::HttpRequest &request, const table::Table &table = manifestTable())
+{
+    return std::get<net::HttpAnswer>(readCaller(request, table)).status;
+}
+
+net::HttpRequest heartbeat(const std::string &body)
+{
+    return request("PUT", "/api/instances/i-1", {}, body);
+}
+
+const char *const Beat =
+    R"({"address":"10.0.0.9:80","born":1790000000123,"info":{"service":"s1","version":"v1","zone":"z","slots":6},)"
+    R"("status":{"state":"ready","seq":4,"warmup_left_ms":250},"holds":[[0,4095,7]],"freed":[[5000,5001,"abc"]]})";
+
+const std::string AgentFile = "node_id=n1\nip=10.1.0.41\nzone=z1\nlisten.inbound=10.1.0.41:8624\n"
+                              "listen.outbound=10.1.0.41:8629\nlisten.ready_addr=10.1.0.41:8625\n"
+                              "listen.control=10.1.0.41:8620\ninternal_ports=7600,7615\n"
+                              "seeds=10.1.0.46:8620,10.2.0.28:8620\nservice=s1\napp_addr=10.1.0.41:8628\n"
+                              "bounds=drain_ms=2000,grace_s=5\nnew_field=1\n";
+
+} // namespace
+
+TEST_CASE("platform: a manifest is read with all its fields and read back as it was written")
+{
+    const wire::PutRoutes change = platform::readManifest(ManifestText, false).value();
+    REQUIRE(change.base_revision() == 5);
+    REQUIRE(change.table().revision() == 10);
+    REQUIRE(table::findingsIn(change.table()).empty());
+    const wire::Route &first = change.table().routes(0);
+    REQUIRE(first.kind() == wire::ROUTE_KIND_IDEMPOTENT);
+    REQUIRE(first.timeout_ms() == 1200);
+    REQUIRE(first.target_latency_ms() == 600);
+    REQUIRE(first.priority() == 2);
+    REQUIRE(first.attempts() == 2);
+    REQUIRE(first.parts(0).weight() == 90);
+    REQUIRE(change.table().routes(1).parts(0).service() == "s2");
+    REQUIRE(change.table().services(0).numbered_keys());
+    REQUIRE(change.table().services(0).warmup_ms() == 3000);
+    REQUIRE(change.table().limits().max_body_bytes() == 1000);
+    json written = json::parse(ManifestText);
+    written.erase("base_version");
+    REQUIRE(json::parse(platform::writeManifest(change.table())) == written);
+}
+
+TEST_CASE("platform: a change of named items is read, and two texts never count as one change")
+{
+    const std::string text =
+        R"({"version":"0000000b","base_version":"0000000a","upsert":{"routes":{"columns":["name","host","prefix",)"
+        R"("kind","timeout_ms","attempts","service"],"rows":[["r3","c.example","/z/","idempotent",900,2,"s1"]]}},)"
+        R"("remove":{"routes":["r1"]}})";
+    const wire::PutRoutes change = platform::readManifest(text, true).value();
+    REQUIRE(change.partial());
+    REQUIRE(change.table().routes_size() == 1);
+    REQUIRE(change.removed_routes(0) == "r1");
+    REQUIRE(change.content_hash() == platform::readManifest(text, true).value().content_hash());
+    REQUIRE(change.content_hash() != platform::readManifest(ManifestText, false).value().content_hash());
+}
+
+TEST_CASE("platform: manifests that can't be read are refused with the place of the fault")
+{
+    const std::string whole = ManifestText;
+    REQUIRE_FALSE(platform::readManifest(whole.substr(0, whole.size() / 2), false));
+    REQUIRE_FALSE(platform::readManifest("[]", false));
+    REQUIRE_FALSE(platform::readManifest(R"({"version":"0000000a","base_version":"00000005"})", false));
+    REQUIRE_FALSE(platform::readManifest(R"({"version":"xyz","base_version":"0","routes":{},"services":{}})", false));
+    const auto shortRow =
+        platform::readManifest(R"({"version":"1","base_version":"0","services":{"columns":[],"rows":[]},)"
+                               R"("routes":{"columns":["name"],"rows":[["r",1]]}})",
+                               false);
+    REQUIRE(shortRow.error().front().place == "routes");
+    const auto wrongType =
+        platform::readManifest(R"({"version":"1","base_version":"0","services":{"columns":[],"rows":[]},)"
+                               R"("routes":{"columns":["name","kind","timeout_ms"],"rows":[["r","idempotent","x"]]}})",
+                               false);
+    REQUIRE(wrongType.error().front().place == "timeout_ms");
+}
+
+TEST_CASE("platform: operators' calls become orders, and replies become the statuses that callers go by")
+{
+    const process::OperatorProtocol &protocol = platform::operatorProtocol();
+    const auto put = std::get<wire::OperatorRequest>(protocol.read(request("PUT", "/api/config", {}, ManifestText)));
+    REQUIRE(put.put_routes().table().revision() == 10);
+    const auto out = std::get<wire::OperatorRequest>(protocol.read(request("POST", "/api/evacuations/z1", {})));
+    REQUIRE(out.mark().kind() == wire::MARK_KIND_FAILURE_DOMAIN);
+    REQUIRE(out.mark().name() == "z1");
+    REQUIRE_FALSE(out.mark().in_service());
+    REQUIRE(std::get<wire::OperatorRequest>(protocol.read(request("DELETE", "/api/evacuations/z1", {})))
+                .mark()
+                .in_service());
+    REQUIRE(std::get<net::HttpAnswer>(protocol.read(request("PUT", "/api/config", {}, "{"))).status == 400);
+    REQUIRE(std::get<net::HttpAnswer>(protocol.read(request("GET", "/elsewhere", {}))).status == 404);
+    const auto status = [&](wire::OperatorStatus code) {
+        wire::OperatorReply reply;
+        reply.set_status(code);
+        return protocol.write(put, reply).status;
+    };
+    REQUIRE(status(wire::OPERATOR_STATUS_DONE) == 200);
+    REQUIRE(status(wire::OPERATOR_STATUS_CONFLICT) == 412);
+    REQUIRE(status(wire::OPERATOR_STATUS_BAD_INPUT) == 400);
+    REQUIRE(status(wire::OPERATOR_STATUS_UNKNOWN) == 503);
+    const net::HttpAnswer elsewhere = protocol.redirect(request("GET", "/api/config", {}), "10.0.0.4:80");
+    REQUIRE(elsewhere.status == 307);
+    REQUIRE(*net::findHeader(elsewhere.headers, "Location") == "http://10.0.0.4:80/api/config");
+    REQUIRE(protocol.redirect(request("GET", "/api/config", {}), "").status == 503);
+}
+
+TEST_CASE("platform: heartbeats are read with what the worker holds and has given up")
+{
+    const process::Heartbeat read = platform::readHeartbeat(heartbeat(Beat)).value();
+    REQUIRE(read.announcement.service == "s1");
+    REQUIRE(read.announcement.address == "10.0.0.9:80");
+    REQUIRE(read.announcement.instance == "i-1");
+    REQUIRE(read.announcement.name == "i-1.1790000000123");
+    REQUIRE(read.announcement.slots == 6);
+    REQUIRE(read.sequence == 4);
+    REQUIRE(read.coldFor == 250ms);
+    REQUIRE_FALSE(read.leaving);
+    REQUIRE(read.held.front().keys == process::KeyRange{0, 4095});
+    REQUIRE(read.held.front().epoch == 7);
+    REQUIRE(read.freed.front().handover == "abc");
+    const process::Heartbeat farewell = platform::readHeartbeat(request("DELETE", "/api/instances/i-1", {})).value();
+    REQUIRE(farewell.farewell);
+    REQUIRE(farewell.leaving);
+}
+
+TEST_CASE("platform: heartbeats of other writers name nobody, and all that is wrong with them is told")
+{
+    REQUIRE_FALSE(platform::readHeartbeat(heartbeat("{")));
+    REQUIRE_FALSE(platform::readHeartbeat(heartbeat("[1]")));
+    REQUIRE_FALSE(platform::readHeartbeat(heartbeat("\xff\xfe")));
+    REQUIRE_FALSE(platform::readHeartbeat(request("PUT", "/api/instances/", {}, Beat)));
+    REQUIRE_FALSE(platform::readHeartbeat(request("GET", "/api/instances/i-1", {})));
+    json body = json::parse(Beat);
+    body["status"]["state"] = "resting";
+    REQUIRE_FALSE(platform::readHeartbeat(heartbeat(body.dump())));
+    body = json::parse(Beat);
+    body["info"]["slots"] = "6";
+    body["status"]["seq"] = -1;
+    body.erase("address");
+    REQUIRE(platform::readHeartbeat(heartbeat(body.dump())).error().size() >= 3);
+    body = json::parse(Beat);
+    body["holds"] = {{5, 4, 1}};
+    REQUIRE_FALSE(platform::readHeartbeat(heartbeat(body.dump())));
+    body["holds"] = {{0, 70000, 1}};
+    REQUIRE_FALSE(platform::readHeartbeat(heartbeat(body.dump())));
+}
+
+TEST_CASE("platform: an answer without grants renews nothing, one with grants tells rows and time")
+{
+    REQUIRE(platform::answerHeartbeat({}).body == "{}");
+    process::HeartbeatAnswer answer;
+    answer.holdFor = 2500ms;
+    answer.grants = {{{0, 99}, 12, "abc"}};
+    REQUIRE(json::parse(platform::answerHeartbeat(answer).body)
+            == json::parse(R"({"hold_ms":2500,"holds":[[0,99,12,"abc"]]})"));
+}
+
+TEST_CASE("platform: a caller's request gets its route, its key and the shorter of two times")
+{
+    const net::HttpRequest keyed =
+        request("GET",
+                "/p/x?y=1",
+                {{"Host", "A.example:80"}, {"X-Request-Id", "id"}, {"X-Deadline-Ms", "700"}, {"X-Shard-Key", "65535"}});
+    for (int draw = 0; draw < 20; ++draw) {
+        pcg32 random(draw);
+        const auto parsed = std::get<process::ParsedRequest>(
+            platform::agentProtocol().readRequest(keyed, manifestTable(), random, Now));
+        REQUIRE(parsed.facts.deadline == Now + 700ms);
+        REQUIRE(parsed.facts.mostTries == 2);
+        REQUIRE(agent::mayRepeat(parsed.facts));
+        REQUIRE(parsed.facts.keyed == (parsed.facts.service == "s1"));
+        REQUIRE((!parsed.facts.keyed || parsed.facts.hash == placeOfKey(65535)));
+    }
+    const net::HttpRequest post =
+        request("POST", "/q/r/x", {{"Host", "b.example"}, {"X-Request-Id", "id"}, {"X-Deadline-Ms", "9000"}});
+    const auto parsed = std::get<process::ParsedRequest>(readCaller(post));
+    REQUIRE(parsed.facts.deadline == Now + 1500ms);
+    REQUIRE_FALSE(agent::mayRepeat(parsed.facts));
+}
+
+TEST_CASE("platform: requests that can't be routed are told why; without routes nobody is told that there are none")
+{
+    REQUIRE(refusedWith(request("GET", "/p/x", {{"Host", "a.example"}})) == 400);
+    REQUIRE(refusedWith(request("GET", "/none", {{"Host", "a.example"}, {"X-Request-Id", "id"}})) == 404);
+    REQUIRE(refusedWith(request("GET", "/p/", {{"Host", "z.example"}, {"X-Request-Id", "id"}})) == 404);
+    REQUIRE(refusedWith(request("GET", "/p/", {{"Host", "z.example"}, {"X-Request-Id", "id"}}), table::Table()) == 503);
+}
+
+TEST_CASE("platform: fields that the system sets are never taken from a caller")
+{
+    const auto headers = platform::agentProtocol().headersToForward(request("GET",
+                                                                            "/",
+                                                                            {{"Host", "a.example"},
+                                                                             {"X-Request-Id", "id"},
+                                                                             {"x-downstream-service", "forged"},
+                                                                             {"X-Expected-Instance", "forged"},
+                                                                             {"X-Deadline-Ms", "1"},
+                                                                             {"X-Shard-Key", "3"},
+                                                                             {"Connection", "close"},
+                                                                             {"Bergamotweir-Service", "forged"}}));
+    REQUIRE(headers == std::vector<net::Header>{{"X-Request-Id", "id"}, {"X-Shard-Key", "3"}, {"Host", "a.example"}});
+    net::HttpCall call;
+    call.headers = headers;
+    platform::agentProtocol().addOrder(
+        call, {.epoch = 1, .requestId = "r", .timeout = 800ms, .originService = "s9", .instance = "i-1"});
+    REQUIRE(*net::findHeader(call.headers, "X-Deadline-Ms") == "800");
+    REQUIRE(*net::findHeader(call.headers, "X-Downstream-Service") == "s9");
+    REQUIRE(*net::findHeader(call.headers, "X-Expected-Instance") == "i-1");
+    REQUIRE(call.echoed == net::Header{"X-Request-Id", "id"});
+}
+
+TEST_CASE("platform: only answers that a worker made count as answers, and only its refusals as not run")
+{
+    const auto outcome = [](int status, std::vector<net::Header> headers) {
+        net::CallResult result;
+        result.end = net::CallEnd::Answered;
+        result.mayHaveRun = true;
+        result.answer = {status, std::move(headers), {}};
+        return platform::agentProtocol().readOutcome(result);
+    };
+    const net::Header signedBy{"X-Upstream-Signature", "x"};
+    REQUIRE(outcome(200, {signedBy}).end == agent::AttemptEnd::Answered);
+    REQUIRE(outcome(200, {}).end == agent::AttemptEnd::Broken);
+    REQUIRE(outcome(200, {signedBy, {"Content-Encoding", "gzip"}}).end == agent::AttemptEnd::Broken);
+    REQUIRE(outcome(500, {signedBy}).end == agent::AttemptEnd::Answered);
+    REQUIRE_FALSE(outcome(503, {{"X-Not-Executed", "1"}}).mayHaveRun);
+    REQUIRE_FALSE(outcome(421, {}).mayHaveRun);
+    REQUIRE(outcome(503, {}).mayHaveRun);
+    REQUIRE(outcome(200, {signedBy, {"X-Not-Executed", "1"}}).mayHaveRun);
+}
+
+TEST_CASE("platform: a refusal promises that the request didn't run only where that is sure")
+{
+    pcg32 random(1);
+    const auto status = [&](agent::RefusalFacts facts) {
+        return platform::agentProtocol().refuse({facts, &random}).status;
+    };
+    REQUIRE(status({.end = agent::AttemptEnd::NoRoom, .status = 503, .ran = agent::Ran::No}) == 503);
+    REQUIRE(status({.end = agent::AttemptEnd::NoRoom, .status = 503, .ran = agent::Ran::Unknown}) == 502);
+    REQUIRE(status({.end = agent::AttemptEnd::OverLimit, .status = 429, .ran = agent::Ran::Unknown}) == 502);
+    REQUIRE(status({.cause = agent::RefusalCause::DeadlinePassed, .status = 504, .ran = agent::Ran::Unknown}) == 504);
+    REQUIRE(status({.cause = agent::RefusalCause::DeadlinePassed, .status = 504, .ran = agent::Ran::No}) == 503);
+    const net::HttpAnswer answer = platform::agentProtocol().refuse(
+        {{.end = agent::AttemptEnd::NoRoom, .status = 503, .ran = agent::Ran::No, .retryAfter = true}, &random});
+    const double seconds = std::stod(*net::findHeader(answer.headers, "Retry-After"));
+    REQUIRE(seconds > 0);
+    REQUIRE(seconds < 1);
+}
+
+TEST_CASE("platform: settings of an agent are translated, unknown ones left out")
+{
+    const process::AgentSettings settings = platform::readAgentSettings(AgentFile).value();
+    REQUIRE(settings.agentName == "n1");
+    REQUIRE(settings.failureDomain == "z1");
+    REQUIRE(settings.callerPort == 8629);
+    REQUIRE(settings.peerPort == 8624);
+    REQUIRE(settings.readyPort == 8625);
+    REQUIRE(settings.announceAddress == "10.1.0.41");
+    REQUIRE(settings.announcePort == 8620);
+    REQUIRE(settings.controls == std::vector<std::string>{"10.1.0.46:7600", "10.2.0.28:7600"});
+    REQUIRE(settings.upstreamAddress == "10.1.0.41:8628");
+    REQUIRE(settings.longestStop == 4000ms);
+}
+
+TEST_CASE("platform: settings of a control replica name the group's seeds and the voters that losses call for")
+{
+    const std::string text = "ip=10.1.0.46\nlisten.control=10.1.0.46:8620\ninternal_ports=7600,7615\n"
+                             "seeds=10.1.0.46:8620,10.2.0.28:8620\nbootstrap=true\ndata_dir=/data/x\n"
+                             "fault_tolerance.machines=2\n";
+    const process::ControlSettings settings = platform::readControlSettings(text).value();
+    REQUIRE(settings.group->seeds == std::vector<std::string>{"10.1.0.46:7601", "10.2.0.28:7601"});
+    REQUIRE(settings.group->firstStart);
+    REQUIRE(settings.group->wantedVoters == 5);
+    REQUIRE(settings.orderPort == 8620);
+    REQUIRE(settings.controlPort == 7600);
+    REQUIRE(settings.dataFolder == "/data/x");
+}
+
+TEST_CASE("platform: all that is missing or malformed in a settings file is told together")
+{
+    const auto empty = platform::readAgentSettings("");
+    REQUIRE(empty.error().size() >= 8);
+    std::string broken = AgentFile;
+    broken.replace(broken.find("10.1.0.41:8629"), 14, "10.1.0.41:port");
+    broken.replace(broken.find("7600,7615"), 9, "7600,7601");
+    broken += "no equals sign\n";
+    const auto result = platform::readAgentSettings(broken);
+    REQUIRE(result.error().size() >= 3);
+    REQUIRE(result.error().front().place == "line 14");
+    REQUIRE_FALSE(platform::readControlSettings("bootstrap=perhaps\n"));
+}
--- a/tests/SliceSplitsTest.cpp
+++ b/tests/SliceSplitsTest.cpp
@@ -123,3 +123,22 @@
     REQUIRE(loads.hotKeys("catalogue", 0.5, now).empty());
     REQUIRE(loads.hotKeys("catalogue", 0.1, now + 11s).empty());
 }
+
+TEST_CASE("splits: slices of numbered keys are cut at whole keys, down to single ones and no further")
+{
+    constexpr std::uint64_t Grain = std::uint64_t{1} << 48U;
+    SliceMap map = SliceMap::even(64, Grain);
+    for (int round = 0; round < 3; ++round) {
+        carryOut(map, planSplits(map, 512, {}, {}, Grain));
+    }
+    REQUIRE(map.slices().size() == 512);
+    const std::uint64_t hot = 77 * Grain;
+    carryOut(map, planSplits(map, 512, {hot}, {}, Grain));
+    REQUIRE(map.slices().contains(hot));
+    REQUIRE(map.slices().contains(hot + Grain));
+    REQUIRE(map.slices().size() == 514);
+    REQUIRE(planSplits(map, 512, {hot}, {}, Grain).empty());
+    for (const auto &[begin, holding] : map.slices()) {
+        REQUIRE(begin % Grain == 0);
+    }
+}
