A new agent releases nothing before its upstream has said what it holds

Ruled out: the lease (not lost), the split of the slice just before (the same without one). Change: until the upstream's first heartbeat, or a lease after the start, everything counts as held.

--- a/include/agent/Ownership.h
+++ b/include/agent/Ownership.h
@@ -44,6 +44,12 @@
      * only while it holds it, and a revoked slice is released only once the upstream holds it no more.
      */
     bool upstreamsHold = false;
+    /**
+     * Services whose upstream has said what it holds since this agent started. An upstream outlives its agent: until it
+     * speaks, or all that the agent before may have granted has run out, it may hold anything.
+     */
+    std::set<std::string, std::less<>> heardFrom;
+    bool grantsOfPredecessorEnded = false;
     /** Per service, what the upstream may hold at this moment. */
     std::map<std::string, std::vector<HeldRange>, std::less<>> held;
     /** Revoked slices that the upstream was told to give up: no new work from then on. */
--- a/src/agent/Ownership.cpp
+++ b/src/agent/Ownership.cpp
@@ -24,6 +24,10 @@
 /** @return whether the upstream may still hold a key of the slice under its epoch or an older one */
 bool isHeld(const Ownership &ownership, const RouteMap &map, const SliceKey &key)
 {
+    const bool unheard = !ownership.grantsOfPredecessorEnded && !ownership.heardFrom.contains(key.service);
+    if (ownership.upstreamsHold && unheard) {
+        return true;
+    }
     const auto held = ownership.held.find(key.service);
     if (held == ownership.held.end()) {
         return false;
--- a/src/process/AgentProcess.cpp
+++ b/src/process/AgentProcess.cpp
@@ -210,6 +210,10 @@
     needs.ended = [this](const RequestEndNote &note) {
         this->report.ended(note);
     };
+    this->loop.after(this->state.settings.predecessorGrants, [this] {
+        this->state.ownership.grantsOfPredecessorEnded = true;
+        this->control->tellReleased();
+    });
     this->runner = std::make_unique<RequestRunner>(this->loop, this->state, std::move(needs));
     Log.info(this->state.settings.agentName + ": callers on port " + std::to_string(this->callers->port())
              + ", peers on " + std::to_string(this->peers->port()) + ", announcements on "
--- a/src/process/LocalUpstreamHolds.cpp
+++ b/src/process/LocalUpstreamHolds.cpp
@@ -107,6 +107,7 @@
     }
     agent::Ownership &ownership = this->state.ownership;
     ownership.held[this->latest.service] = std::move(held);
+    ownership.heardFrom.insert(this->latest.service);
     for (const FreedKeys &row : heartbeat.freed) {
         const agent::HeldRange freed = toHeld(row.keys, 0);
         for (const agent::SliceKey &key : ownership.revoked) {
--- a/tests/HeldKeysTest.cpp
+++ b/tests/HeldKeysTest.cpp
@@ -30,6 +30,7 @@
         agent::apply(this->map, state);
         this->ownership.ownUpstreams = {7};
         this->ownership.upstreamsHold = true;
+        this->ownership.heardFrom.insert("seats");
         this->lease.validUntil = Now + 1s;
     }
 
@@ -113,3 +114,29 @@
     agent.ownership.held["seats"] = {{Boundary, placeOfKey(1200), 4}};
     REQUIRE(agent::takeReleased(agent.ownership, agent.map).slices_size() == 1);
 }
+
+/*
+ * An agent is killed and starts again while its upstream goes on, holding what the agent before had granted. Asked to
+ * give a slice up, the new agent knows of no hold and says at once that it is free: another upstream gets the keys while
+ * the first still holds them, for as long as the old grant runs.
+ */
+TEST_CASE("held keys: a new agent releases nothing before its upstream has said what it holds, or its grants have ended")
+{
+    Agent agent;
+    agent.ownership.heardFrom.clear();
+    agent.revoke();
+    REQUIRE(agent::takeReleased(agent.ownership, agent.map).slices().empty());
+    SECTION("the upstream speaks")
+    {
+        agent.ownership.heardFrom.insert("seats");
+        agent.hold(4);
+        REQUIRE(agent::takeReleased(agent.ownership, agent.map).slices().empty());
+        agent.ownership.held.clear();
+        REQUIRE(agent::takeReleased(agent.ownership, agent.map).slices_size() == 1);
+    }
+    SECTION("it never does, and what the agent before granted has run out")
+    {
+        agent.ownership.grantsOfPredecessorEnded = true;
+        REQUIRE(agent::takeReleased(agent.ownership, agent.map).slices_size() == 1);
+    }
+}
