Agents know every replica, and leave one that opens no session after half a second

It knew three of five replicas because the list went out with the full state alone, before the group had grown. Ruled out: redirects to the old leader, a leader without quorum (five other agents were served by it). Change: a new list of replicas is told at once; opening a session has a patience of its own.

--- a/include/rpc/ControlSession.h
+++ b/include/rpc/ControlSession.h
@@ -33,6 +33,8 @@
 struct ControlSessionPatience {
     /** A replica that says nothing for so long is left: it may be frozen or behind a silent partition. */
     std::chrono::milliseconds silence{200};
+    /** A replica that hasn't answered at all within so long is left: the next one may be the leader. */
+    std::chrono::milliseconds opening{500};
     /** Pause before the next replica is tried. */
     std::chrono::milliseconds pause{25};
     /** A replica that fell silent is not returned to for so long, even when another one names it the leader. */
@@ -83,6 +85,7 @@
     void ended(SessionId session);
     void leave();
     void checkSilence();
+    void checkOpening(SessionId session);
     bool isAvoided(const std::string &address) const;
 
     loop::EventLoop &loop;
--- a/src/control/Coordinator.cpp
+++ b/src/control/Coordinator.cpp
@@ -215,7 +215,23 @@
 
 void Coordinator::setControls(std::vector<std::string> addresses)
 {
+    if (addresses == this->controls) {
+        return;
+    }
     this->controls = std::move(addresses);
+    // Guards against agents that look for the next leader among replicas that are gone: told at the session's start alone,
+    // they would know the first three for ever, of which two may be down for long. The message claims to be as new as
+    // the state, so what waits to be told goes first.
+    this->sendBatch();
+    wire::ControlMessage message;
+    *message.mutable_update()->mutable_version() = this->state.version();
+    message.mutable_update()->mutable_controls()->Assign(this->controls.begin(), this->controls.end());
+    for (const auto &[name, agent] : this->book.agents) {
+        if (agent.informed) {
+            this->actions.emplace_back(
+                SendAction{agent.session, std::make_shared<const wire::ControlMessage>(message)});
+        }
+    }
 }
 
 void Coordinator::tick(BootTime now)
--- a/src/process/ControlLink.cpp
+++ b/src/process/ControlLink.cpp
@@ -134,8 +134,8 @@
         readTable(this->state);
         readRoutes(this->state, update.table().routes());
     }
+    this->session->learn({update.controls().begin(), update.controls().end()});
     if (update.full()) {
-        this->session->learn({update.controls().begin(), update.controls().end()});
         wire::AgentMessage message;
         *message.mutable_released() = agent::resumeReleased(this->state.ownership, this->state.map);
         if (!message.released().slices().empty()) {
--- a/src/rpc/ControlSession.cpp
+++ b/src/rpc/ControlSession.cpp
@@ -1,6 +1,7 @@
 #include "rpc/ControlSession.h"
 
 #include "control.grpc.pb.h"
+#include "loop/Log.h"
 #include "rpc/Channel.h"
 
 #include <grpcpp/channel.h>
@@ -17,6 +18,8 @@
 // An agent that cannot get rid of its messages starts a new session rather than growing.
 constexpr std::size_t MaxQueuedMessages = 4096;
 
+constexpr loop::Log Log("session");
+
 } // namespace
 
 /**
@@ -215,6 +218,7 @@
     this->leave();
     const SessionId name = ++this->session;
     this->currentAddress = address;
+    Log.info("asking " + address);
     this->lastHeard = BootClock::now();
     const std::weak_ptr<bool> life = this->alive;
     std::unique_ptr<wire::Control::Stub> &stub = this->stubs[address];
@@ -240,6 +244,21 @@
     wire::AgentMessage first;
     *first.mutable_hello() = this->events.hello();
     this->stream->start(first);
+    this->loop.after(this->patience.opening, [this, life, name] {
+        if (!life.expired()) {
+            this->checkOpening(name);
+        }
+    });
+}
+
+// Guards against a long time without a leader while some VMs are down: each of them takes the silence that an open
+// session may have, and agents that met two in a row served their old routes for seven seconds.
+void ControlSession::checkOpening(SessionId name)
+{
+    if (name == this->session && this->stream && !this->opened) {
+        Log.warn(this->currentAddress + " doesn't open a session");
+        this->ended(name);
+    }
 }
 
 void ControlSession::leave()
@@ -301,6 +320,7 @@
     if (!this->stream || BootClock::now() - this->lastHeard < this->patience.silence) {
         return;
     }
+    Log.warn(this->currentAddress + " says nothing");
     this->avoidedAddress = this->currentAddress;
     this->avoidedUntil = BootClock::now() + this->patience.avoidance;
     this->ended(this->session);
--- a/tests/ControlSessionTest.cpp
+++ b/tests/ControlSessionTest.cpp
@@ -226,3 +226,33 @@
     REQUIRE(rpc::callOperator({leader.address()}, {}, 300ms).status() == wire::OPERATOR_STATUS_UNKNOWN);
     REQUIRE(rpc::callOperator({"127.0.0.1:1"}, {}, 300ms).status() == wire::OPERATOR_STATUS_REFUSED);
 }
+
+// A user is told for seconds that a route doesn't exist which an operator added: the agent acts on an old table.
+// Order: two of the replicas that the agent knows lose power and take connections no more; a third leads. The agent asks
+// one after the other. Cause: each gets the time that an open session may be silent, and the list is as it was at start.
+TEST_CASE("an agent that knows of two dead replicas finds the leader well before an open session would be given up")
+{
+    FakeReplica first;
+    FakeReplica second;
+    first.silent = true;
+    second.silent = true;
+    FakeReplica leader;
+    auto loop = loop::EventLoop::create().value();
+    bool opened = false;
+    rpc::ControlSessionEvents events;
+    events.hello = someHello;
+    events.opened = [&](rpc::SessionId) {
+        opened = true;
+        loop->stop();
+    };
+    events.message = [](rpc::SessionId, const wire::ControlMessage &) {};
+    events.closed = [](rpc::SessionId) {};
+    rpc::ControlSession session(
+        *loop, {first.address(), second.address()}, events, {.silence = 5s, .opening = 200ms});
+    session.learn({leader.address(), first.address()});
+    const auto begun = std::chrono::steady_clock::now();
+    stopAfter(*loop, 10s);
+    loop->run();
+    REQUIRE(opened);
+    REQUIRE(std::chrono::steady_clock::now() - begun < 1500ms);
+}
