Structured logs and agent metrics, first part

Cause: on-call engineers have logs and metrics alone, and the log was free text on standard error that a full pipe blocks.

--- a/include/loop/Log.h
+++ b/include/loop/Log.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "base/Finding.h"
+#include "loop/LogEvent.h"
+#include "loop/LogLimiter.h"
 #include "loop/LogSite.h"
 
 #include <string>
@@ -16,17 +18,25 @@
     Error,
 };
 
+/** Lines about requests that went well: their number follows the load. */
+inline constexpr LogLimiter::Bound OrdinaryBound{50, std::chrono::seconds(1)};
+/** Lines about what failed, or about a change of what the process believes. */
+inline constexpr LogLimiter::Bound FailureBound{200, std::chrono::seconds(1)};
+
 /**
- * Starts writing the log to standard error, by log4cplus. Until then messages go nowhere, as in tests.
+ * Starts writing the log to standard output, by log4cplus: a JSON object a line. Until then messages go nowhere, as in
+ * tests. A reader that stops reading costs lines, which are counted, and never time.
  * @param level debug, info, warn or error
+ * @param process name of this process, told in each line
  */
-void startLogging(std::string_view level);
+void startLogging(std::string_view level, std::string_view process);
 
 /** @return "key#" and a hash of a caller's key: log lines can be matched, the key itself isn't told */
 std::string redacted(std::string_view key);
 
 /**
- * The log of one part of a process, such as "raft" or "gate". Each line is: time, level, part, short sentence.
+ * The log of one part of a process, such as "raft" or "gate". Each line is a JSON object: time, level, process, part and
+ * a message, or the fields of an event.
  * Bounded by LogLimiter. Any thread. Cheap to create; usually a file-local constant.
  */
 class Log
@@ -44,6 +54,16 @@
     void warn(std::string_view message, LogSite site = LogSite::here()) const;
     void error(std::string_view message, LogSite site = LogSite::here()) const;
 
+    /**
+     * Begins a line with fields, see LogEvent.
+     * @param name of the event, the same for all of its kind; a string literal
+     * @param bound of the lines that this place of the program writes
+     */
+    LogEvent event(LogLevel level,
+                   const char *name,
+                   const LogLimiter::Bound &bound = FailureBound,
+                   LogSite site = LogSite::here()) const;
+
     /** Writes each finding as an error of its own, at most LogLimiter's allowance. */
     void error(const Findings &findings, LogSite site = LogSite::here()) const;
 
--- a/include/loop/LogLimiter.h
+++ b/include/loop/LogLimiter.h
@@ -22,13 +22,26 @@
     static constexpr unsigned MostPerWindow = 10;
     static constexpr std::chrono::seconds Window{10};
 
+    /** How many messages of one line of the program are written in which time. */
+    struct Bound {
+        unsigned most = MostPerWindow;
+        std::chrono::seconds window = Window;
+    };
+
     /**
      * @param site the line of the program that wants to write
      * @param now the present time
+     * @param bound of this line of the program
      * @return how many messages of this line were left out since the last one written; nothing when this one is left
      *         out as well
      */
-    std::optional<std::uint64_t> allow(const LogSite &site, BootTime now);
+    std::optional<std::uint64_t> allow(const LogSite &site, BootTime now, const Bound &bound);
+
+    /** The same within the bound of ordinary messages. */
+    std::optional<std::uint64_t> allow(const LogSite &site, BootTime now)
+    {
+        return this->allow(site, now, Bound{});
+    }
 
 private:
     struct Allowance {
--- a/include/process/AgentProtocol.h
+++ b/include/process/AgentProtocol.h
@@ -38,6 +38,9 @@
                                                                 pcg32 &random,
                                                                 BootTime now) = nullptr;
 
+    /** @return the caller's name for its request; empty when it gave none */
+    std::string (*requestId)(const net::HttpRequest &request) = nullptr;
+
     /** @return header fields to pass on with a request: none of a connection, none of the system's own */
     std::vector<net::Header> (*headersToForward)(const net::HttpRequest &request) = nullptr;
 
--- a/include/process/ControlSettings.h
+++ b/include/process/ControlSettings.h
@@ -30,6 +30,8 @@
 
 /** Settings of a control replica, checked. Ports: 0 asks the kernel for a free one. */
 struct ControlSettings {
+    /** What its log lines call this process, where its id is found only at the start; the id otherwise. */
+    std::string vmName = {};
     /** Unique in the control group. */
     std::string replicaId;
     /** IP that the replica binds and tells others to reach it at. */
--- a/include/process/ParsedRequest.h
+++ b/include/process/ParsedRequest.h
@@ -11,6 +11,8 @@
 struct ParsedRequest {
     agent::RequestFacts facts;
     std::string key;
+    /** What the table calls the route, for logs and metrics; the service where there are no routes. */
+    std::string route;
     std::string idempotencyKey;
     std::uint64_t fingerprint = 0;
     /** Service of the VM at which the request began; empty at the agent where it begins. */
--- a/src/cli/ProcessCommands.cpp
+++ b/src/cli/ProcessCommands.cpp
@@ -38,7 +38,7 @@
         context.err << toText(settings.error());
         return ExitBadInput;
     }
-    loop::startLogging(settings.value().logLevel);
+    loop::startLogging(settings.value().logLevel, settings.value().agentName);
     return process::runAgent(settings.value());
 }
 
@@ -49,7 +49,7 @@
         context.err << toText(settings.error());
         return ExitBadInput;
     }
-    loop::startLogging(settings.value().logLevel);
+    loop::startLogging(settings.value().logLevel, settings.value().replicaId);
     return process::runControl(settings.value());
 }
 
@@ -61,7 +61,7 @@
         return ExitBadInput;
     }
     settings.value().logLevel = values.text("log-level");
-    loop::startLogging(settings.value().logLevel);
+    loop::startLogging(settings.value().logLevel, settings.value().agentName);
     return process::runAgent(settings.value());
 }
 
@@ -74,7 +74,7 @@
         return ExitBadInput;
     }
     settings.value().logLevel = values.text("log-level");
-    loop::startLogging(settings.value().logLevel);
+    loop::startLogging(settings.value().logLevel, settings.value().vmName);
     return process::runControl(settings.value());
 }
 
--- a/src/loop/Log.cpp
+++ b/src/loop/Log.cpp
@@ -1,29 +1,32 @@
 #include "loop/Log.h"
 
+#include "LogWriter.h"
+#include "PipeAppender.h"
 #include "loop/LogLimiter.h"
 
-#include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
-#include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <xxhash.h>
 
 #include <array>
 #include <atomic>
+#include <chrono>
 #include <cstdio>
+#include <ctime>
 #include <mutex>
+#include <unistd.h>
 
 namespace bergamotweir::loop {
 
 namespace {
 
-constexpr const char *Pattern = "%d{%Y-%m-%dT%H:%M:%S.%q}Z %-5p %c: %m%n";
 constexpr std::size_t MaxMessageLength = 400;
 
 /** The log of the process; started once and never taken down, so that threads may write until the end. */
 struct Writer {
     std::mutex mutex;
     LogLimiter limiter;
+    std::string process;
 };
 
 std::atomic<bool> started{false};
@@ -60,30 +63,78 @@
     return name == "error" ? log4cplus::ERROR_LOG_LEVEL : log4cplus::INFO_LOG_LEVEL;
 }
 
-/** One line, without control characters: text from a peer must not forge lines of the log. */
-std::string oneLine(std::string_view message)
+const char *nameOf(LogLevel level)
 {
-    std::string line(message.substr(0, MaxMessageLength));
-    for (char &character : line) {
-        if (static_cast<unsigned char>(character) < ' ') {
-            character = ' ';
-        }
+    switch (level) {
+    case LogLevel::Debug:
+        return "debug";
+    case LogLevel::Info:
+        return "info";
+    case LogLevel::Warn:
+        return "warn";
+    case LogLevel::Error:
+        break;
     }
-    return line;
+    return "error";
+}
+
+std::string wallClock()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(now);
+    const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(now - seconds);
+    const std::time_t time = seconds.count();
+    std::tm parts{};
+    gmtime_r(&time, &parts);
+    std::array<char, 96> text{};
+    std::snprintf(text.data(),
+                  text.size(),
+                  "%04d-%02d-%02dT%02d:%02d:%02d.%03dZ",
+                  parts.tm_year + 1900,
+                  parts.tm_mon + 1,
+                  parts.tm_mday,
+                  parts.tm_hour,
+                  parts.tm_min,
+                  parts.tm_sec,
+                  static_cast<int>(millis.count()));
+    return text.data();
+}
+
+/** @return whether a line of that level is written at all */
+bool isWritten(LogLevel level)
+{
+    return started && log4cplus::Logger::getRoot().isEnabledFor(toLog4cplus(level));
+}
+
+/** @return how many lines of the site were left out before; nothing when this one is left out as well */
+std::optional<std::uint64_t> allow(const LogSite &site, const LogLimiter::Bound &bound)
+{
+    const std::lock_guard guard(writer().mutex);
+    return writer().limiter.allow(site, BootClock::now(), bound);
 }
 
 } // namespace
 
-void startLogging(std::string_view level)
+std::string lineStart(LogLevel level, const char *part)
+{
+    std::string line = "{\"time\":\"" + wallClock() + "\",\"level\":\"" + nameOf(level) + "\",\"process\":\"";
+    return line.append(writer().process).append("\",\"part\":\"").append(part).append("\"");
+}
+
+void writeLine(LogLevel level, const std::string &line)
+{
+    log4cplus::Logger::getRoot().forcedLog(toLog4cplus(level), line);
+}
+
+void startLogging(std::string_view level, std::string_view process)
 {
     if (started.exchange(true)) {
         return;
     }
+    writer().process = process;
     log4cplus::initialize();
-    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
-    appender->setLayout(std::make_unique<log4cplus::PatternLayout>(Pattern));
     log4cplus::Logger root = log4cplus::Logger::getRoot();
-    root.addAppender(appender);
+    root.addAppender(log4cplus::SharedAppenderPtr(new PipeAppender(STDOUT_FILENO)));
     root.setLogLevel(levelNamed(level));
 }
 
@@ -122,27 +173,24 @@
     }
 }
 
-void Log::write(LogLevel level, std::string_view message, const LogSite &site) const
+LogEvent Log::event(LogLevel level, const char *name, const LogLimiter::Bound &bound, LogSite site) const
 {
-    if (!started) {
-        return;
+    if (!isWritten(level)) {
+        return {};
     }
-    const log4cplus::Logger logger = log4cplus::Logger::getInstance(this->part);
-    if (!logger.isEnabledFor(toLog4cplus(level))) {
+    const std::optional<std::uint64_t> leftOut = allow(site, bound);
+    return leftOut ? LogEvent(level, this->part, name, *leftOut) : LogEvent();
+}
+
+void Log::write(LogLevel level, std::string_view message, const LogSite &site) const
+{
+    if (!isWritten(level)) {
         return;
     }
-    std::string line = oneLine(message);
-    {
-        const std::lock_guard guard(writer().mutex);
-        const std::optional<std::uint64_t> leftOut = writer().limiter.allow(site, BootClock::now());
-        if (!leftOut) {
-            return;
-        }
-        if (*leftOut > 0) {
-            line += " (" + std::to_string(*leftOut) + " such messages left out before)";
-        }
+    const std::optional<std::uint64_t> leftOut = allow(site, LogLimiter::Bound{});
+    if (leftOut) {
+        LogEvent(level, this->part, "message", *leftOut).with("message", message.substr(0, MaxMessageLength));
     }
-    logger.forcedLog(toLog4cplus(level), line);
 }
 
 } // namespace bergamotweir::loop
--- a/src/loop/LogLimiter.cpp
+++ b/src/loop/LogLimiter.cpp
@@ -4,14 +4,14 @@
 
 namespace bergamotweir::loop {
 
-std::optional<std::uint64_t> LogLimiter::allow(const LogSite &site, BootTime now)
+std::optional<std::uint64_t> LogLimiter::allow(const LogSite &site, BootTime now, const Bound &bound)
 {
     Allowance &allowance = this->sites[site];
-    if (now - allowance.start >= Window) {
+    if (now - allowance.start >= bound.window) {
         allowance.start = now;
         allowance.written = 0;
     }
-    if (allowance.written == MostPerWindow) {
+    if (allowance.written >= bound.most) {
         ++allowance.leftOut;
         return std::nullopt;
     }
--- /dev/null
+++ b/src/process/AgentMetrics.cpp
@@ -0,0 +1,153 @@
+#include "process/AgentMetrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <set>
+#include <sstream>
+
+namespace bergamotweir::process {
+
+namespace {
+
+using prometheus::BuildCounter;
+using prometheus::BuildGauge;
+using prometheus::BuildHistogram;
+
+/** Seconds: from what an agent itself takes to the longest timeouts. */
+const prometheus::Histogram::BucketBoundaries Buckets{0.001, 0.003, 0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 1, 2, 5};
+
+const char *nameOf(TimeSpent where)
+{
+    switch (where) {
+    case TimeSpent::Queue:
+        return "queue";
+    case TimeSpent::Upstream:
+        return "upstream";
+    case TimeSpent::OtherAgent:
+        return "other_agent";
+    case TimeSpent::Whole:
+        break;
+    }
+    return "whole";
+}
+
+template<typename Builder>
+auto &family(prometheus::Registry &registry, Builder builder, const char *name, const char *help)
+{
+    return builder.Name(std::string("bergamotweir_") + name).Help(help).Register(registry);
+}
+
+} // namespace
+
+struct AgentMetrics::Parts {
+    /** @return the name itself while there is room for another series, "other" afterwards */
+    static std::string bounded(std::set<std::string> &known, const std::string &name)
+    {
+        if (known.contains(name) || known.size() < MostNames) {
+            known.insert(name);
+            return name;
+        }
+        return "other";
+    }
+
+    prometheus::Registry registry;
+    std::set<std::string> routes;
+    std::set<std::string> services;
+    prometheus::Family<prometheus::Counter> &requests =
+        family(registry, BuildCounter(), "requests_total", "Callers' requests by route, kind and outcome.");
+    prometheus::Family<prometheus::Counter> &refusals =
+        family(registry, BuildCounter(), "refusals_total", "Refused requests by the reason that decided it.");
+    prometheus::Family<prometheus::Counter> &retries =
+        family(registry, BuildCounter(), "retries_total", "Requests sent again, by service.");
+    prometheus::Family<prometheus::Gauge> &budget =
+        family(registry, BuildGauge(), "retry_budget", "Second sends that may be made at once, by service.");
+    prometheus::Family<prometheus::Histogram> &time =
+        family(registry, BuildHistogram(), "request_seconds", "Where requests spend their time, by service.");
+    prometheus::Counter &connections =
+        family(registry, BuildCounter(), "connections_opened_total", "Connections opened to the upstream.").Add({});
+    prometheus::Counter &late =
+        family(registry, BuildCounter(), "heartbeats_late_total", "Heartbeats that came behind a newer one.").Add({});
+    prometheus::Counter &moved =
+        family(registry, BuildCounter(), "slices_released_total", "Slices that this agent's upstreams gave up.").Add({});
+    prometheus::Counter &ownerless =
+        family(registry, BuildCounter(), "requests_without_owner_total", "Waits of keyed requests for an owner.").Add({});
+    prometheus::Gauge &revisionInForce =
+        family(registry, BuildGauge(), "routes_revision", "Revision of the routes in force.").Add({});
+    prometheus::Gauge &revisionAge =
+        family(registry, BuildGauge(), "routes_age_seconds", "Time since the routes in force came.").Add({});
+};
+
+AgentMetrics::AgentMetrics()
+    : parts(std::make_unique<Parts>())
+{
+}
+
+AgentMetrics::~AgentMetrics() = default;
+
+void AgentMetrics::requestEnded(const std::string &route, bool repeatable, std::string_view outcome, int status)
+{
+    this->parts->requests
+        .Add({{"route", Parts::bounded(this->parts->routes, route)},
+              {"kind", repeatable ? "idempotent" : "non_idempotent"},
+              {"outcome", std::string(outcome)},
+              {"status", std::to_string(status)}})
+        .Increment();
+}
+
+void AgentMetrics::refused(std::string_view reason)
+{
+    this->parts->refusals.Add({{"reason", std::string(reason)}}).Increment();
+}
+
+void AgentMetrics::retried(const std::string &service, double budgetLeft)
+{
+    const std::string name = Parts::bounded(this->parts->services, service);
+    this->parts->retries.Add({{"service", name}}).Increment();
+    this->parts->budget.Add({{"service", name}}).Set(budgetLeft);
+}
+
+void AgentMetrics::spent(TimeSpent where, const std::string &service, std::chrono::nanoseconds time)
+{
+    this->parts->time
+        .Add({{"service", Parts::bounded(this->parts->services, service)}, {"part", nameOf(where)}}, Buckets)
+        .Observe(std::chrono::duration<double>(time).count());
+}
+
+void AgentMetrics::connectionsOpened(std::uint64_t total)
+{
+    this->parts->connections.Increment(static_cast<double>(total) - this->parts->connections.Value());
+}
+
+void AgentMetrics::heartbeatLate()
+{
+    this->parts->late.Increment();
+}
+
+void AgentMetrics::keysMoved(std::uint64_t slices)
+{
+    this->parts->moved.Increment(static_cast<double>(slices));
+}
+
+void AgentMetrics::keyedRequestWithoutOwner()
+{
+    this->parts->ownerless.Increment();
+}
+
+void AgentMetrics::revision(std::uint64_t revision, std::chrono::nanoseconds age)
+{
+    this->parts->revisionInForce.Set(static_cast<double>(revision));
+    this->parts->revisionAge.Set(std::chrono::duration<double>(age).count());
+}
+
+std::string AgentMetrics::text() const
+{
+    std::ostringstream text;
+    prometheus::TextSerializer().Serialize(text, this->parts->registry.Collect());
+    return text.str();
+}
+
+} // namespace bergamotweir::process
--- a/src/process/AgentProcess.cpp
+++ b/src/process/AgentProcess.cpp
@@ -207,6 +207,7 @@
         return this->localUpstream(id);
     };
     needs.claims = &this->control->claims();
+    needs.metrics = &this->metrics;
     needs.ended = [this](const RequestEndNote &note) {
         this->report.ended(note);
     };
@@ -354,6 +355,10 @@
 void AgentProcess::stateChanged()
 {
     this->report.tableChanged();
+    if (this->state.table.routes().revision() != this->knownRevision) {
+        this->knownRevision = this->state.table.routes().revision();
+        this->revisionSince = BootClock::now();
+    }
     const bool out = this->state.map.failureDomainsOut.contains(this->state.settings.failureDomain);
     if (!out) {
         this->state.domainOutSince = BootTime();
@@ -419,6 +424,10 @@
         return;
     }
     if (std::optional<net::HttpAnswer> answer = this->report.answer(target, this->gauges())) {
+        if (target == "/metrics") {
+            this->metrics.revision(this->knownRevision, BootClock::now() - this->revisionSince);
+            answer->body += this->metrics.text();
+        }
         exchange->answer(std::move(*answer));
         return;
     }
--- a/src/process/AgentProcess.h
+++ b/src/process/AgentProcess.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "net/HttpServer.h"
+#include "process/AgentMetrics.h"
 #include "process/AgentReport.h"
 #include "process/AgentState.h"
 #include "process/ControlLink.h"
@@ -61,6 +62,9 @@
     loop::EventLoop &loop;
     AgentState state;
     AgentReport report;
+    AgentMetrics metrics;
+    std::uint64_t knownRevision = 0;
+    BootTime revisionSince;
     std::unique_ptr<net::HttpServer> callers;
     std::unique_ptr<net::HttpServer> peers;
     std::unique_ptr<net::HttpServer> announcements;
--- a/src/process/LocalUpstream.cpp
+++ b/src/process/LocalUpstream.cpp
@@ -201,6 +201,18 @@
     return admission;
 }
 
+void LocalUpstream::describe(loop::LogEvent &event) const
+{
+    event.with("upstream", this->latest.name)
+        .with("in_progress", this->gate.inProgress)
+        .with("waiting", static_cast<std::uint64_t>(this->gate.queue.size()))
+        .with("allowed", this->gate.settings.adaptive ? agent::allowed(this->gate.limit) : this->gate.settings.ceiling)
+        .with("service_time_ms", this->gate.serviceTime)
+        .with("slowness", this->slowness)
+        .with("slowness_age_ms", BootClock::now() - this->slownessAt)
+        .with("cold", BootClock::now() < this->gate.coldUntil);
+}
+
 void LocalUpstream::dispatch(agent::TicketId ticket, Dispatch request, std::function<void(DispatchResult)> done)
 {
     const BootTime now = BootClock::now();
--- a/src/process/LocalUpstream.h
+++ b/src/process/LocalUpstream.h
@@ -2,6 +2,7 @@
 
 #include "agent/Gate.h"
 #include "loop/EventLoop.h"
+#include "loop/LogEvent.h"
 #include "net/HttpClient.h"
 #include "process/Heartbeat.h"
 #include "process/UpstreamProtocol.h"
@@ -97,6 +98,9 @@
 
     agent::Admission enter(const agent::Ticket &ticket);
 
+    /** Adds to a line of the log what decides who is let through now. */
+    void describe(loop::LogEvent &event) const;
+
     /** Hands an admitted request on. @param done called once, unless cancelled */
     void dispatch(agent::TicketId ticket, Dispatch request, std::function<void(DispatchResult)> done);
 
--- a/src/process/OwnProtocol.cpp
+++ b/src/process/OwnProtocol.cpp
@@ -13,6 +13,12 @@
     return parseRequest(request, table, Origin::Caller, now);
 }
 
+std::string requestIdOf(const net::HttpRequest &request)
+{
+    const std::string *id = net::findHeader(request.headers, "Request-Id");
+    return id == nullptr ? std::string() : *id;
+}
+
 net::HttpAnswer refuseOwn(const Refusal &refusal)
 {
     return refusalAnswer(refusal.facts, *refusal.random);
@@ -34,6 +40,7 @@
 {
     static const AgentProtocol protocol{
         .readRequest = readOwnRequest,
+        .requestId = requestIdOf,
         .headersToForward = headersToForward,
         .answerForCaller = answerForCaller,
         .refuse = refuseOwn,
--- a/src/process/RequestRunner.cpp
+++ b/src/process/RequestRunner.cpp
@@ -1,7 +1,9 @@
 #include "process/RequestRunner.h"
 
 #include "agent/RequestStep.h"
+#include "loop/Log.h"
 #include "net/Problem.h"
+#include "process/AgentMetrics.h"
 #include "process/AgentProtocol.h"
 #include "process/AgentState.h"
 #include "process/LocalUpstream.h"
@@ -20,6 +22,8 @@
 using agent::EventKind;
 using std::chrono::milliseconds;
 
+constexpr loop::Log Log("request");
+
 constexpr std::size_t MaxRunning = 16384;
 constexpr std::size_t MaxWaiting = 4096;
 /** Taken off the deadline at each hop, so that the agent that the caller waits for is the last to give up. */
@@ -93,6 +97,10 @@
             // This agent's table may be behind the sender's, which waits and asks again.
             refusal->headers.push_back({EndHeader, std::string(agent::toText(AttemptEnd::NotOwner))});
         }
+        Log.event(loop::LogLevel::Warn, "request not routed")
+            .with("request", this->state.protocol->requestId(exchange->request()))
+            .with("status", refusal->status)
+            .with("revision", this->state.table.routes().revision());
         exchange->answer(std::move(*refusal));
         return;
     }
@@ -113,6 +121,14 @@
     if (request->parsed.requestId.empty()) {
         request->parsed.requestId = this->idPrefix + std::to_string(number);
     }
+    Log.event(loop::LogLevel::Info, "request accepted", loop::OrdinaryBound)
+        .with("request", request->parsed.requestId)
+        .with("from", origin == Origin::Caller ? "caller" : "agent")
+        .with("route", request->parsed.route)
+        .with("revision", this->state.table.routes().revision())
+        .with("service", request->parsed.facts.service)
+        .with("keyed", request->parsed.facts.keyed)
+        .with("deadline_left_ms", request->parsed.facts.deadline - now);
     request->deadlineTimer = this->loop.after(request->parsed.facts.deadline - now, [this, number] {
         this->handle(number, {.kind = EventKind::DeadlinePassed});
     });
@@ -241,9 +257,40 @@
         upstream = this->routeUnkeyed(request);
     }
     const bool local = upstream != 0 && this->needs.localUpstream(upstream) != nullptr;
+    this->logChoice(request, upstream);
     this->handle(request.number, {.kind = EventKind::Routed, .upstream = upstream, .local = local});
 }
 
+/** Tells which upstream was chosen by what; that there is none counts as a failure. */
+void RequestRunner::logChoice(const Running &request, std::uint32_t upstream) const
+{
+    const agent::RequestFacts &facts = request.state.facts;
+    const wire::UpstreamInfo *known = agent::findUpstream(this->state.map, upstream);
+    if (known == nullptr) {
+        Log.event(loop::LogLevel::Warn, "no upstream")
+            .with("request", request.parsed.requestId)
+            .with("service", facts.service)
+            .with("keyed", facts.keyed)
+            .with("lease", agent::holds(this->state.lease, BootClock::now()))
+            .with("state_index", this->state.map.version.index());
+        return;
+    }
+    const auto service = this->state.services.find(facts.service);
+    const auto health = service == this->state.services.end() ? std::map<std::uint32_t, agent::UpstreamHealth>::const_iterator()
+                                                              : service->second.routing.health.find(upstream);
+    const bool seen = service != this->state.services.end() && health != service->second.routing.health.end();
+    const auto slice = facts.keyed ? agent::findSlice(this->state.map, facts.service, facts.hash) : std::nullopt;
+    Log.event(loop::LogLevel::Info, "upstream chosen", loop::OrdinaryBound)
+        .with("request", request.parsed.requestId)
+        .with("upstream", known->name())
+        .with("agent", known->agent())
+        .with("why", facts.keyed ? "owner of the key" : request.parsed.facts.forwarded ? "asked for" : "least busy")
+        .with("epoch", slice ? slice->epoch : 0)
+        .with("load", seen ? health->second.load : 0)
+        .with("load_age_ms", seen ? BootClock::now() - health->second.loadAt : std::chrono::nanoseconds(0))
+        .with("outstanding", seen ? health->second.outstanding : 0);
+}
+
 std::uint32_t RequestRunner::routeKeyed(const Running &request) const
 {
     const agent::RequestFacts &facts = request.state.facts;
@@ -282,6 +329,10 @@
 
 void RequestRunner::wait(Running &request, std::chrono::nanoseconds delay)
 {
+    if (this->needs.metrics != nullptr && request.state.facts.keyed
+        && request.state.lastEnd == AttemptEnd::NotOwner) {
+        this->needs.metrics->keyedRequestWithoutOwner();
+    }
     const Number number = request.number;
     if (this->waiting >= MaxWaiting) {
         this->handle(number, {.kind = EventKind::WaitRefused});
@@ -346,6 +397,13 @@
     agent::noteSent(this->state.services[request.state.facts.service].routing, action.upstream, BootClock::now());
     const agent::Admission admission =
         upstream == nullptr ? agent::Admission::NotServing : upstream->enter({ticket, request.state.facts.deadline, request.state.facts.urgency});
+    if (admission != agent::Admission::Admitted && upstream != nullptr) {
+        upstream->describe(Log.event(loop::LogLevel::Info,
+                                     admission == agent::Admission::Queued ? "request queued" : "turned away at the gate",
+                                     admission == agent::Admission::Queued ? loop::OrdinaryBound : loop::FailureBound)
+                               .with("request", request.parsed.requestId)
+                               .with("start_within_ms", request.state.facts.urgency.startBy - BootClock::now()));
+    }
     switch (admission) {
     case agent::Admission::Admitted:
         this->handle(request.number, {.kind = EventKind::Admitted, .attempt = action.attempt});
@@ -400,7 +458,8 @@
 
 void RequestRunner::dispatch(Running &request, const agent::RequestAction &action)
 {
-    const LiveAttempt &attempt = request.attempts.at(action.attempt);
+    LiveAttempt &attempt = request.attempts.at(action.attempt);
+    attempt.dispatchedAt = BootClock::now();
     LocalUpstream *upstream = this->needs.localUpstream(action.upstream);
     Dispatch order;
     const AttemptEnd check = upstream == nullptr ? AttemptEnd::NotOwner : this->checkDispatch(request, order.epoch);
@@ -482,6 +541,20 @@
         return;
     }
     live->second.answer = std::move(answer);
+    this->noteTime(request, live->second);
+    if (end != AttemptEnd::Answered) {
+        const ServiceState &service = serviceOf(this->state, request.state.facts.service);
+        Log.event(loop::LogLevel::Warn, "attempt failed")
+            .with("request", request.parsed.requestId)
+            .with("attempt", attempt)
+            .with("end", agent::toText(end))
+            .with("may_have_run", mayHaveRun)
+            .with("took_ms", BootClock::now() - live->second.begunAt)
+            .with("tries", request.state.tries)
+            .with("most_tries", request.state.facts.mostTries)
+            .with("retry_budget", service.retries.tokens)
+            .with("deadline_left_ms", request.state.facts.deadline - BootClock::now());
+    }
     this->tickets.erase(live->second.ticket);
     this->noteRouting(request, live->second, end);
     if (end == AttemptEnd::Crashed || end == AttemptEnd::Broken) {
@@ -490,6 +563,24 @@
     this->handle(number, {.kind = EventKind::AttemptEnded, .attempt = attempt, .end = end, .mayHaveRun = mayHaveRun});
 }
 
+void RequestRunner::noteTime(const Running &request, const LiveAttempt &attempt)
+{
+    if (this->needs.metrics == nullptr) {
+        return;
+    }
+    const BootTime now = BootClock::now();
+    const std::string &service = request.state.facts.service;
+    if (!attempt.local) {
+        this->needs.metrics->spent(TimeSpent::OtherAgent, service, now - attempt.begunAt);
+        return;
+    }
+    const BootTime dispatched = attempt.dispatchedAt == BootTime() ? now : attempt.dispatchedAt;
+    this->needs.metrics->spent(TimeSpent::Queue, service, dispatched - attempt.begunAt);
+    if (attempt.dispatchedAt != BootTime()) {
+        this->needs.metrics->spent(TimeSpent::Upstream, service, now - dispatched);
+    }
+}
+
 void RequestRunner::finish(Running &request)
 {
     this->loop.cancel(request.deadlineTimer);
--- a/src/process/RequestRunner.h
+++ b/src/process/RequestRunner.h
@@ -22,6 +22,7 @@
 namespace bergamotweir::process {
 
 struct AgentState;
+class AgentMetrics;
 class LocalUpstream;
 
 /** How a request ended, for the burn report. */
@@ -39,6 +40,8 @@
     /** @return the local upstream that control knows by this id, or nullptr */
     std::function<LocalUpstream *(std::uint32_t)> localUpstream;
     rpc::ClaimClient *claims = nullptr;
+    /** May be nullptr. */
+    AgentMetrics *metrics = nullptr;
     std::function<void(const RequestEndNote &)> ended;
 };
 
@@ -76,6 +79,8 @@
     void perform(Running &request, const agent::RequestAction &action);
     void claim(Running &request);
     void route(Running &request);
+    void logChoice(const Running &request, std::uint32_t upstream) const;
+    void noteTime(const Running &request, const LiveAttempt &attempt);
     std::uint32_t routeKeyed(const Running &request) const;
     std::uint32_t routeUnkeyed(Running &request);
     std::uint32_t routeForwarded(const Running &request) const;
@@ -87,6 +92,7 @@
     void cancel(Running &request, unsigned attempt);
     void relay(Running &request, unsigned attempt);
     void relayRecorded(Running &request);
+    void countEnd(const Running &request, std::string_view outcome, int status);
     void refuse(Running &request, const agent::RefusalFacts &refusal);
     void record(Running &request, const agent::RequestAction &action);
     void attemptEnded(Number number, unsigned attempt, agent::AttemptEnd end, bool mayHaveRun, net::HttpAnswer answer);
--- a/src/process/RequestRunnerAnswers.cpp
+++ b/src/process/RequestRunnerAnswers.cpp
@@ -1,9 +1,12 @@
+#include "loop/Log.h"
+#include "process/AgentMetrics.h"
 #include "process/AgentProtocol.h"
 #include "process/AgentState.h"
 #include "process/LocalUpstream.h"
 #include "process/RunningRequest.h"
 #include "rpc/ClaimClient.h"
 
+#include <array>
 #include <cstdlib>
 
 namespace bergamotweir::process {
@@ -13,6 +16,8 @@
 using agent::AttemptEnd;
 using std::chrono::milliseconds;
 
+constexpr loop::Log Log("request");
+
 constexpr milliseconds RecordTimeout{10000};
 /** Answers larger than this aren't kept with a claim. */
 constexpr std::size_t MaxRecordedBody = 16384;
@@ -78,6 +83,14 @@
 void RequestRunner::relay(Running &request, unsigned attempt)
 {
     const LiveAttempt &live = request.attempts.at(attempt);
+    const wire::UpstreamInfo *by = agent::findUpstream(this->state.map, live.upstream);
+    Log.event(loop::LogLevel::Info, "request answered", loop::OrdinaryBound)
+        .with("request", request.parsed.requestId)
+        .with("status", live.answer.status)
+        .with("upstream", by == nullptr ? "" : by->name())
+        .with("tries", request.state.tries)
+        .with("latency_ms", BootClock::now() - request.acceptedAt);
+    this->countEnd(request, "answered", live.answer.status);
     net::HttpAnswer answer = this->state.protocol->answerForCaller(live.answer);
     if (request.origin == Origin::Peer) {
         const LocalUpstream *local = this->needs.localUpstream(live.upstream);
@@ -109,8 +122,35 @@
     request.exchange->answer(std::move(answer));
 }
 
+void RequestRunner::countEnd(const Running &request, std::string_view outcome, int status)
+{
+    if (this->needs.metrics == nullptr || request.origin == Origin::Peer) {
+        return;
+    }
+    this->needs.metrics->requestEnded(request.parsed.route, agent::mayRepeat(request.state.facts), outcome, status);
+    this->needs.metrics->spent(
+        TimeSpent::Whole, request.state.facts.service, BootClock::now() - request.acceptedAt);
+    if (request.state.tries > 1) {
+        this->needs.metrics->retried(request.state.facts.service,
+                                     serviceOf(this->state, request.state.facts.service).retries.tokens);
+    }
+}
+
 void RequestRunner::refuse(Running &request, const agent::RefusalFacts &refusal)
 {
+    static constexpr std::array<const char *, 3> RanNames{"no", "unknown", "yes"};
+    Log.event(loop::LogLevel::Warn, "request refused")
+        .with("request", request.parsed.requestId)
+        .with("service", request.state.facts.service)
+        .with("reason", agent::toText(endOf(refusal)))
+        .with("ran", RanNames.at(static_cast<std::size_t>(refusal.ran)))
+        .with("tries", request.state.tries)
+        .with("took_ms", BootClock::now() - request.acceptedAt)
+        .with("deadline_left_ms", request.state.facts.deadline - BootClock::now());
+    this->countEnd(request, "refused", refusal.status);
+    if (this->needs.metrics != nullptr) {
+        this->needs.metrics->refused(agent::toText(endOf(refusal)));
+    }
     net::HttpAnswer answer = this->state.protocol->refuse({refusal, &this->state.random});
     if (request.origin == Origin::Peer) {
         answer.headers.push_back({EndHeader, std::string(agent::toText(endOf(refusal)))});
--- a/src/process/RequestText.cpp
+++ b/src/process/RequestText.cpp
@@ -176,6 +176,7 @@
     if (!table.hasService(parsed.facts.service)) {
         return net::problem(404, "unknown service", "the table names no such service", net::RequestRan::No);
     }
+    parsed.route = parsed.facts.service;
     const table::ServicePolicy policy = table.service(parsed.facts.service);
     parsed.facts.method = request.method;
     parsed.facts.keyed = policy.keyed;
@@ -247,6 +248,7 @@
     ParsedRequest parsed;
     parsed.facts.method = request.method;
     parsed.facts.service = headerText(request, ServiceHeader);
+    parsed.route = parsed.facts.service;
     parsed.originService = headerText(request, OriginHeader);
     parsed.facts.repeatable = headerText(request, RepeatableHeader) == "1";
     const std::optional<BootTime> deadline = readDeadline(request, milliseconds(0), now);
--- a/src/process/RunControl.cpp
+++ b/src/process/RunControl.cpp
@@ -15,7 +15,7 @@
 
 int runControl(const ControlSettings &settings)
 {
-    loop::startLogging(settings.logLevel);
+    loop::startLogging(settings.logLevel, settings.vmName.empty() ? settings.replicaId : settings.vmName);
     Result<std::unique_ptr<loop::EventLoop>> created = loop::EventLoop::create();
     if (!created) {
         Log.error(created.error());
--- a/src/process/RunningRequest.h
+++ b/src/process/RunningRequest.h
@@ -12,6 +12,8 @@
     std::uint64_t ticket = 0;
     net::CallId call = 0;
     BootTime begunAt;
+    /** Handed to the upstream beside this agent. */
+    BootTime dispatchedAt;
     net::HttpAnswer answer;
 };
 
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -314,7 +314,7 @@
 
 TEST_CASE("platform: settings of a control replica name the group's seeds and the voters that losses call for")
 {
-    const std::string text = "ip=10.1.0.46\nlisten.control=10.1.0.46:8620\ninternal_ports=7600,7615\n"
+    const std::string text = "node_id=c1\nip=10.1.0.46\nlisten.control=10.1.0.46:8620\ninternal_ports=7600,7615\n"
                              "seeds=10.1.0.46:8620,10.2.0.28:8620\nbootstrap=true\ndata_dir=/data/x\n"
                              "fault_tolerance.machines=2\n";
     const process::ControlSettings settings = platform::readControlSettings(text).value();
