--- a/include/control/Coordinator.h
+++ b/include/control/Coordinator.h
@@ -133,6 +133,7 @@
     void inform(const std::vector<SessionId> &sessions);
     void renew(AgentRecord &agent, const Heartbeat &heartbeat, BootTime now);
     bool mayRenew(const AgentRecord &agent, BootTime now) const;
+    bool mattersForLease(const wire::UpstreamInfo &upstream) const;
     void sendRevokes(const std::vector<SliceName> &slices);
     void resendRevokes(const AgentRecord &agent);
     void receivedUpstream(AgentRecord &agent, const wire::UpstreamInfo &announced);
--- a/include/control/CoordinatorSettings.h
+++ b/include/control/CoordinatorSettings.h
@@ -15,6 +15,11 @@
     std::chrono::milliseconds drift{25};
     /** A new leader declares no agent lost before this much beyond a whole lease: agents have to find it first. */
     std::chrono::milliseconds takeoverGrace{400};
+    /**
+     * Whether a process that listens at the address of the one before it proves that one's end: true where addresses
+     * belong to VMs and a replaced VM gets another one. Otherwise the lease of the one before is waited out.
+     */
+    bool addressProvesEnd = false;
     /** Time that a restarted agent's upstreams have to announce themselves again. */
     std::chrono::milliseconds announceGrace{1500};
     /** A service that has no owners yet waits until membership has been quiet for this long, not to give all to one. */
--- a/src/control/Coordinator.cpp
+++ b/src/control/Coordinator.cpp
@@ -74,11 +74,12 @@
     }
     if (agent.incarnation != hello.incarnation()) {
         // Two processes under one name: a VM was replaced while its predecessor is frozen and may return.
-        agent.heldUntil = agent.leaseEnd;
         const bool movedVm = agent.peerAddress != hello.peer_address();
+        const bool ended = this->settings.addressProvesEnd && !movedVm;
+        agent.heldUntil = ended ? now : agent.leaseEnd;
         for (const std::uint32_t id : this->state.upstreams().ofAgent(agent.name)) {
             const auto work = movedVm ? this->longestWork(*this->state.upstreams().find(id)) : BootClock::duration(0);
-            agent.heldUntil = std::max(agent.heldUntil, agent.leaseEnd + work);
+            agent.heldUntil = ended ? now : std::max(agent.heldUntil, agent.leaseEnd + work);
         }
     }
     this->book.bind(agent, session);
@@ -407,10 +408,24 @@
     // back any other one.
     const std::set<std::uint32_t> &own = this->state.upstreams().ofAgent(agent.name);
     return std::all_of(own.begin(), own.end(), [&](std::uint32_t id) {
-        return this->state.upstreams().find(id)->agent_incarnation() == agent.incarnation;
+        const wire::UpstreamInfo &upstream = *this->state.upstreams().find(id);
+        return upstream.agent_incarnation() == agent.incarnation || !this->mattersForLease(upstream);
     });
 }
 
+/** @return false for an upstream that ended and owns nothing any more: no lease stands for it */
+bool Coordinator::mattersForLease(const wire::UpstreamInfo &upstream) const
+{
+    if (upstream.serving()) {
+        return true;
+    }
+    const auto service = this->state.services().find(upstream.service());
+    return service != this->state.services().end()
+           && std::any_of(service->second.slices().begin(), service->second.slices().end(), [&](const auto &slice) {
+                  return slice.second.owner == upstream.id();
+              });
+}
+
 void Coordinator::receivedUpstream(AgentRecord &agent, const wire::UpstreamInfo &announced)
 {
     wire::UpstreamInfo upstream = announced;
--- a/tests/CoordinatorGuardTest.cpp
+++ b/tests/CoordinatorGuardTest.cpp
@@ -17,14 +17,15 @@
 /** A leader whose rounds and proposals end exactly when a test says so; agent a on session 1, b on session 2. */
 struct Led {
     control::State state;
-    control::Coordinator coordinator{control::CoordinatorSettings{}, this->state};
+    control::Coordinator coordinator;
     BootTime now{1000s};
     std::uint64_t index = 0;
     std::uint64_t sequence = 0;
     std::vector<control::ProposeAction> proposals;
     std::map<control::SessionId, std::vector<wire::ControlMessage>> sent;
 
-    explicit Led(bool checksGrants = true)
+    explicit Led(bool checksGrants = true, const control::CoordinatorSettings &settings = {})
+        : coordinator(settings, this->state)
     {
         wire::Command table;
         table.mutable_put_table()->set_change_id("t");
@@ -211,6 +212,28 @@
     REQUIRE(led.owned("a") > 0);
 }
 
+// All agents are killed and start again where they were. Their upstreams went on, and nobody else holds their keys; still
+// every key stays unserved for a whole lease. The new process has the old one's address, so the old one has ended.
+TEST_CASE("control: where an address proves the end of the process before it, only one at another address waits")
+{
+    control::CoordinatorSettings settings;
+    settings.addressProvesEnd = true;
+    Led led(true, settings);
+    led.renew(1);
+    led.open(3, "a", "second");
+    led.commitAll();
+    REQUIRE(led.renew(3) == Lease);
+    wire::Hello elsewhere;
+    elsewhere.set_agent("b");
+    elsewhere.set_incarnation("second");
+    elsewhere.set_peer_address("10.0.0.99:1");
+    led.renew(2);
+    led.coordinator.opened(4, elsewhere, led.now);
+    led.confirm();
+    led.commitAll();
+    REQUIRE(led.renew(4) == 0ms);
+}
+
 // An agent is killed and restarted while its upstream, which checks no grants, goes on with what it was sent. Asked to
 // release, the new process knows of no work and says Released at once; the next owner must wait for the old work.
 TEST_CASE("control: a restarted agent's Released counts only after the longest deadline since its start")
