--- a/include/cli/Command.h
+++ b/include/cli/Command.h
@@ -30,6 +30,8 @@
     std::string_view example;
     /** @return an ExitCode */
     int (*run)(const Values &values, Context &context);
+    /** The last argument may be given again and again. */
+    bool lastRepeats = false;
 };
 
 /** @return every subcommand, in the order of the help */
--- a/src/cli/AllCommands.cpp
+++ b/src/cli/AllCommands.cpp
@@ -48,6 +48,19 @@
     };
 }
 
+std::vector<Command> logCommands()
+{
+    return {
+        {.name = "trace",
+         .summary = "Prints the way of a request across processes, from their logs, with what decided it.",
+         .arguments = {{&NameKind, "the request's id"}, {&PathKind, "log files"}},
+         .settings = {jsonSetting()},
+         .example = "bergamotweir trace 9c41d07be2a35f68 agent-1.log agent-2.log control-1.log",
+         .run = runTrace,
+         .lastRepeats = true},
+    };
+}
+
 std::vector<Command> tableCommands()
 {
     return {
@@ -150,7 +163,7 @@
 std::vector<Command> makeCommands()
 {
     std::vector<Command> all;
-    for (std::vector<Command> group : {processCommands(), tableCommands(), operatorCommands(), memberCommands()}) {
+    for (std::vector<Command> group : {processCommands(), tableCommands(), operatorCommands(), memberCommands(), logCommands()}) {
         all.insert(all.end(), group.begin(), group.end());
     }
     return all;
--- a/src/cli/Commands.h
+++ b/src/cli/Commands.h
@@ -8,6 +8,7 @@
 // Each runs one subcommand and returns an ExitCode; declared in AllCommands.cpp.
 int runAgentCommand(const Values &values, Context &context);
 int runControlCommand(const Values &values, Context &context);
+int runTrace(const Values &values, Context &context);
 int runPlatformAgentCommand(const Values &values, Context &context);
 int runPlatformControlCommand(const Values &values, Context &context);
 int runTableCheck(const Values &values, Context &context);
--- a/src/cli/ReadSettings.cpp
+++ b/src/cli/ReadSettings.cpp
@@ -116,7 +116,10 @@
     const std::vector<std::string> &given = reading.values.arguments();
     for (std::size_t i = 0; i < std::max(given.size(), command.arguments.size()); ++i) {
         const std::string place = "argument " + std::to_string(i + 1);
-        if (i >= command.arguments.size()) {
+        const bool repeated = command.lastRepeats && i >= command.arguments.size();
+        if (repeated) {
+            check(reading, *command.arguments.back().kind, given[i], place);
+        } else if (i >= command.arguments.size()) {
             reading.findings.push_back({place, "\"" + given[i].substr(0, 80) + "\" is one too many", {}});
         } else if (i >= given.size()) {
             reading.findings.push_back({place,
--- a/tests/LogTest.cpp
+++ b/tests/LogTest.cpp
@@ -1,7 +1,15 @@
 #include "loop/Log.h"
 #include "loop/LogLimiter.h"
 
+#include "loop/PipeAppender.h"
+
 #include <catch2/catch.hpp>
+#include <log4cplus/spi/loggingevent.h>
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
 
 using namespace bergamotweir;
 using namespace std::chrono_literals;
@@ -39,3 +47,87 @@
     CHECK(loop::redacted("learner-4711") == loop::redacted("learner-4711"));
     CHECK(loop::redacted("learner-4711") != loop::redacted("learner-4712"));
 }
+
+namespace {
+
+/** A pipe whose reader reads only when the test does. */
+struct Pipe {
+    int ends[2] = {-1, -1};
+
+    Pipe()
+    {
+        REQUIRE(pipe(this->ends) == 0);
+    }
+
+    ~Pipe()
+    {
+        close(this->ends[0]);
+        close(this->ends[1]);
+    }
+
+    std::string read() const
+    {
+        std::string text;
+        char bytes[4096];
+        pollfd ready{this->ends[0], POLLIN, 0};
+        while (poll(&ready, 1, 0) > 0) {
+            text.append(bytes, static_cast<std::size_t>(::read(this->ends[0], bytes, sizeof bytes)));
+        }
+        return text;
+    }
+};
+
+/** Makes what is protected in an appender reachable. */
+struct OpenAppender : loop::PipeAppender {
+    using PipeAppender::PipeAppender;
+
+    void write(log4cplus::LogLevel level, const std::string &line)
+    {
+        this->append(log4cplus::spi::InternalLoggingEvent("test", level, line, "", 0));
+    }
+};
+
+} // namespace
+
+/*
+ * Whoever collects the log hangs. The pipe fills, and with a log that waits for its reader the process stops in the
+ * middle of a request. Here lines wait in a bounded buffer; beyond it those about what went well are lost first.
+ */
+TEST_CASE("a reader that stops reading costs lines and not time, failures last, and what was lost is said")
+{
+    Pipe pipe;
+    OpenAppender appender(pipe.ends[1]);
+    const std::string ordinary = R"({"event":"ordinary","text":")" + std::string(200, 'x') + "\"}";
+    const std::string failure = R"({"event":"failure"})";
+    const auto begun = std::chrono::steady_clock::now();
+    for (int number = 0; number < 20000; ++number) {
+        appender.write(log4cplus::INFO_LOG_LEVEL, ordinary);
+    }
+    appender.write(log4cplus::WARN_LOG_LEVEL, failure);
+    const auto took = std::chrono::steady_clock::now() - begun;
+    CHECK(took < 1s);
+    std::string seen;
+    for (int round = 0; round < 100; ++round) {
+        seen += pipe.read();
+        appender.write(log4cplus::INFO_LOG_LEVEL, R"({"event":"after"})");
+    }
+    seen += pipe.read();
+    CHECK(seen.find(R"("event":"failure")") != std::string::npos);
+    const std::size_t lost = seen.find(R"("lines_lost":)");
+    REQUIRE(lost != std::string::npos);
+    const auto count = std::stoul(seen.substr(lost + 13));
+    const auto written = static_cast<unsigned long>(std::count(seen.begin(), seen.end(), '\n'));
+    CHECK(count + written == 20000 + 1 + 100);
+}
+
+TEST_CASE("lines about requests have a bound a second of their own")
+{
+    loop::LogLimiter limiter;
+    const loop::LogSite site = loop::LogSite::here();
+    BootTime now{1h};
+    unsigned written = 0;
+    for (int i = 0; i < 10000; ++i, now += 1ms) {
+        written += limiter.allow(site, now, loop::OrdinaryBound).has_value() ? 1 : 0;
+    }
+    CHECK(written == 10 * loop::OrdinaryBound.most);
+}
