--- a/include/loop/Log.h
+++ b/include/loop/Log.h
@@ -35,9 +35,9 @@
 std::string redacted(std::string_view key);
 
 /**
- * The log of one part of a process, such as "raft" or "gate". Each line is a JSON object: time, level, process, part and
- * a message, or the fields of an event.
- * Bounded by LogLimiter. Any thread. Cheap to create; usually a file-local constant.
+ * The log of one part of a process, such as "raft" or "gate". Each line is a JSON object: time, level, process, part
+ * and a message, or the fields of an event. Bounded by LogLimiter. Any thread. Cheap to create; usually a file-local
+ * constant.
  */
 class Log
 {
--- a/include/loop/LogEvent.h
+++ b/include/loop/LogEvent.h
@@ -14,7 +14,8 @@
 
 /**
  * One line of the structured log: a JSON object with an event's name and its fields. Written when it is destroyed, that
- * is, at the end of the statement that made it with Log::event(). Fields of a line that is left out cost next to nothing.
+ * is, at the end of the statement that made it with Log::event(). Fields of a line that is left out cost next to
+ * nothing.
  */
 class LogEvent
 {
--- a/src/agent/Gate.cpp
+++ b/src/agent/Gate.cpp
@@ -78,8 +78,7 @@
     if (interval.count() == 0) {
         return nanoseconds(0);
     }
-    return std::max<nanoseconds>(gate.nextCold - now, nanoseconds(0))
-           + interval * static_cast<nanoseconds::rep>(ahead);
+    return std::max<nanoseconds>(gate.nextCold - now, nanoseconds(0)) + interval * static_cast<nanoseconds::rep>(ahead);
 }
 
 /** @return when move() finds that a waiting request waits for too long */
@@ -127,15 +126,15 @@
         dispatch(gate, now);
         return Admission::Admitted;
     }
-    const auto place = std::upper_bound(
-        gate.queue.begin(), gate.queue.end(), ticket, [](const Ticket &one, const Ticket &other) {
+    const auto place =
+        std::upper_bound(gate.queue.begin(), gate.queue.end(), ticket, [](const Ticket &one, const Ticket &other) {
             return goesBefore(one.urgency, other.urgency);
         });
     const auto ahead = static_cast<std::size_t>(place - gate.queue.begin());
     const nanoseconds wait = std::max(expectedWait(gate, ahead), expectedColdWait(gate, ahead, now));
     const bool full = gate.queue.size() >= gate.settings.queueLength;
-    if ((full && place == gate.queue.end()) || wait > gate.settings.longestWait
-        || now + wait > ticket.urgency.startBy || !isInTime(gate, ticket.deadline, now + wait)) {
+    if ((full && place == gate.queue.end()) || wait > gate.settings.longestWait || now + wait > ticket.urgency.startBy
+        || !isInTime(gate, ticket.deadline, now + wait)) {
         return shedding(gate);
     }
     gate.queue.insert(place, ticket);
--- a/src/cli/AllCommands.cpp
+++ b/src/cli/AllCommands.cpp
@@ -163,7 +163,8 @@
 std::vector<Command> makeCommands()
 {
     std::vector<Command> all;
-    for (std::vector<Command> group : {processCommands(), tableCommands(), operatorCommands(), memberCommands(), logCommands()}) {
+    for (std::vector<Command> group :
+         {processCommands(), tableCommands(), operatorCommands(), memberCommands(), logCommands()}) {
         all.insert(all.end(), group.begin(), group.end());
     }
     return all;
--- /dev/null
+++ b/src/control/CoordinatorAgents.cpp
@@ -0,0 +1,150 @@
+#include "control/Coordinator.h"
+#include "control/State.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace bergamotweir::control {
+
+void Coordinator::renew(AgentRecord &agent, const Heartbeat &heartbeat, BootTime now)
+{
+    // The full state went ahead, in this round at the latest: an agent must not serve by what it knew before.
+    assert(agent.informed);
+    wire::ControlMessage message;
+    message.mutable_renewed()->set_sequence(heartbeat.sequence);
+    if (this->mayRenew(agent, now)) {
+        message.mutable_renewed()->set_lease_ms(static_cast<std::uint32_t>(this->settings.lease.count()));
+        const BootTime end = heartbeat.arrival + this->settings.lease + this->settings.drift;
+        if (!mayHoldLease(agent, now)) {
+            // It counts as a member again.
+            for (const auto &[upstream, info] : agent.announced) {
+                this->watches[info.service()].dirty = true;
+            }
+        }
+        agent.leaseEnd = std::max(agent.leaseEnd, end);
+    }
+    this->send(agent.session, std::move(message));
+}
+
+bool Coordinator::mayRenew(const AgentRecord &agent, BootTime now) const
+{
+    // Slices are being taken from it: it would go on serving them until it hears of the commit.
+    if (agent.takes > 0 || now < agent.heldUntil) {
+        return false;
+    }
+    // The log must know which process serves under this name before that process gets a lease: a later leader holds
+    // back any other one.
+    const std::set<std::uint32_t> &own = this->state.upstreams().ofAgent(agent.name);
+    return std::all_of(own.begin(), own.end(), [&](std::uint32_t id) {
+        const wire::UpstreamInfo &upstream = *this->state.upstreams().find(id);
+        return upstream.agent_incarnation() == agent.incarnation || !this->mattersForLease(upstream);
+    });
+}
+
+/** @return false for an upstream that ended and owns nothing any more: no lease stands for it */
+bool Coordinator::mattersForLease(const wire::UpstreamInfo &upstream) const
+{
+    if (upstream.serving()) {
+        return true;
+    }
+    const auto service = this->state.services().find(upstream.service());
+    return service != this->state.services().end()
+           && std::any_of(service->second.slices().begin(), service->second.slices().end(), [&](const auto &slice) {
+                  return slice.second.owner == upstream.id();
+              });
+}
+
+void Coordinator::receivedUpstream(AgentRecord &agent, const wire::UpstreamInfo &announced)
+{
+    wire::UpstreamInfo upstream = announced;
+    upstream.clear_id();
+    upstream.set_agent(agent.name);
+    upstream.set_failure_domain(agent.failureDomain);
+    upstream.set_agent_incarnation(agent.incarnation);
+    agent.announced[{upstream.service(), upstream.name()}] = std::move(upstream);
+}
+
+bool Coordinator::mayMoveHere(const wire::UpstreamInfo &registered, const AgentRecord &agent, BootTime now) const
+{
+    if (registered.agent() == agent.name) {
+        // Until the process before it under this name surely holds no lease, the log goes on naming that one.
+        return registered.agent_incarnation() == agent.incarnation || now >= agent.heldUntil;
+    }
+    // Taking an upstream over from another agent hands on all its slices.
+    const AgentRecord *const other = this->book.find(registered.agent());
+    return other == nullptr || (isLost(*other, now) && now >= other->leaseEnd + this->longestWork(registered));
+}
+
+void Coordinator::reconcile(AgentRecord &agent, BootTime now)
+{
+    for (const auto &[name, announced] : agent.announced) {
+        const wire::UpstreamInfo *const registered = this->state.upstreams().find(name.first, name.second);
+        if (this->upstreamsInFlight.contains(name)) {
+            continue;
+        }
+        if (registered != nullptr
+            && (sameAnnouncement(*registered, announced) || !this->mayMoveHere(*registered, agent, now))) {
+            continue;
+        }
+        const bool takenOver = registered != nullptr && registered->agent() != agent.name;
+        this->proposeUpstream(announced, takenOver ? registered->agent() : std::string());
+    }
+}
+
+void Coordinator::proposeUpstream(const wire::UpstreamInfo &upstream, const std::string &takenFrom)
+{
+    wire::Command command;
+    *command.mutable_put_upstream()->mutable_upstream() = upstream;
+    Proposal proposal;
+    proposal.upstream = {upstream.service(), upstream.name()};
+    proposal.takenFrom = takenFrom;
+    this->propose(std::move(command), std::move(proposal));
+}
+
+void Coordinator::retireUnannounced(AgentRecord &agent, BootTime now)
+{
+    if (now < agent.announceBy || now < agent.heldUntil) {
+        return;
+    }
+    for (const std::uint32_t id : this->state.upstreams().ofAgent(agent.name)) {
+        wire::UpstreamInfo upstream = *this->state.upstreams().find(id);
+        const std::pair name(upstream.service(), upstream.name());
+        const bool gone = !upstream.serving() && upstream.agent_incarnation() == agent.incarnation;
+        if (gone || agent.announced.contains(name) || this->upstreamsInFlight.contains(name)) {
+            continue;
+        }
+        upstream.set_serving(false);
+        upstream.set_agent_incarnation(agent.incarnation);
+        this->proposeUpstream(upstream, {});
+    }
+}
+
+void Coordinator::retireLost(BootTime now)
+{
+    for (const auto &[agentName, agent] : this->book.agents) {
+        if (!isLost(agent, now)) {
+            continue;
+        }
+        for (const std::uint32_t id : this->state.upstreams().ofAgent(agentName)) {
+            wire::UpstreamInfo upstream = *this->state.upstreams().find(id);
+            if (!upstream.serving() || this->upstreamsInFlight.contains({upstream.service(), upstream.name()})) {
+                continue;
+            }
+            this->watches[upstream.service()].dirty = true;
+            upstream.set_serving(false);
+            this->proposeUpstream(upstream, {});
+        }
+    }
+}
+
+std::chrono::nanoseconds Coordinator::longestWork(const wire::UpstreamInfo &upstream) const
+{
+    // An upstream that checks grants refuses what comes after the grant's end; any other may still be running what
+    // its agent dispatched just before the lease ended.
+    if (upstream.checks_grants()) {
+        return std::chrono::nanoseconds(0);
+    }
+    return this->state.tables().table().service(upstream.service()).timeout;
+}
+
+} // namespace bergamotweir::control
--- a/src/process/AgentMetrics.cpp
+++ b/src/process/AgentMetrics.cpp
@@ -72,9 +72,11 @@
     prometheus::Counter &late =
         family(registry, BuildCounter(), "heartbeats_late_total", "Heartbeats that came behind a newer one.").Add({});
     prometheus::Counter &moved =
-        family(registry, BuildCounter(), "slices_released_total", "Slices that this agent's upstreams gave up.").Add({});
+        family(registry, BuildCounter(), "slices_released_total", "Slices that this agent's upstreams gave up.")
+            .Add({});
     prometheus::Counter &ownerless =
-        family(registry, BuildCounter(), "requests_without_owner_total", "Waits of keyed requests for an owner.").Add({});
+        family(registry, BuildCounter(), "requests_without_owner_total", "Waits of keyed requests for an owner.")
+            .Add({});
     prometheus::Gauge &revisionInForce =
         family(registry, BuildGauge(), "routes_revision", "Revision of the routes in force.").Add({});
     prometheus::Gauge &revisionAge =
--- a/src/process/AgentProcess.cpp
+++ b/src/process/AgentProcess.cpp
@@ -7,7 +7,6 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <limits>
 
 namespace bergamotweir::process {
 
@@ -15,8 +14,6 @@
 
 using std::chrono::milliseconds;
 
-/** Upstreams beside one agent; more announcements are refused. */
-constexpr std::size_t MaxUpstreams = 8;
 constexpr milliseconds StopInterval{20};
 /** After the routing has left this agent out everywhere, forwarded requests may still be on their way. */
 constexpr milliseconds ForwardsOnTheirWay{300};
@@ -222,100 +219,6 @@
              + std::to_string(this->operators->port()));
 }
 
-void AgentProcess::announce(const std::shared_ptr<net::Exchange> &exchange)
-{
-    const net::HttpRequest &request = exchange->request();
-    if (request.method != "POST" || request.target != "/announce") {
-        exchange->answer(net::problem(404, "not found", "announce with POST /announce", net::RequestRan::No));
-        return;
-    }
-    const Result<Announcement> announcement = parseAnnouncement(request.body);
-    if (!announcement) {
-        exchange->answer(net::problem(400, "bad announcement", toText(announcement.error()), net::RequestRan::No));
-        return;
-    }
-    const auto found = this->upstreams.find({announcement.value().service, announcement.value().name});
-    if (found != this->upstreams.end()) {
-        found->second->announced(announcement.value());
-    } else if (this->upstreams.size() >= MaxUpstreams) {
-        exchange->answer(net::problem(429, "too many upstreams", "this agent has 8 upstreams", net::RequestRan::No));
-        return;
-    } else {
-        this->addUpstream(announcement.value());
-    }
-    exchange->answer(textAnswer(200, "application/json", "{}"));
-}
-
-void AgentProcess::heartbeat(const std::shared_ptr<net::Exchange> &exchange)
-{
-    const Result<Heartbeat> read = this->state.protocol->readHeartbeat(exchange->request());
-    if (!read) {
-        Log.warn("a heartbeat can't be used: " + toText(read.error()));
-        exchange->answer(net::problem(400, "bad heartbeat", toText(read.error()), net::RequestRan::No));
-        return;
-    }
-    Heartbeat heartbeat = read.value();
-    LocalUpstream *upstream = this->upstreamOfInstance(heartbeat.announcement.instance);
-    if (heartbeat.farewell) {
-        if (upstream != nullptr) {
-            heartbeat.announcement = upstream->announcement();
-            heartbeat.sequence = std::numeric_limits<std::uint64_t>::max();
-            upstream->heartbeat(heartbeat);
-        }
-        exchange->answer(this->state.protocol->answerHeartbeat({}));
-        return;
-    }
-    if (this->isOutdated(heartbeat)) {
-        Log.warn(heartbeat.announcement.name + ": a heartbeat of another address or of a process that was replaced");
-        exchange->answer(this->state.protocol->answerHeartbeat({}));
-        return;
-    }
-    this->newestStart[heartbeat.announcement.address] = heartbeat.startedAt;
-    const auto found = this->upstreams.find({heartbeat.announcement.service, heartbeat.announcement.name});
-    if (found == this->upstreams.end()) {
-        this->endReplaced(heartbeat.announcement);
-        upstream = &this->addUpstream(heartbeat.announcement);
-    } else {
-        upstream = found->second.get();
-    }
-    exchange->answer(this->state.protocol->answerHeartbeat(upstream->heartbeat(heartbeat)));
-}
-
-bool AgentProcess::isOutdated(const Heartbeat &heartbeat) const
-{
-    const std::string &expected = this->state.settings.upstreamAddress;
-    if (!expected.empty() && heartbeat.announcement.address != expected) {
-        return true;
-    }
-    const auto newest = this->newestStart.find(heartbeat.announcement.address);
-    return newest != this->newestStart.end() && heartbeat.startedAt < newest->second;
-}
-
-LocalUpstream *AgentProcess::upstreamOfInstance(const std::string &instance)
-{
-    LocalUpstream *newest = nullptr;
-    for (const auto &[name, upstream] : this->upstreams) {
-        const bool alive = upstream->status() != UpstreamStatus::Crashed;
-        if (upstream->announcement().instance == instance && (newest == nullptr || alive)) {
-            newest = upstream.get();
-        }
-    }
-    return newest;
-}
-
-void AgentProcess::endReplaced(const Announcement &announcement)
-{
-    for (const auto &[name, upstream] : this->upstreams) {
-        if (upstream->announcement().address == announcement.address && upstream->status() != UpstreamStatus::Crashed) {
-            Log.info(name.second + ": replaced by " + announcement.name);
-            upstream->replaced();
-        }
-    }
-    std::erase_if(this->upstreams, [](const auto &entry) {
-        return entry.second->status() == UpstreamStatus::Crashed && entry.second->inProgress() == 0;
-    });
-}
-
 /** Ready are agents that know the routes and stay: others would only turn callers away. */
 bool AgentProcess::isReady() const
 {
@@ -323,35 +226,6 @@
            && (this->state.table.routes().revision() != 0 || this->state.map.tableVersion != 0);
 }
 
-LocalUpstream &AgentProcess::addUpstream(const Announcement &announcement)
-{
-    const UpstreamName name{announcement.service, announcement.name};
-    LocalUpstreamEvents events;
-    events.changed = [this, name] {
-        this->control->tell(this->upstreams.at(name)->info());
-        this->rebuildCandidates();
-        // A crash ends the work on slices that were being moved.
-        this->control->tellReleased();
-        this->sendGrants();
-    };
-    events.crashed = [this](const wire::ReportCrash &report) {
-        this->control->tell(report);
-    };
-    events.workEnded = [this] {
-        this->control->tellReleased();
-    };
-    events.decided = [this](agent::TicketId ticket, bool admitted) {
-        this->runner->gateDecided(ticket, admitted);
-    };
-    auto upstream = std::make_unique<LocalUpstream>(this->loop, this->state, announcement, std::move(events));
-    upstream->resumeLimit();
-    Log.info(announcement.name + ": announced for " + announcement.service);
-    this->control->tell(upstream->info());
-    LocalUpstream &added = *this->upstreams.emplace(name, std::move(upstream)).first->second;
-    this->rebuildCandidates();
-    return added;
-}
-
 void AgentProcess::stateChanged()
 {
     this->report.tableChanged();
--- a/src/process/ControlProcess.cpp
+++ b/src/process/ControlProcess.cpp
@@ -4,7 +4,7 @@
 #include "loop/EventLoop.h"
 #include "loop/Log.h"
 #include "net/HttpServer.h"
-#include "process/OperatorProtocol.h"
+#include "process/CommandTimes.h"
 #include "process/ReplicaIdentity.h"
 #include "process/ReplicaSettings.h"
 
@@ -23,45 +23,6 @@
 constexpr std::chrono::hours ClaimWindow{24};
 constexpr std::chrono::minutes QuarantineWindow{10};
 constexpr std::size_t MostClaimName = 512;
-/** Bytes of an operator's order: a table of routes, with as much again to spare. */
-constexpr std::size_t MostOrderBytes = std::size_t{4} * 1024 * 1024;
-
-std::uint64_t unixMilliseconds()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
-}
-
-/** Replaces the times that others claim by the leader's: replicas and agents may have clocks that are off. */
-void stamp(wire::Command &command)
-{
-    const std::uint64_t now = unixMilliseconds();
-    if (command.has_put_table()) {
-        command.mutable_put_table()->set_unix_ms(now);
-    } else if (command.has_mark()) {
-        command.mutable_mark()->set_unix_ms(now);
-    } else if (command.has_claim()) {
-        command.mutable_claim()->set_unix_ms(now);
-    } else if (command.has_report_crash()) {
-        for (wire::CrashSuspect &suspect : *command.mutable_report_crash()->mutable_suspects()) {
-            suspect.set_unix_ms(now);
-        }
-    }
-}
-
-wire::CommandResult resultOf(const ProposeResult &result)
-{
-    wire::CommandResult parsed;
-    if (result.kind == ProposeEnd::Applied) {
-        parsed.ParseFromString(result.result);
-    }
-    return parsed;
-}
-
-std::string endpoint(const std::string &address, std::uint16_t port)
-{
-    return address + ":" + std::to_string(port);
-}
 
 } // namespace
 
@@ -199,60 +160,6 @@
     return {};
 }
 
-Findings ControlProcess::openOrderPort()
-{
-    Result<net::HttpServerSettings> http = net::HttpServerSettingsBuilder()
-                                               .address(this->settings.address)
-                                               .port(this->settings.orderPort)
-                                               .maxBodyBytes(MostOrderBytes)
-                                               .build();
-    if (!http) {
-        return http.error();
-    }
-    Result<std::unique_ptr<net::HttpServer>> listening =
-        net::HttpServer::listen(this->loop, http.value(), [this](const std::shared_ptr<net::Exchange> &exchange) {
-            this->order(exchange);
-        });
-    if (!listening) {
-        return listening.error();
-    }
-    this->orderServer = std::move(listening).value();
-    return {};
-}
-
-void ControlProcess::order(const std::shared_ptr<net::Exchange> &exchange)
-{
-    const OperatorProtocol &protocol = *this->settings.operatorProtocol;
-    auto read = protocol.read(exchange->request());
-    if (auto *refusal = std::get_if<net::HttpAnswer>(&read)) {
-        exchange->answer(std::move(*refusal));
-        return;
-    }
-    auto &order = std::get<wire::OperatorRequest>(read);
-    if (order.has_mark() && order.mark().change_id().empty()) {
-        // A mark sent again changes nothing, so each may have an id of its own.
-        order.mutable_mark()->set_change_id(this->settings.replicaId + "-" + std::to_string(this->node->term()) + "-"
-                                            + std::to_string(unixMilliseconds()) + "-"
-                                            + std::to_string(++this->ordersTaken));
-    }
-    this->operate(order, [this, &protocol, exchange, order](const wire::OperatorReply &reply) {
-        if (reply.status() == wire::OPERATOR_STATUS_NOT_LEADER) {
-            exchange->answer(protocol.redirect(exchange->request(), this->leaderOrderAddress()));
-            return;
-        }
-        exchange->answer(protocol.write(order, reply));
-    });
-}
-
-std::string ControlProcess::leaderOrderAddress() const
-{
-    const std::string control = this->node->isLeader() ? std::string() : this->node->leaderControlAddress();
-    if (control.empty()) {
-        return {};
-    }
-    return endpoint(control.substr(0, control.rfind(':')), this->settings.orderPort);
-}
-
 rpc::ControlServiceEvents ControlProcess::serviceEvents()
 {
     rpc::ControlServiceEvents events;
@@ -424,117 +331,6 @@
     });
 }
 
-void ControlProcess::operate(const wire::OperatorRequest &request,
-                             const std::function<void(wire::OperatorReply)> &answer)
-{
-    if (!this->node->isLeader()) {
-        answer(this->notLeader());
-        return;
-    }
-    const bool changes = request.has_put_table() || request.has_mark() || request.has_put_routes();
-    if (changes && this->keeper && !this->keeper->mayAcknowledge()) {
-        wire::OperatorReply notYet = this->notLeader();
-        notYet.clear_leader_address();
-        answer(std::move(notYet));
-        return;
-    }
-    wire::Command command;
-    switch (request.body_case()) {
-    case wire::OperatorRequest::kPutRoutes:
-        *command.mutable_put_routes() = request.put_routes();
-        this->change(std::move(command), answer);
-        break;
-    case wire::OperatorRequest::kPutTable:
-        *command.mutable_put_table() = request.put_table();
-        this->change(std::move(command), answer);
-        break;
-    case wire::OperatorRequest::kMark:
-        *command.mutable_mark() = request.mark();
-        this->change(std::move(command), answer);
-        break;
-    case wire::OperatorRequest::kChangeMember:
-        this->changeMember(request.change_member(), answer);
-        break;
-    default:
-        this->read(request, answer);
-    }
-}
-
-void ControlProcess::change(wire::Command command, const std::function<void(wire::OperatorReply)> &answer)
-{
-    stamp(command);
-    this->node->propose(command.SerializeAsString(), [this, answer](const ProposeResult &result) {
-        answer(result.kind == ProposeEnd::Applied ? resultOf(result).operator_reply() : this->replyTo(result));
-    });
-}
-
-void ControlProcess::changeMember(const wire::ChangeMember &change,
-                                  const std::function<void(wire::OperatorReply)> &answer)
-{
-    this->node->changeMembership(change, [this, answer](const ProposeResult &result) {
-        wire::OperatorReply reply = this->replyTo(result);
-        *reply.mutable_membership() = this->node->membership();
-        answer(std::move(reply));
-    });
-}
-
-void ControlProcess::read(const wire::OperatorRequest &request, const std::function<void(wire::OperatorReply)> &answer)
-{
-    this->node->confirmLeadership([this, request, answer](bool leads) {
-        if (!leads) {
-            answer(this->notLeader());
-            return;
-        }
-        if (request.has_list_members()) {
-            wire::OperatorReply members;
-            *members.mutable_membership() = this->node->membership();
-            answer(std::move(members));
-            return;
-        }
-        wire::OperatorReply reply = control::answerRead(this->state, this->coordinator, request, BootClock::now());
-        if (reply.has_report()) {
-            *reply.mutable_report()->mutable_membership() = this->node->membership();
-            reply.mutable_report()->set_leader(this->node->leaderId());
-            reply.mutable_report()->set_term(this->node->term());
-        }
-        answer(std::move(reply));
-    });
-}
-
-wire::OperatorReply ControlProcess::replyTo(const ProposeResult &result) const
-{
-    wire::OperatorReply reply;
-    switch (result.kind) {
-    case ProposeEnd::Applied:
-        *reply.mutable_version() = result.version;
-        return reply;
-    case ProposeEnd::NotLeader:
-        return this->notLeader();
-    case ProposeEnd::Unknown:
-        reply.set_status(wire::OPERATOR_STATUS_UNKNOWN);
-        reply.set_leader_address(this->node->leaderControlAddress());
-        break;
-    case ProposeEnd::Refused:
-        reply.set_status(wire::OPERATOR_STATUS_REFUSED);
-        break;
-    }
-    for (const Finding &finding : result.findings) {
-        wire::FindingText &text = *reply.add_findings();
-        text.set_place(finding.place);
-        text.set_message(finding.message);
-        text.set_remedy(finding.remedy);
-    }
-    return reply;
-}
-
-wire::OperatorReply ControlProcess::notLeader() const
-{
-    wire::OperatorReply reply;
-    reply.set_status(wire::OPERATOR_STATUS_NOT_LEADER);
-    reply.set_leader_address(this->node->leaderControlAddress());
-    return reply;
-}
-
 void ControlProcess::expire()
 {
     if (!this->node->isLeader()) {
--- a/src/process/LocalUpstream.cpp
+++ b/src/process/LocalUpstream.cpp
@@ -3,6 +3,7 @@
 #include "loop/Log.h"
 #include "process/AgentProtocol.h"
 #include "process/AgentState.h"
+#include "process/LocalWork.h"
 
 #include <algorithm>
 #include <cassert>
@@ -14,14 +15,9 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds HealthInterval{100};
-/** Without any answer for so long the upstream counts as frozen. */
-constexpr milliseconds FrozenAfter{500};
-constexpr milliseconds SilentAfter{3000};
 constexpr milliseconds CancelInterval{100};
 /** Work that was given up and not confirmed as ended counts until so long past its deadline. */
 constexpr milliseconds LingerPastDeadline{1000};
-/** An upstream with heartbeats that has neither sent one nor answered for so long counts as frozen: two may be late. */
-constexpr milliseconds HeartbeatSilence{3500};
 constexpr milliseconds SilenceLook{500};
 /** How long a leaving upstream still gets requests: they are on their way while the others hear of it. */
 constexpr milliseconds LeavingServes{1000};
@@ -39,11 +35,6 @@
 
 constexpr loop::Log Log("upstream");
 
-milliseconds unixTime()
-{
-    return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch());
-}
-
 const char *toText(UpstreamStatus status)
 {
     switch (status) {
@@ -90,21 +81,6 @@
 
 } // namespace
 
-/** One request at the upstream. */
-struct LocalUpstream::Work {
-    Dispatch request;
-    std::function<void(DispatchResult)> done;
-    net::CallId call = 0;
-    /** Where it was sent; a later incarnation may listen elsewhere. */
-    std::string address;
-    BootTime dispatchedAt;
-    /** The upstream's side of the connection broke, as it does when its process ends. */
-    bool broken = false;
-    /** Given up; counted until it has surely ended. */
-    bool lingering = false;
-    agent::WorkEnd end = agent::WorkEnd::Lost;
-};
-
 LocalUpstream::LocalUpstream(loop::EventLoop &loop,
                              AgentState &state,
                              Announcement announcement,
@@ -360,103 +336,6 @@
     this->events.workEnded();
 }
 
-void LocalUpstream::checkHealth(bool freshConnection)
-{
-    const BootTime now = BootClock::now();
-    if (this->present == UpstreamStatus::Crashed) {
-        return;
-    }
-    const bool byHeartbeat = this->state.protocol->byHeartbeat;
-    if (!byHeartbeat && (now - this->lastAnnounced > SilentAfter || now - this->lastAnswer > FrozenAfter)) {
-        this->setStatus(UpstreamStatus::Frozen);
-    }
-    if (this->probing) {
-        return;
-    }
-    this->probing = true;
-    const table::RoutedService *const routed = this->state.table.routes().service(this->latest.service);
-    net::HttpCall call = this->state.protocol->healthCall(
-        upstreamAddress(this->latest), routed == nullptr ? "/health" : routed->healthPath, FrozenAfter);
-    call.freshConnection = freshConnection;
-    this->client.send(std::move(call), [this](const net::CallResult &result) {
-        this->probing = false;
-        this->healthAnswered(result);
-        this->endLingering();
-    });
-}
-
-void LocalUpstream::healthAnswered(const net::CallResult &result)
-{
-    if (result.end == net::CallEnd::Answered) {
-        this->lastAnswer = BootClock::now();
-        const bool announces = this->lastAnswer - this->lastAnnounced <= SilentAfter;
-        if (this->present == UpstreamStatus::Frozen && announces) {
-            this->setStatus(UpstreamStatus::Serving);
-        }
-        return;
-    }
-    const bool refused = result.end == net::CallEnd::NotSent && result.elapsed < FrozenAfter;
-    if (refused) {
-        this->processEnded();
-    } else if (result.end == net::CallEnd::Broken && !this->state.protocol->byHeartbeat) {
-        this->checkHealth(true);
-    }
-}
-
-/**
- * Ends the work whose connections broke, and suspects it.
- * Guard against taking a graceful stop for a crash. A stopping upstream closes its listening socket first and so
- * refuses connections while it finishes its work; were its slices given away at once, two upstreams would run a key.
- * A process that has really ended breaks every connection, so work with an unbroken one keeps the upstream Frozen.
- */
-void LocalUpstream::processEnded()
-{
-    std::set<std::uint64_t> broken;
-    std::vector<agent::TicketId> ended;
-    for (const auto &[ticket, entry] : this->work) {
-        if (entry.broken) {
-            broken.insert(entry.request.fingerprint);
-            ended.push_back(ticket);
-        }
-    }
-    const bool allEnded = ended.size() == this->work.size();
-    if (allEnded) {
-        this->holdsEnded();
-    }
-    this->setStatus(allEnded ? UpstreamStatus::Crashed : UpstreamStatus::Frozen);
-    const wire::ReportCrash report = agent::crashed(this->state.crashes, broken, this->latest.incarnation, unixTime());
-    for (const agent::TicketId ticket : ended) {
-        this->endWork(ticket, agent::WorkEnd::Lost, false);
-    }
-    if (!report.suspects().empty()) {
-        Log.warn(this->latest.name + ": " + std::to_string(report.suspects_size()) + " requests suspected");
-        this->events.crashed(report);
-    }
-}
-
-/** Work whose connection broke ends once it is known whether the whole process did. */
-void LocalUpstream::endLingering()
-{
-    if (!this->state.protocol->byHeartbeat) {
-        return;
-    }
-    std::vector<agent::TicketId> ended;
-    for (const auto &[ticket, entry] : this->work) {
-        if (entry.lingering) {
-            ended.push_back(ticket);
-        }
-    }
-    for (const agent::TicketId ticket : ended) {
-        this->endWork(ticket, agent::WorkEnd::Lost, false);
-    }
-}
-
-bool LocalUpstream::isSilent(BootTime now) const
-{
-    return this->present == UpstreamStatus::Serving
-           && now - std::max(this->lastAnnounced, this->lastAnswer) > HeartbeatSilence;
-}
-
 /** @return whether it gets no work any more: it left, or its failure domain was marked out, a while ago */
 bool LocalUpstream::isOutOfService(BootTime now) const
 {
@@ -465,26 +344,6 @@
     return left || out;
 }
 
-void LocalUpstream::replaced()
-{
-    std::vector<agent::TicketId> open;
-    for (const auto &[ticket, entry] : this->work) {
-        if (!entry.lingering) {
-            open.push_back(ticket);
-        }
-    }
-    this->holdsEnded();
-    this->setStatus(UpstreamStatus::Crashed);
-    for (const agent::TicketId ticket : open) {
-        const auto found = this->work.find(ticket);
-        if (found != this->work.end()) {
-            this->client.cancel(found->second.call);
-            this->answered(ticket, {.end = net::CallEnd::Broken, .mayHaveRun = true, .answer = {}, .elapsed = {}});
-        }
-    }
-    this->endLingering();
-}
-
 bool LocalUpstream::takesWork() const
 {
     return this->present == UpstreamStatus::Serving && this->leavingSince == BootTime();
--- a/src/process/RequestRunner.cpp
+++ b/src/process/RequestRunner.cpp
@@ -261,36 +261,6 @@
     this->handle(request.number, {.kind = EventKind::Routed, .upstream = upstream, .local = local});
 }
 
-/** Tells which upstream was chosen by what; that there is none counts as a failure. */
-void RequestRunner::logChoice(const Running &request, std::uint32_t upstream) const
-{
-    const agent::RequestFacts &facts = request.state.facts;
-    const wire::UpstreamInfo *known = agent::findUpstream(this->state.map, upstream);
-    if (known == nullptr) {
-        Log.event(loop::LogLevel::Warn, "no upstream")
-            .with("request", request.parsed.requestId)
-            .with("service", facts.service)
-            .with("keyed", facts.keyed)
-            .with("lease", agent::holds(this->state.lease, BootClock::now()))
-            .with("state_index", this->state.map.version.index());
-        return;
-    }
-    const auto service = this->state.services.find(facts.service);
-    const auto health = service == this->state.services.end() ? std::map<std::uint32_t, agent::UpstreamHealth>::const_iterator()
-                                                              : service->second.routing.health.find(upstream);
-    const bool seen = service != this->state.services.end() && health != service->second.routing.health.end();
-    const auto slice = facts.keyed ? agent::findSlice(this->state.map, facts.service, facts.hash) : std::nullopt;
-    Log.event(loop::LogLevel::Info, "upstream chosen", loop::OrdinaryBound)
-        .with("request", request.parsed.requestId)
-        .with("upstream", known->name())
-        .with("agent", known->agent())
-        .with("why", facts.keyed ? "owner of the key" : request.parsed.facts.forwarded ? "asked for" : "least busy")
-        .with("epoch", slice ? slice->epoch : 0)
-        .with("load", seen ? health->second.load : 0)
-        .with("load_age_ms", seen ? BootClock::now() - health->second.loadAt : std::chrono::nanoseconds(0))
-        .with("outstanding", seen ? health->second.outstanding : 0);
-}
-
 std::uint32_t RequestRunner::routeKeyed(const Running &request) const
 {
     const agent::RequestFacts &facts = request.state.facts;
@@ -329,8 +299,7 @@
 
 void RequestRunner::wait(Running &request, std::chrono::nanoseconds delay)
 {
-    if (this->needs.metrics != nullptr && request.state.facts.keyed
-        && request.state.lastEnd == AttemptEnd::NotOwner) {
+    if (this->needs.metrics != nullptr && request.state.facts.keyed && request.state.lastEnd == AttemptEnd::NotOwner) {
         this->needs.metrics->keyedRequestWithoutOwner();
     }
     const Number number = request.number;
@@ -396,13 +365,15 @@
     this->tickets[ticket] = {request.number, action.attempt};
     agent::noteSent(this->state.services[request.state.facts.service].routing, action.upstream, BootClock::now());
     const agent::Admission admission =
-        upstream == nullptr ? agent::Admission::NotServing : upstream->enter({ticket, request.state.facts.deadline, request.state.facts.urgency});
+        upstream == nullptr ? agent::Admission::NotServing
+                            : upstream->enter({ticket, request.state.facts.deadline, request.state.facts.urgency});
     if (admission != agent::Admission::Admitted && upstream != nullptr) {
-        upstream->describe(Log.event(loop::LogLevel::Info,
-                                     admission == agent::Admission::Queued ? "request queued" : "turned away at the gate",
-                                     admission == agent::Admission::Queued ? loop::OrdinaryBound : loop::FailureBound)
-                               .with("request", request.parsed.requestId)
-                               .with("start_within_ms", request.state.facts.urgency.startBy - BootClock::now()));
+        upstream->describe(
+            Log.event(loop::LogLevel::Info,
+                      admission == agent::Admission::Queued ? "request queued" : "turned away at the gate",
+                      admission == agent::Admission::Queued ? loop::OrdinaryBound : loop::FailureBound)
+                .with("request", request.parsed.requestId)
+                .with("start_within_ms", request.state.facts.urgency.startBy - BootClock::now()));
     }
     switch (admission) {
     case agent::Admission::Admitted:
@@ -563,24 +534,6 @@
     this->handle(number, {.kind = EventKind::AttemptEnded, .attempt = attempt, .end = end, .mayHaveRun = mayHaveRun});
 }
 
-void RequestRunner::noteTime(const Running &request, const LiveAttempt &attempt)
-{
-    if (this->needs.metrics == nullptr) {
-        return;
-    }
-    const BootTime now = BootClock::now();
-    const std::string &service = request.state.facts.service;
-    if (!attempt.local) {
-        this->needs.metrics->spent(TimeSpent::OtherAgent, service, now - attempt.begunAt);
-        return;
-    }
-    const BootTime dispatched = attempt.dispatchedAt == BootTime() ? now : attempt.dispatchedAt;
-    this->needs.metrics->spent(TimeSpent::Queue, service, dispatched - attempt.begunAt);
-    if (attempt.dispatchedAt != BootTime()) {
-        this->needs.metrics->spent(TimeSpent::Upstream, service, now - dispatched);
-    }
-}
-
 void RequestRunner::finish(Running &request)
 {
     this->loop.cancel(request.deadlineTimer);
--- a/src/process/RequestRunnerAnswers.cpp
+++ b/src/process/RequestRunnerAnswers.cpp
@@ -128,8 +128,7 @@
         return;
     }
     this->needs.metrics->requestEnded(request.parsed.route, agent::mayRepeat(request.state.facts), outcome, status);
-    this->needs.metrics->spent(
-        TimeSpent::Whole, request.state.facts.service, BootClock::now() - request.acceptedAt);
+    this->needs.metrics->spent(TimeSpent::Whole, request.state.facts.service, BootClock::now() - request.acceptedAt);
     if (request.state.tries > 1) {
         this->needs.metrics->retried(request.state.facts.service,
                                      serviceOf(this->state, request.state.facts.service).retries.tokens);
--- a/tests/ControlSessionTest.cpp
+++ b/tests/ControlSessionTest.cpp
@@ -228,8 +228,9 @@
 }
 
 // A user is told for seconds that a route doesn't exist which an operator added: the agent acts on an old table.
-// Order: two of the replicas that the agent knows lose power and take connections no more; a third leads. The agent asks
-// one after the other. Cause: each gets the time that an open session may be silent, and the list is as it was at start.
+// Order: two of the replicas that the agent knows lose power and take connections no more; a third leads. The agent
+// asks one after the other. Cause: each gets the time that an open session may be silent, and the list is as it was at
+// start.
 TEST_CASE("an agent that knows of two dead replicas finds the leader well before an open session would be given up")
 {
     FakeReplica first;
@@ -247,8 +248,7 @@
     };
     events.message = [](rpc::SessionId, const wire::ControlMessage &) {};
     events.closed = [](rpc::SessionId) {};
-    rpc::ControlSession session(
-        *loop, {first.address(), second.address()}, events, {.silence = 5s, .opening = 200ms});
+    rpc::ControlSession session(*loop, {first.address(), second.address()}, events, {.silence = 5s, .opening = 200ms});
     session.learn({leader.address(), first.address()});
     const auto begun = std::chrono::steady_clock::now();
     stopAfter(*loop, 10s);
--- a/tests/CoordinatorGuardTest.cpp
+++ b/tests/CoordinatorGuardTest.cpp
@@ -212,8 +212,9 @@
     REQUIRE(led.owned("a") > 0);
 }
 
-// All agents are killed and start again where they were. Their upstreams went on, and nobody else holds their keys; still
-// every key stays unserved for a whole lease. The new process has the old one's address, so the old one has ended.
+// All agents are killed and start again where they were. Their upstreams went on, and nobody else holds their keys;
+// still every key stays unserved for a whole lease. The new process has the old one's address, so the old one has
+// ended.
 TEST_CASE("control: where an address proves the end of the process before it, only one at another address waits")
 {
     control::CoordinatorSettings settings;
--- a/tests/GateLoadTest.cpp
+++ b/tests/GateLoadTest.cpp
@@ -54,8 +54,8 @@
     Play(std::vector<Kind> kinds, bool byUrgency)
         : kinds(std::move(kinds))
         , byUrgency(byUrgency)
-        , gate(makeGate(
-              GateSettingsBuilder().ceiling(Slots).connectionPace(0us).adaptive(false).build().value(), Start))
+        , gate(
+              makeGate(GateSettingsBuilder().ceiling(Slots).connectionPace(0us).adaptive(false).build().value(), Start))
         , tallies(this->kinds.size())
     {
     }
@@ -88,8 +88,7 @@
         const Kind &what = this->kinds[kind];
         const TicketId ticket = ++this->last;
         const double spread = std::exp2(2 * this->draw() - 1);
-        this->requests[ticket] = {
-            kind, now, std::chrono::duration_cast<std::chrono::nanoseconds>(what.work * spread)};
+        this->requests[ticket] = {kind, now, std::chrono::duration_cast<std::chrono::nanoseconds>(what.work * spread)};
         ++this->tallies[kind].asked;
         const Urgency urgency = this->byUrgency ? urgencyOf(what.targets, now) : Urgency{};
         const Admission admission = agent::arrive(this->gate, {ticket, now + what.targets.timeout, urgency}, now);
@@ -163,10 +162,9 @@
 {
     const std::vector<Tally> inOrder = Play(crowdedEnrolments(), false).run();
     const std::vector<Tally> byUrgency = Play(crowdedEnrolments(), true).run();
-    WARN("in target, first come first served: enrolments " << inOrder[0].shareInTarget() << ", calls "
-                                                            << inOrder[1].shareInTarget() << "; by urgency: "
-                                                            << byUrgency[0].shareInTarget() << ", "
-                                                            << byUrgency[1].shareInTarget());
+    WARN("in target, first come first served: enrolments "
+         << inOrder[0].shareInTarget() << ", calls " << inOrder[1].shareInTarget()
+         << "; by urgency: " << byUrgency[0].shareInTarget() << ", " << byUrgency[1].shareInTarget());
     REQUIRE(inOrder[1].shareInTarget() < 0.5);
     REQUIRE(byUrgency[1].shareInTarget() > 0.6);
     REQUIRE(byUrgency[0].shareInTarget() > inOrder[0].shareInTarget());
--- a/tests/HeldKeysTest.cpp
+++ b/tests/HeldKeysTest.cpp
@@ -117,10 +117,11 @@
 
 /*
  * An agent is killed and starts again while its upstream goes on, holding what the agent before had granted. Asked to
- * give a slice up, the new agent knows of no hold and says at once that it is free: another upstream gets the keys while
- * the first still holds them, for as long as the old grant runs.
+ * give a slice up, the new agent knows of no hold and says at once that it is free: another upstream gets the keys
+ * while the first still holds them, for as long as the old grant runs.
  */
-TEST_CASE("held keys: a new agent releases nothing before its upstream has said what it holds, or its grants have ended")
+TEST_CASE(
+    "held keys: a new agent releases nothing before its upstream has said what it holds, or its grants have ended")
 {
     Agent agent;
     agent.ownership.heardFrom.clear();
--- a/tests/TraceCommandTest.cpp
+++ b/tests/TraceCommandTest.cpp
@@ -21,8 +21,7 @@
 
 /** Two agents' logs of one refused request, written into a folder of the test's own. */
 struct Logs {
-    std::filesystem::path folder =
-        std::filesystem::path(TEST_BINARY_FOLDER) / ("trace-" + std::to_string(getpid()));
+    std::filesystem::path folder = std::filesystem::path(TEST_BINARY_FOLDER) / ("trace-" + std::to_string(getpid()));
     std::string first = (this->folder / "a1.log").string();
     std::string second = (this->folder / "a2.log").string();
 
@@ -31,12 +30,14 @@
         std::filesystem::create_directories(this->folder);
         std::ofstream one(this->first);
         one << "some other program's line\n"
-            << lineOf("10.000", "a1", R"("event":"request accepted","request":"abc","route":"r1")")
-            << "   1.25 a1 " << lineOf("10.001", "a1", R"("event":"upstream chosen","request":"abc","load":0.5)")
+            << lineOf("10.000", "a1", R"("event":"request accepted","request":"abc","route":"r1")") << "   1.25 a1 "
+            << lineOf("10.001", "a1", R"("event":"upstream chosen","request":"abc","load":0.5)")
             << lineOf("10.002", "a1", R"("event":"message","message":"session closed")")
             << lineOf("10.004", "a1", R"("event":"request refused","left_out":3,"request":"abc","reason":"no-room")")
             << lineOf("10.005", "a1", R"("event":"request accepted","request":"abcd")")
-            << R"({"time":"2026-12-03T01:00:10.9)" << R"(","request":"abc)" << "\n";
+            << R"({"time":"2026-12-03T01:00:10.9)"
+            << R"(","request":"abc)"
+            << "\n";
         std::ofstream two(this->second);
         two << std::string(200000, 'x') << "\n"
             << lineOf("10.003", "a2", R"("event":"turned away at the gate","request":"abc.1","waiting":7)")
