--- a/tests/Deployment.cpp
+++ b/tests/Deployment.cpp
@@ -339,6 +339,11 @@
     return perform("http://" + Loopback + ":" + portText(vm.callerPort) + ask.path, ask);
 }
 
+Reply Deployment::askAt(const std::string &address, const Ask &ask)
+{
+    return perform("http://" + address + ask.path, ask);
+}
+
 std::string Deployment::get(std::uint16_t port, const std::string &path)
 {
     return perform("http://" + Loopback + ":" + portText(port) + path, {}).body;
--- a/tests/Deployment.h
+++ b/tests/Deployment.h
@@ -109,6 +109,9 @@
     /** Sends one request to a VM's caller port. */
     static Reply ask(const UpstreamVm &vm, const Ask &ask);
 
+    /** Sends one request to IP:port. */
+    static Reply askAt(const std::string &address, const Ask &ask);
+
     /** @return the body of a GET on any loopback port, empty when there was none */
     static std::string get(std::uint16_t port, const std::string &path);
 
--- /dev/null
+++ b/tests/PlatformProcessTest.cpp
@@ -0,0 +1,228 @@
+#include "Deployment.h"
+#include "PlatformWorker.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <set>
+#include <unistd.h>
+
+using namespace bergamotweir::test;
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+namespace {
+
+constexpr const char *OrderPort = ":8620";
+
+/** The real programs with settings files of the users' machines, each VM at a loopback address of its own. */
+struct Machines {
+    std::string net = "127." + std::to_string(20 + getpid() % 200) + "." + std::to_string(getpid() / 200 % 250) + ".";
+    std::string folder = std::string(TEST_BINARY_FOLDER) + "/machines-" + std::to_string(getpid());
+    std::vector<Process> controls;
+    std::vector<Process> agents;
+    std::vector<std::unique_ptr<PlatformWorker>> workers;
+
+    Machines()
+    {
+        std::filesystem::remove_all(this->folder);
+        std::filesystem::create_directories(this->folder);
+        for (int number = 1; number <= 3; ++number) {
+            this->controls.push_back(this->process("control", number, this->controlFile(number, true)));
+            Deployment::start(this->controls.back());
+        }
+        for (int number = 11; number <= 12; ++number) {
+            this->agents.push_back(this->process("agent", number, this->agentFile(number)));
+            Deployment::start(this->agents.back());
+            this->startWorker(number, "w" + std::to_string(number));
+        }
+    }
+
+    ~Machines()
+    {
+        this->workers.clear();
+        for (Process &agent : this->agents) {
+            Deployment::kill(agent);
+        }
+        for (Process &control : this->controls) {
+            Deployment::kill(control);
+        }
+    }
+
+    std::string ip(int number) const
+    {
+        return this->net + std::to_string(number);
+    }
+
+    void startWorker(int number, const std::string &id)
+    {
+        this->workers.push_back(
+            std::make_unique<PlatformWorker>(PlatformWorker::Settings{.id = id,
+                                                                      .service = "seats",
+                                                                      .zone = "z" + std::to_string(number),
+                                                                      .address = this->ip(number),
+                                                                      .port = 8628,
+                                                                      .control = this->ip(number) + ":8620"}));
+    }
+
+    std::string common(int number) const
+    {
+        return "node_id=n" + std::to_string(number) + "\nip=" + this->ip(number) + "\nzone=z" + std::to_string(number)
+               + "\nlisten.control=" + this->ip(number) + ":8620\ninternal_ports=7600,7615\nseeds=" + this->ip(1)
+               + ":8620," + this->ip(2) + ":8620," + this->ip(3) + ":8620\n";
+    }
+
+    std::string controlFile(int number, bool first) const
+    {
+        return this->common(number) + "bootstrap=" + (first ? "true" : "false")
+               + "\ndata_dir=" + this->folder + "/data" + std::to_string(number) + "\nfault_tolerance.machines=1\n";
+    }
+
+    std::string agentFile(int number) const
+    {
+        return this->common(number) + "listen.inbound=" + this->ip(number) + ":8624\nlisten.outbound="
+               + this->ip(number) + ":8629\nlisten.ready_addr=" + this->ip(number)
+               + ":8625\nservice=seats\napp_addr=" + this->ip(number) + ":8628\nbounds=grace_s=3\n";
+    }
+
+    Process process(const std::string &role, int number, const std::string &settings) const
+    {
+        const std::string name = this->folder + "/" + role + std::to_string(number);
+        std::ofstream(name + ".conf") << settings;
+        return {{std::string(TEST_BINARY_FOLDER) + "/bergamotweir", "platform", role, "--node-file", name + ".conf"},
+                name + ".log"};
+    }
+
+    /** Sends an order to a control VM, and on to the leader where it's told to. */
+    Reply order(int number, const std::string &method, const std::string &path, const std::string &body = {}) const
+    {
+        const Ask ask{.method = method, .path = path, .headers = {"Content-Type: application/json"}, .body = body};
+        Reply reply = Deployment::askAt(this->ip(number) + OrderPort, ask);
+        if (reply.status == 307) {
+            const std::string location = reply.headers["location"];
+            reply = Deployment::askAt(location.substr(7, location.find('/', 7) - 7), ask);
+        }
+        return reply;
+    }
+
+    Reply ask(int number, const std::string &id, unsigned key, const std::string &method = "GET") const
+    {
+        return Deployment::askAt(this->ip(number) + ":8629",
+                                 {.method = method,
+                                  .path = "/book/x?y=1",
+                                  .headers = {"Host: shop.example",
+                                              "X-Request-Id: " + id,
+                                              "X-Deadline-Ms: 1500",
+                                              "X-Shard-Key: " + std::to_string(key)},
+                                  .body = method == "GET" ? "" : "body"});
+    }
+
+    bool served(int number, unsigned key) const
+    {
+        return Deployment::eventually(10s, [&] {
+            return this->ask(number, "warm", key).status == 200;
+        });
+    }
+};
+
+std::string manifest(const std::string &version, const std::string &base)
+{
+    return R"({"version":")" + version + R"(","routes":{"columns":["name","host","prefix","kind","timeout_ms",)"
+           + R"("target_latency_ms","priority","attempts","service"],"rows":[["r","shop.example","/book/",)"
+           + R"("non_idempotent",1200,600,1,2,"seats"]]},"services":{"columns":["name","health_path","sharded"],)"
+           + R"("rows":[["seats","/health",true]]},"base_version":")" + base + R"("})";
+}
+
+std::uint64_t keysHeld(PlatformWorker &worker)
+{
+    std::uint64_t count = 0;
+    for (const auto &row : worker.held()) {
+        count += row[1] - row[0] + 1;
+    }
+    return count;
+}
+
+} // namespace
+
+// The whole path with the settings files, heartbeats, manifests and header fields of the users' machines.
+TEST_CASE("platform process: a manifest comes into force, every key has one owner, and a killed agent's keys return",
+          "[process]")
+{
+    Machines machines;
+    REQUIRE(Deployment::eventually(10s, [&] {
+        return machines.order(1, "PUT", "/api/config", manifest("00000003", "00000000")).status == 200;
+    }));
+    REQUIRE(machines.order(2, "PUT", "/api/config", manifest("00000003", "00000000")).status == 200);
+    REQUIRE(machines.order(3, "PUT", "/api/config", manifest("00000004", "00000002")).status == 412);
+    REQUIRE(machines.order(1, "PUT", "/api/config", manifest("00000002", "00000003")).status == 400);
+    const json read = json::parse(machines.order(2, "GET", "/api/config").body);
+    REQUIRE(read["version"] == "00000003");
+    REQUIRE(read["routes"] == json::parse(manifest("1", "0"))["routes"]);
+    REQUIRE(machines.served(11, 0));
+    REQUIRE(Deployment::askAt(machines.ip(11) + ":8625", {.path = "/api/readiness"}).status == 200);
+
+    // The one that was there first got all keys; the load is evened out once both are settled.
+    REQUIRE(Deployment::eventually(10s, [&] {
+        return keysHeld(*machines.workers[0]) > 20000 && keysHeld(*machines.workers[1]) > 20000;
+    }));
+    for (unsigned key = 0; key < 65536; key += 3001) {
+        REQUIRE(machines.served(11 + key % 2, key));
+        const Reply first = machines.ask(11, "a" + std::to_string(key), key, "POST");
+        const Reply second = machines.ask(12, "b" + std::to_string(key), key, "POST");
+        REQUIRE(first.status == 200);
+        REQUIRE(first.body == second.body);
+        REQUIRE(first.body.find("POST /book/x?y=1 body from seats") != std::string::npos);
+        REQUIRE(second.headers.at("x-request-id") == "b" + std::to_string(key));
+    }
+    REQUIRE(machines.workers[0]->ran > 0);
+    REQUIRE(machines.workers[1]->ran > 0);
+    std::set<std::uint64_t> starts;
+    for (const auto &worker : machines.workers) {
+        for (const auto &row : worker->held()) {
+            REQUIRE(starts.insert(row[0]).second);
+        }
+    }
+
+    Deployment::kill(machines.agents[0]);
+    Deployment::start(machines.agents[0]);
+    const auto begun = std::chrono::steady_clock::now();
+    for (unsigned key = 0; key < 65536; key += 16001) {
+        REQUIRE(machines.served(12, key));
+    }
+    REQUIRE(std::chrono::steady_clock::now() - begun < 3s);
+    Deployment::signal(machines.agents[0], SIGTERM);
+    REQUIRE(Deployment::waitForExit(machines.agents[0], 3s) == 0);
+}
+
+// A control VM comes back at its old address without its disk. Nobody adds it by hand.
+TEST_CASE("platform process: a control VM that lost its disk joins its group again by itself", "[process]")
+{
+    Machines machines;
+    REQUIRE(Deployment::eventually(10s, [&] {
+        return machines.order(1, "PUT", "/api/config", manifest("00000003", "00000000")).status == 200;
+    }));
+    Deployment::kill(machines.controls[1]);
+    std::filesystem::remove_all(machines.folder + "/data2");
+    machines.controls[1] = machines.process("control", 2, machines.controlFile(2, false));
+    Deployment::start(machines.controls[1]);
+    const std::string logFile = machines.folder + "/control2.log";
+    REQUIRE(Deployment::eventually(10s, [&] {
+        return machines.order(2, "GET", "/api/config").status == 200;
+    }));
+    // With another one of the three gone, the group works only if the newcomer votes.
+    REQUIRE(Deployment::eventually(10s, [&] {
+        std::ifstream log(machines.folder + "/control1.log");
+        std::ifstream other(machines.folder + "/control3.log");
+        const std::string text{std::istreambuf_iterator<char>(log), {}};
+        const std::string more{std::istreambuf_iterator<char>(other), {}};
+        return (text + more).find("CHANGE_REMOVE") != std::string::npos;
+    }));
+    Deployment::kill(machines.controls[2]);
+    REQUIRE(Deployment::eventually(10s, [&] {
+        return machines.order(1, "PUT", "/api/config", manifest("00000005", "00000003")).status == 200
+               || machines.order(2, "PUT", "/api/config", manifest("00000005", "00000003")).status == 200;
+    }));
+}
--- /dev/null
+++ b/tests/PlatformWorker.cpp
@@ -0,0 +1,130 @@
+#include "PlatformWorker.h"
+
+#include "net/Header.h"
+
+#include <algorithm>
+#include <array>
+
+namespace bergamotweir::test {
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+namespace {
+
+constexpr auto BeatInterval = 150ms;
+
+std::string valueOf(const net::HttpRequest &request, const char *name)
+{
+    const std::string *value = net::findHeader(request.headers, name);
+    return value == nullptr ? std::string() : *value;
+}
+
+} // namespace
+
+PlatformWorker::PlatformWorker(Settings settings)
+    : settings(std::move(settings))
+    , loop(loop::EventLoop::create().value())
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    this->born = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+    auto http = net::HttpServerSettingsBuilder().address(this->settings.address).port(this->settings.port).build();
+    this->server = std::move(net::HttpServer::listen(*this->loop,
+                                                     http.value(),
+                                                     [this](const std::shared_ptr<net::Exchange> &exchange) {
+                                                         this->serve(exchange);
+                                                     }))
+                       .value();
+    this->client = std::make_unique<net::HttpClient>(*this->loop);
+    this->loop->every(BeatInterval, [this] {
+        this->beat();
+    });
+    this->thread = std::thread([this] {
+        this->loop->run();
+    });
+}
+
+PlatformWorker::~PlatformWorker()
+{
+    this->loop->stop();
+    this->thread.join();
+    this->client.reset();
+    this->server.reset();
+}
+
+std::vector<std::array<std::uint64_t, 3>> PlatformWorker::held()
+{
+    const std::lock_guard guard(this->mutex);
+    if (std::chrono::steady_clock::now() >= this->heldUntil) {
+        this->rows.clear();
+    }
+    return this->rows;
+}
+
+bool PlatformWorker::holds(std::uint64_t key)
+{
+    const auto rows = this->held();
+    return std::any_of(rows.begin(), rows.end(), [&](const auto &row) {
+        return row[0] <= key && key <= row[1];
+    });
+}
+
+void PlatformWorker::serve(const std::shared_ptr<net::Exchange> &exchange)
+{
+    const net::HttpRequest &request = exchange->request();
+    const std::string key = valueOf(request, "X-Shard-Key");
+    net::HttpAnswer answer;
+    answer.headers = {{"X-Request-Id", valueOf(request, "X-Request-Id")}};
+    if (valueOf(request, "X-Expected-Instance") != this->settings.id || (!key.empty() && !this->holds(std::stoull(key)))) {
+        ++this->misdirected;
+        answer.status = 421;
+        answer.headers.push_back({"X-Not-Executed", "1"});
+    } else {
+        ++this->ran;
+        answer.status = 200;
+        answer.headers.push_back({"X-Upstream-Signature", this->settings.id});
+        answer.body = this->settings.id + " " + request.method + " " + request.target + " " + request.body + " from "
+                      + valueOf(request, "X-Downstream-Service");
+    }
+    exchange->answer(std::move(answer));
+}
+
+void PlatformWorker::beat()
+{
+    const auto sentAt = std::chrono::steady_clock::now();
+    json body = {{"address", this->settings.address + ":" + std::to_string(this->settings.port)},
+                 {"born", this->born},
+                 {"info", {{"service", this->settings.service}, {"version", "v1"}, {"zone", this->settings.zone}, {"slots", 8}}},
+                 {"status", {{"state", "ready"}, {"seq", ++this->sequence}, {"warmup_left_ms", 0}}}};
+    body["holds"] = json::array();
+    for (const auto &row : this->held()) {
+        body["holds"].push_back(row);
+    }
+    body["freed"] = std::exchange(this->freed, json::array());
+    net::HttpCall call;
+    call.address = this->settings.control;
+    call.method = "PUT";
+    call.target = "/api/instances/" + this->settings.id;
+    call.headers = {{"Content-Type", "application/json"}};
+    call.body = body.dump();
+    this->client->send(std::move(call), [this, sentAt](const net::CallResult &result) {
+        const json answer = json::parse(result.answer.body, nullptr, false);
+        if (result.end != net::CallEnd::Answered || !answer.is_object() || !answer.contains("holds")) {
+            return;
+        }
+        std::vector<std::array<std::uint64_t, 3>> wanted;
+        for (const json &row : answer["holds"]) {
+            wanted.push_back({row[0].get<std::uint64_t>(), row[1].get<std::uint64_t>(), row[2].get<std::uint64_t>()});
+        }
+        const std::lock_guard guard(this->mutex);
+        for (const auto &row : this->rows) {
+            if (std::find(wanted.begin(), wanted.end(), row) == wanted.end()) {
+                this->freed.push_back({row[0], row[1], "state-of-" + this->settings.id});
+            }
+        }
+        this->rows = std::move(wanted);
+        this->heldUntil = sentAt + std::chrono::milliseconds(answer["hold_ms"].get<std::uint64_t>());
+    });
+}
+
+} // namespace bergamotweir::test
