A request that crosses the closing of its idle connection is not handed over

Ruled out: an early exit of the process (the agent ran on for a second). Change: a connection counts as closed from the moment it is shut. Test: two hand-overs before, one after.

--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -476,9 +476,10 @@
         close(listening);
     }
     // Guards against a stop that waits for callers who keep their connections: one that lies idle ends now, between two
-    // requests. Only its reading side is shut, so that a request which is there already is still answered.
-    for (const auto &[id, connection] : this->parts->connections) {
+    // requests. A request that crosses this is not taken: handed over, it would run and its answer find no connection.
+    for (auto &[id, connection] : this->parts->connections) {
         if (connection.current.expired()) {
+            connection.hungUp = true;
             shutdown(connection.socket, SHUT_RD);
         }
     }
--- a/tests/HttpServerTest.cpp
+++ b/tests/HttpServerTest.cpp
@@ -364,3 +364,43 @@
     CHECK(results[0].answer.body == "last");
     CHECK(results[1].end == CallEnd::NotSent);
 }
+
+/*
+ * An agent is stopped and closes its idle connections. A caller sends a request on one of them at that very moment. It
+ * is handed over, passed on and run, and then its connection is seen to be closed: work lost by a planned stop.
+ */
+TEST_CASE("a request that crosses the closing of its idle connection is not handed over")
+{
+    Bench bench;
+    unsigned handedOver = 0;
+    bench.listen([&](const std::shared_ptr<Exchange> &exchange) {
+        ++handedOver;
+        exchange->answer({200, {}, "ok"});
+    });
+    const int caller = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(bench.server->port());
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(connect(caller, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0);
+    const std::string request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+    REQUIRE(send(caller, request.data(), request.size(), MSG_NOSIGNAL) > 0);
+    bench.loop->after(200ms, [&] {
+        bench.server->stopAccepting();
+        REQUIRE(send(caller, request.data(), request.size(), MSG_NOSIGNAL) > 0);
+    });
+    bench.loop->after(500ms, [&] {
+        bench.loop->stop();
+    });
+    bench.run();
+    REQUIRE(handedOver == 1);
+    std::string seen;
+    char bytes[1000];
+    for (ssize_t count = 1; count > 0;) {
+        count = recv(caller, bytes, sizeof bytes, MSG_DONTWAIT);
+        seen.append(bytes, count > 0 ? static_cast<std::size_t>(count) : 0);
+        REQUIRE((count >= 0 || errno != EAGAIN));
+    }
+    REQUIRE(seen.find("ok") != std::string::npos);
+    close(caller);
+}
