--- a/include/net/HttpClient.h
+++ b/include/net/HttpClient.h
@@ -58,6 +58,9 @@
      */
     void cancel(CallId call);
 
+    /** @return connections opened since the start */
+    std::uint64_t connectionsOpened() const;
+
     /** @return calls sent and not ended */
     std::size_t inProgress() const;
 
--- a/src/net/ConnectionSockets.cpp
+++ b/src/net/ConnectionSockets.cpp
@@ -14,11 +14,17 @@
 
 void ConnectionSockets::add(const std::string &address, int localPort, int socket)
 {
+    ++this->count;
     std::string name = nameOf(address, localPort);
     this->sockets[name] = socket;
     this->names[socket] = std::move(name);
 }
 
+std::uint64_t ConnectionSockets::added() const
+{
+    return this->count;
+}
+
 int ConnectionSockets::find(const std::string &address, int localPort) const
 {
     const auto found = this->sockets.find(nameOf(address, localPort));
--- a/src/net/ConnectionSockets.h
+++ b/src/net/ConnectionSockets.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <unordered_map>
@@ -26,11 +27,15 @@
     /** @return the descriptor, or -1 */
     int find(const std::string &address, int localPort) const;
 
+    /** @return connections that were ever added */
+    std::uint64_t added() const;
+
     /** Forgets a descriptor that is about to be closed. */
     void remove(int socket);
 
 private:
     std::function<void(int)> closing;
+    std::uint64_t count = 0;
     std::unordered_map<std::string, int> sockets;
     std::unordered_map<int, std::string> names;
 };
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -389,6 +389,11 @@
     state.collectSoon();
 }
 
+std::uint64_t HttpClient::connectionsOpened() const
+{
+    return this->parts->sockets.added();
+}
+
 std::size_t HttpClient::inProgress() const
 {
     return this->parts->calls.size();
--- a/src/process/AgentMetrics.cpp
+++ b/src/process/AgentMetrics.cpp
@@ -6,6 +6,7 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <algorithm>
 #include <set>
 #include <sstream>
 
@@ -121,7 +122,8 @@
 
 void AgentMetrics::connectionsOpened(std::uint64_t total)
 {
-    this->parts->connections.Increment(static_cast<double>(total) - this->parts->connections.Value());
+    // Connections to an upstream that has been forgotten stay counted.
+    this->parts->connections.Increment(std::max(0.0, static_cast<double>(total) - this->parts->connections.Value()));
 }
 
 void AgentMetrics::heartbeatLate()
--- a/src/process/AgentProcess.cpp
+++ b/src/process/AgentProcess.cpp
@@ -183,6 +183,9 @@
             upstream->sendRevoke(order);
         }
     };
+    events.released = [this](std::size_t slices) {
+        this->metrics.keysMoved(slices);
+    };
     events.renewed = [this] {
         if (this->state.protocol->byHeartbeat) {
             return;
@@ -299,6 +302,11 @@
     }
     if (std::optional<net::HttpAnswer> answer = this->report.answer(target, this->gauges())) {
         if (target == "/metrics") {
+            std::uint64_t connections = 0;
+            for (const auto &[name, upstream] : this->upstreams) {
+                connections += upstream->connectionsOpened();
+            }
+            this->metrics.connectionsOpened(connections);
             this->metrics.revision(this->knownRevision, BootClock::now() - this->revisionSince);
             answer->body += this->metrics.text();
         }
--- a/src/process/AgentProcessUpstreams.cpp
+++ b/src/process/AgentProcessUpstreams.cpp
@@ -125,6 +125,9 @@
     events.crashed = [this](const wire::ReportCrash &report) {
         this->control->tell(report);
     };
+    events.heartbeatLate = [this] {
+        this->metrics.heartbeatLate();
+    };
     events.workEnded = [this] {
         this->control->tellReleased();
     };
--- a/src/process/ControlLink.cpp
+++ b/src/process/ControlLink.cpp
@@ -181,6 +181,7 @@
     wire::AgentMessage message;
     *message.mutable_released() = agent::takeReleased(this->state.ownership, this->state.map);
     if (!message.released().slices().empty()) {
+        this->events.released(static_cast<std::size_t>(message.released().slices_size()));
         this->session->send(message);
     }
 }
--- a/src/process/ControlLink.h
+++ b/src/process/ControlLink.h
@@ -12,6 +12,8 @@
     /** Routes, table, marks or quarantine changed. */
     std::function<void()> stateChanged;
     std::function<void(const wire::Revoke &)> revoked;
+    /** So many slices were given up. */
+    std::function<void(std::size_t)> released;
     /** The lease was extended. */
     std::function<void()> renewed;
     /** @return the agent's upstreams, told at the start of each session */
--- a/src/process/LocalUpstream.cpp
+++ b/src/process/LocalUpstream.cpp
@@ -447,6 +447,11 @@
     return this->gate.limit;
 }
 
+std::uint64_t LocalUpstream::connectionsOpened() const
+{
+    return this->client.connectionsOpened();
+}
+
 std::size_t LocalUpstream::inProgress() const
 {
     return this->work.size();
--- a/src/process/LocalUpstream.h
+++ b/src/process/LocalUpstream.h
@@ -53,6 +53,8 @@
     std::function<void(const wire::ReportCrash &)> crashed;
     /** Work ended: a revoked slice may be free. */
     std::function<void()> workEnded;
+    /** A heartbeat came behind a newer one. */
+    std::function<void()> heartbeatLate;
     /** A waiting ticket was let through, or shed. */
     std::function<void(agent::TicketId, bool admitted)> decided;
 };
@@ -127,6 +129,9 @@
     /** @return how many requests the upstream is trusted with, and why */
     const agent::AdaptiveLimit &limit() const;
 
+    /** @return connections opened to it since the start */
+    std::uint64_t connectionsOpened() const;
+
     /** @return requests in progress, those given up but perhaps still running included */
     std::size_t inProgress() const;
 
--- a/src/process/LocalUpstreamHolds.cpp
+++ b/src/process/LocalUpstreamHolds.cpp
@@ -59,6 +59,7 @@
     this->lastAnnounced = now;
     if (this->sequence && heartbeat.sequence <= *this->sequence) {
         Log.info(this->latest.name + ": a heartbeat came late");
+        this->events.heartbeatLate();
         return {};
     }
     this->sequence = heartbeat.sequence;
