--- a/src/cli/TraceCommand.cpp
+++ b/src/cli/TraceCommand.cpp
@@ -130,10 +130,10 @@
 
 std::string fieldsOf(const json &line)
 {
-    static const std::set<std::string> Shown{"time", "level", "process", "part", "event", "message"};
+    static const std::set<std::string> shown{"time", "level", "process", "part", "event", "message"};
     std::string text;
     for (const auto &[name, value] : line.items()) {
-        if (!Shown.contains(name)) {
+        if (!shown.contains(name)) {
             text += " " + name + "=" + (value.is_string() ? value.get<std::string>() : value.dump());
         }
     }
