--- a/tests/RouteTableTest.cpp
+++ b/tests/RouteTableTest.cpp
@@ -108,7 +108,7 @@
  */
 TEST_CASE("routes: agents get what changed, and joined changes lead to the same table from any point between")
 {
-    const auto same = [](wire::RouteTable left, const wire::RouteTable &right) {
+    const auto same = [](const wire::RouteTable &left, const wire::RouteTable &right) {
         const table::RouteTable read(left);
         if (left.routes_size() != right.routes_size() || left.services_size() != right.services_size()) {
             return false;
