Callers' port: requests sent ahead are worked on side by side

Cause: callers of the keyed reads send several requests on a connection before the first answer; libmicrohttpd reads the next only after it. Ruled out: placing (upstreams were a quarter busy), refusals (5 of 1,108). Change: a server of its own for the callers' port (ACE sockets, http-parser), the tests of the old one run against both, new ones fail against it. Smuggled framings are refused; a stop drops what waits behind the last answer.

--- a/src/process/AgentProcess.cpp
+++ b/src/process/AgentProcess.cpp
@@ -31,18 +31,19 @@
 }
 
 /** Binds one server; what went wrong is added to the findings with the flag's name. */
-std::unique_ptr<net::HttpServer> bindServer(loop::EventLoop &loop,
-                                            const net::HttpServerSettingsBuilder &builder,
-                                            const char *flag,
-                                            net::HttpServer::Handler handler,
-                                            Findings &findings)
+template<typename Server = net::HttpServer>
+std::unique_ptr<Server> bindServer(loop::EventLoop &loop,
+                                   const net::HttpServerSettingsBuilder &builder,
+                                   const char *flag,
+                                   typename Server::Handler handler,
+                                   Findings &findings)
 {
     const Result<net::HttpServerSettings> settings = builder.build();
     if (!settings) {
         findings.insert(findings.end(), settings.error().begin(), settings.error().end());
         return nullptr;
     }
-    auto server = net::HttpServer::listen(loop, settings.value(), std::move(handler));
+    auto server = Server::listen(loop, settings.value(), std::move(handler));
     if (!server) {
         for (const Finding &finding : server.error()) {
             findings.push_back({flag, finding.message, finding.remedy});
@@ -117,7 +118,7 @@
     const auto on = [&](const std::string &address, std::uint16_t port) {
         return net::HttpServerSettingsBuilder().address(address).port(port);
     };
-    this->callers = bindServer(
+    this->callers = bindServer<net::PipelineServer>(
         this->loop,
         on(settings.address, settings.callerPort),
         "--caller-port",
--- a/src/process/AgentProcess.h
+++ b/src/process/AgentProcess.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "net/HttpServer.h"
+#include "net/PipelineServer.h"
 #include "process/AgentMetrics.h"
 #include "process/AgentReport.h"
 #include "process/AgentState.h"
@@ -65,7 +66,7 @@
     AgentMetrics metrics;
     std::uint64_t knownRevision = 0;
     BootTime revisionSince;
-    std::unique_ptr<net::HttpServer> callers;
+    std::unique_ptr<net::PipelineServer> callers;
     std::unique_ptr<net::HttpServer> peers;
     std::unique_ptr<net::HttpServer> announcements;
     std::unique_ptr<net::HttpServer> operators;
--- a/tests/HttpServerTest.cpp
+++ b/tests/HttpServerTest.cpp
@@ -1,7 +1,9 @@
 #include "ScriptedPeer.h"
+#include "ServerBench.h"
 
 #include "net/HttpClient.h"
 #include "net/HttpServer.h"
+#include "net/PipelineServer.h"
 #include "net/Problem.h"
 
 #include <catch2/catch.hpp>
@@ -13,80 +15,15 @@
 using namespace bergamotweir::net;
 using namespace std::chrono_literals;
 
-namespace {
+// Every test runs against both servers, which promise the same.
 
-struct Bench {
-    std::unique_ptr<loop::EventLoop> loop = loop::EventLoop::create().value();
-    std::unique_ptr<HttpClient> client = std::make_unique<HttpClient>(*this->loop);
-    std::unique_ptr<HttpServer> server;
-    bool ranOut = false;
-
-    void listen(HttpServer::Handler handler)
-    {
-        const HttpServerSettings settings = HttpServerSettingsBuilder()
-                                                .maxHeaderBytes(4096)
-                                                .maxBodyBytes(1000)
-                                                .maxDiscardedBytes(200000)
-                                                .build()
-                                                .value();
-        this->server = HttpServer::listen(*this->loop, settings, std::move(handler)).value();
-    }
-
-    HttpCall call(const std::string &method) const
-    {
-        HttpCall call;
-        call.address = "127.0.0.1:" + std::to_string(this->server->port());
-        call.method = method;
-        call.timeout = 5s;
-        return call;
-    }
-
-    void run()
-    {
-        this->loop->after(20s, [this] {
-            this->ranOut = true;
-            this->loop->stop();
-        });
-        this->loop->run();
-        REQUIRE_FALSE(this->ranOut);
-    }
-
-    CallResult send(const HttpCall &call)
-    {
-        CallResult got;
-        this->loop->post([&] {
-            this->client->send(call, [&](CallResult result) {
-                got = std::move(result);
-                this->loop->stop();
-            });
-        });
-        this->run();
-        return got;
-    }
-
-    int connect() const
-    {
-        const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-        sockaddr_in to{};
-        to.sin_family = AF_INET;
-        to.sin_port = htons(this->server->port());
-        to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        REQUIRE(::connect(socket, reinterpret_cast<sockaddr *>(&to), sizeof to) == 0);
-        return socket;
-    }
-};
-
-HttpAnswer textAnswer(std::string body)
-{
-    return {.status = 200, .headers = {{"Content-Type", "text/plain"}}, .body = std::move(body)};
-}
-
-} // namespace
-
-TEST_CASE("the server hands over requests as sent and relays answers given at once or later")
+TEMPLATE_TEST_CASE("the server hands over requests as sent and relays answers given at once or later",
+                   "",
+                   HttpServer,
+                   PipelineServer)
 {
     const bool later = GENERATE(false, true);
-    Bench bench;
+    ServerBench<TestType> bench;
     HttpRequest seen;
     bench.listen([&](const std::shared_ptr<Exchange> &exchange) {
         seen = exchange->request();
@@ -120,9 +57,9 @@
  * Story: a caller waits up to a second for an answer that is ready, because a resumed connection makes no event and
  * only the idle sweep finds it. Forty such waits would take longer than the limit of this test.
  */
-TEST_CASE("an answer given later is sent at once")
+TEMPLATE_TEST_CASE("an answer given later is sent at once", "", HttpServer, PipelineServer)
 {
-    Bench bench;
+    ServerBench<TestType> bench;
     bench.listen([&](const std::shared_ptr<Exchange> &exchange) {
         bench.loop->after(1us, [exchange] {
             exchange->answer(textAnswer("now"));
@@ -143,9 +80,12 @@
     bench.run();
 }
 
-TEST_CASE("a request that comes a byte at a time is handed over once and whole")
+TEMPLATE_TEST_CASE("a request that comes a byte at a time is handed over once and whole",
+                   "",
+                   HttpServer,
+                   PipelineServer)
 {
-    Bench bench;
+    ServerBench<TestType> bench;
     std::vector<std::string> bodies;
     bench.listen([&](const std::shared_ptr<Exchange> &exchange) {
         bodies.push_back(exchange->request().body);
@@ -174,11 +114,11 @@
  * Story: callers open more connections than allowed. A user behind them must be served once one is closed; were the
  * server to forget its listening socket at the limit, nobody would ever be again.
  */
-TEST_CASE("connections beyond the limit wait and are served when others close")
+TEMPLATE_TEST_CASE("connections beyond the limit wait and are served when others close", "", HttpServer, PipelineServer)
 {
-    Bench bench;
+    ServerBench<TestType> bench;
     const HttpServerSettings settings = HttpServerSettingsBuilder().maxConnections(2).build().value();
-    bench.server = HttpServer::listen(*bench.loop, settings, [&](const std::shared_ptr<Exchange> &exchange) {
+    bench.server = TestType::listen(*bench.loop, settings, [&](const std::shared_ptr<Exchange> &exchange) {
                        exchange->answer(textAnswer("served"));
                    }).value();
     const std::string_view request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
@@ -203,9 +143,9 @@
     CHECK(answered.size() == 6);
 }
 
-TEST_CASE("an answer to HEAD states the length of the body it leaves out")
+TEMPLATE_TEST_CASE("an answer to HEAD states the length of the body it leaves out", "", HttpServer, PipelineServer)
 {
-    Bench bench;
+    ServerBench<TestType> bench;
     bench.listen([&](const std::shared_ptr<Exchange> &exchange) {
         exchange->answer({.status = 200, .headers = {{"Content-Length", "12345"}}, .body = {}});
     });
@@ -215,7 +155,10 @@
     CHECK(*findHeader(result.answer.headers, "Content-Length") == "12345");
 }
 
-TEST_CASE("too large headers and bodies are refused as problems and never handed over")
+TEMPLATE_TEST_CASE("too large headers and bodies are refused as problems and never handed over",
+                   "",
+                   HttpServer,
+                   PipelineServer)
 {
     struct Case {
         std::size_t header;
@@ -223,7 +166,7 @@
         int status;
     };
     const Case each = GENERATE(Case{5000, 0, 431}, Case{12000, 0, 431}, Case{0, 1001, 413}, Case{0, 100000, 413});
-    Bench bench;
+    ServerBench<TestType> bench;
     int handed = 0;
     bench.listen([&](const std::shared_ptr<Exchange> &) {
         ++handed;
@@ -240,9 +183,9 @@
     CHECK(handed == 0);
 }
 
-TEST_CASE("a chunked body without end is bounded")
+TEMPLATE_TEST_CASE("a chunked body without end is bounded", "", HttpServer, PipelineServer)
 {
-    Bench bench;
+    ServerBench<TestType> bench;
     int handed = 0;
     bench.listen([&](const std::shared_ptr<Exchange> &) {
         ++handed;
@@ -266,11 +209,11 @@
  * Story: someone points a port scanner at the port. A user would see the whole agent gone. Whatever comes, the
  * server closes that connection alone and answers the next request.
  */
-TEST_CASE("garbage never makes the server fall")
+TEMPLATE_TEST_CASE("garbage never makes the server fall", "", HttpServer, PipelineServer)
 {
     constexpr std::uint64_t Seed = 20261202;
     pcg32 random(Seed);
-    Bench bench;
+    ServerBench<TestType> bench;
     bench.listen([&](const std::shared_ptr<Exchange> &exchange) {
         exchange->answer(textAnswer("alive"));
     });
@@ -297,9 +240,9 @@
  * Story: a learner closes the browser while a slow lookup runs. Without notice the upstream's slot stays taken for
  * nobody; with many such callers the next ones wait behind dead work.
  */
-TEST_CASE("a caller that goes away before the answer is noticed once")
+TEMPLATE_TEST_CASE("a caller that goes away before the answer is noticed once", "", HttpServer, PipelineServer)
 {
-    Bench bench;
+    ServerBench<TestType> bench;
     int abandoned = 0;
     std::shared_ptr<Exchange> kept;
     const std::unique_ptr<int> socket = std::make_unique<int>(-1);
@@ -326,9 +269,9 @@
     kept->answer(textAnswer("too late"));
 }
 
-TEST_CASE("the server can end with answers outstanding")
+TEMPLATE_TEST_CASE("the server can end with answers outstanding", "", HttpServer, PipelineServer)
 {
-    Bench bench;
+    ServerBench<TestType> bench;
     std::shared_ptr<Exchange> kept;
     bench.listen([&](const std::shared_ptr<Exchange> &exchange) {
         kept = exchange;
@@ -342,9 +285,12 @@
     CHECK(result.mayHaveRun);
 }
 
-TEST_CASE("after stopAccepting open connections end with their answer and new ones are refused")
+TEMPLATE_TEST_CASE("after stopAccepting open connections end with their answer and new ones are refused",
+                   "",
+                   HttpServer,
+                   PipelineServer)
 {
-    Bench bench;
+    ServerBench<TestType> bench;
     std::vector<CallResult> results;
     bench.listen([&](const std::shared_ptr<Exchange> &exchange) {
         bench.server->stopAccepting();
@@ -369,9 +315,12 @@
  * An agent is stopped and closes its idle connections. A caller sends a request on one of them at that very moment. It
  * is handed over, passed on and run, and then its connection is seen to be closed: work lost by a planned stop.
  */
-TEST_CASE("a request that crosses the closing of its idle connection is not handed over")
+TEMPLATE_TEST_CASE("a request that crosses the closing of its idle connection is not handed over",
+                   "",
+                   HttpServer,
+                   PipelineServer)
 {
-    Bench bench;
+    ServerBench<TestType> bench;
     unsigned handedOver = 0;
     bench.listen([&](const std::shared_ptr<Exchange> &exchange) {
         ++handedOver;
--- /dev/null
+++ b/tests/PipelineServerTest.cpp
@@ -0,0 +1,222 @@
+#include "ServerBench.h"
+
+#include "net/PipelineServer.h"
+
+#include <unistd.h>
+
+using namespace bergamotweir;
+using namespace bergamotweir::net;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Sends @p bytes and reads until @p enough of what came back. */
+std::string talk(ServerBench<PipelineServer> &bench,
+                 const std::string &bytes,
+                 const std::function<bool(const std::string &)> &enough)
+{
+    const int socket = bench.connect();
+    REQUIRE(::send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL) > 0);
+    std::string seen;
+    bench.loop->watch(socket, {.readable = true}, [&](loop::Readiness) {
+        std::array<char, 4096> part{};
+        const ssize_t count = recv(socket, part.data(), part.size(), MSG_DONTWAIT);
+        seen.append(part.data(), count > 0 ? static_cast<std::size_t>(count) : 0);
+        if (count == 0 || enough(seen)) {
+            bench.loop->stop();
+        }
+    });
+    bench.run();
+    bench.loop->unwatch(socket);
+    close(socket);
+    return seen;
+}
+
+std::string get(const std::string &path)
+{
+    return "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n";
+}
+
+std::string post(const std::string &path)
+{
+    return "POST " + path + " HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi";
+}
+
+bool contains(const std::string &text, const std::string &part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+} // namespace
+
+/*
+ * Story: a learner's page asks for three timetables on one connection without waiting. Each takes half a target's time;
+ * worked on one after the other, the second and the third are late though every upstream is idle.
+ */
+TEST_CASE("safe requests sent ahead are worked on side by side and answered in their order")
+{
+    ServerBench<PipelineServer> bench;
+    std::vector<std::shared_ptr<Exchange>> held;
+    bench.listen([&](const std::shared_ptr<Exchange> &exchange) {
+        held.push_back(exchange);
+        if (held.size() == 3) {
+            // The last one is ready first and has to wait for the others' answers.
+            for (const std::size_t index : {2U, 0U, 1U}) {
+                held[index]->answer(textAnswer("for " + held[index]->request().target));
+            }
+        }
+    });
+    const std::string seen = talk(bench, get("/one") + get("/two") + get("/three"), [](const std::string &text) {
+        return contains(text, "for /three");
+    });
+    CHECK(held.size() == 3);
+    CHECK(seen.find("for /one") < seen.find("for /two"));
+    CHECK(seen.find("for /two") < seen.find("for /three"));
+    CHECK(bench.server->inProgress() == 0);
+}
+
+/*
+ * Story: a caller sends an order and, without waiting, the question what became of it. Worked on side by side, the
+ * question may be answered from before the order.
+ */
+TEST_CASE("a request with effects waits for those before it and holds up those behind it")
+{
+    ServerBench<PipelineServer> bench;
+    std::vector<std::string> begun;
+    std::vector<std::shared_ptr<Exchange>> held;
+    bench.listen([&](const std::shared_ptr<Exchange> &exchange) {
+        begun.push_back(exchange->request().target);
+        held.push_back(exchange);
+        bench.loop->after(1ms, [&, number = held.size() - 1] {
+            CHECK(held.size() == number + 1);
+            held[number]->answer(textAnswer("for " + held[number]->request().target));
+        });
+    });
+    talk(bench, get("/before") + post("/order") + get("/after"), [](const std::string &text) {
+        return contains(text, "for /after");
+    });
+    CHECK(begun == std::vector<std::string>{"/before", "/order", "/after"});
+}
+
+/*
+ * Story: an agent stops while a caller has sent three requests ahead. What stands behind an answer that closes its
+ * connection is sent again by its caller, so it must not have been handed over.
+ */
+TEST_CASE("a stop answers what was handed over, closes with the last of it, and drops what waits behind")
+{
+    ServerBench<PipelineServer> bench;
+    std::vector<std::string> begun;
+    bench.listen([&](const std::shared_ptr<Exchange> &exchange) {
+        begun.push_back(exchange->request().target);
+        bench.loop->after(5ms, [&, exchange] {
+            bench.server->stopAccepting();
+            CHECK(bench.server->inProgress() == 1);
+            exchange->answer(textAnswer("for " + exchange->request().target));
+        });
+    });
+    const std::string seen = talk(bench, post("/order") + get("/behind") + get("/further"), [](const std::string &) {
+        return false;
+    });
+    CHECK(begun == std::vector<std::string>{"/order"});
+    CHECK(contains(seen, "Connection: close"));
+    CHECK(contains(seen, "for /order"));
+    CHECK_FALSE(contains(seen, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 11"));
+    CHECK(bench.server->inProgress() == 0);
+}
+
+/*
+ * Story: a caller with three requests under way closes its connection. Each of them must be told, or two go on at
+ * their upstreams for nobody.
+ */
+TEST_CASE("a caller that goes away is noticed by every request it had sent ahead")
+{
+    ServerBench<PipelineServer> bench;
+    int gone = 0;
+    int socket = -1;
+    std::vector<std::shared_ptr<Exchange>> held;
+    bench.listen([&](const std::shared_ptr<Exchange> &exchange) {
+        held.push_back(exchange);
+        exchange->onAbandoned([&] {
+            if (++gone == 3) {
+                bench.loop->stop();
+            }
+        });
+        if (held.size() == 3) {
+            close(socket);
+        }
+    });
+    socket = bench.connect();
+    const std::string bytes = get("/one") + get("/two") + get("/three");
+    REQUIRE(::send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL) > 0);
+    bench.run();
+    CHECK(gone == 3);
+    CHECK(bench.server->inProgress() == 0);
+}
+
+/*
+ * Story: somebody hides a request within another by stating two framings. Read one way here and another way at the
+ * upstream, it would run there though no caller sent it.
+ */
+TEST_CASE("messages with two framings are refused and end their connection")
+{
+    const std::string fields = GENERATE("Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+                                        "Content-Length: 4\r\nContent-Length: 5\r\n",
+                                        "Transfer-Encoding: gzip, identity\r\n",
+                                        "Content-Length : 4\r\n");
+    ServerBench<PipelineServer> bench;
+    int handed = 0;
+    bench.listen([&](const std::shared_ptr<Exchange> &exchange) {
+        ++handed;
+        exchange->answer(textAnswer("ran"));
+    });
+    const std::string hidden = "0\r\n\r\n" + get("/hidden");
+    const std::string seen =
+        talk(bench, "POST / HTTP/1.1\r\nHost: a\r\n" + fields + "\r\n" + hidden, [](const std::string &) {
+            return false;
+        });
+    INFO(fields);
+    CHECK(contains(seen, "HTTP/1.1 400"));
+    CHECK_FALSE(contains(seen, "ran"));
+    CHECK(handed == 0);
+}
+
+TEST_CASE("a caller who waits for it is told to go on with its body, in its turn")
+{
+    ServerBench<PipelineServer> bench;
+    bench.listen([&](const std::shared_ptr<Exchange> &exchange) {
+        exchange->answer(textAnswer("for " + exchange->request().target));
+    });
+    const std::string seen =
+        talk(bench,
+             get("/before") + "POST /x HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n",
+             [](const std::string &text) {
+                 return contains(text, "100 Continue");
+             });
+    CHECK(seen.find("for /before") < seen.find("100 Continue"));
+}
+
+TEST_CASE("a flood of requests sent ahead is served in bounded steps")
+{
+    ServerBench<PipelineServer> bench;
+    constexpr std::size_t Sent = 500;
+    std::size_t most = 0;
+    std::size_t open = 0;
+    std::size_t done = 0;
+    bench.listen([&](const std::shared_ptr<Exchange> &exchange) {
+        most = std::max(most, ++open);
+        bench.loop->post([&, exchange] {
+            --open;
+            ++done;
+            exchange->answer(textAnswer(done == Sent ? "the last" : "one"));
+        });
+    });
+    std::string bytes;
+    for (std::size_t count = 0; count < Sent; ++count) {
+        bytes += get("/flood");
+    }
+    talk(bench, bytes, [](const std::string &text) {
+        return contains(text, "the last");
+    });
+    CHECK(done == Sent);
+    CHECK(most <= 32);
+}
