When callers come back is a decision of the core; the request runner's claims and routing in files of their own

Cause: platform/ drew the time of Retry-After, which is a decision, and asked callers whose key has no owner back as soon as those who found no room. Change: agent/ComeBack, 0.4 to 0.65 s without an owner, 0.15 to 0.5 s without room.

--- a/src/process/RequestRunner.cpp
+++ b/src/process/RequestRunner.cpp
@@ -8,7 +8,6 @@
 #include "process/AgentState.h"
 #include "process/LocalUpstream.h"
 #include "process/RunningRequest.h"
-#include "rpc/ClaimClient.h"
 
 #include <algorithm>
 #include <cassert>
@@ -29,31 +28,6 @@
 /** Taken off the deadline at each hop, so that the agent that the caller waits for is the last to give up. */
 constexpr milliseconds HopMargin{2};
 
-std::uint64_t bodyHash(const ParsedRequest &parsed)
-{
-    return parsed.fingerprint;
-}
-
-agent::ClaimAnswer claimAnswer(const wire::ClaimReply &reply)
-{
-    switch (reply.verdict()) {
-    case wire::CLAIM_VERDICT_GRANTED:
-        return agent::ClaimAnswer::Granted;
-    case wire::CLAIM_VERDICT_IN_PROGRESS:
-        return agent::ClaimAnswer::InProgress;
-    case wire::CLAIM_VERDICT_RECORDED:
-        return reply.outcome().body_dropped() ? agent::ClaimAnswer::RecordedWithoutBody : agent::ClaimAnswer::Recorded;
-    case wire::CLAIM_VERDICT_CONFLICT:
-        return agent::ClaimAnswer::Conflict;
-    case wire::CLAIM_VERDICT_UNKNOWN:
-        return agent::ClaimAnswer::Unknown;
-    case wire::CLAIM_VERDICT_FULL:
-        return agent::ClaimAnswer::Full;
-    default:
-        return agent::ClaimAnswer::Unavailable;
-    }
-}
-
 /** @return how the other agent says that the attempt ended; its answer is an upstream's unless it says otherwise */
 AttemptOutcome readPeerOutcome(const net::CallResult &result)
 {
@@ -225,81 +199,6 @@
     }
 }
 
-void RequestRunner::claim(Running &request)
-{
-    wire::ClaimRequest claim;
-    claim.set_service(request.state.facts.service);
-    claim.set_idempotency_key(request.parsed.idempotencyKey);
-    claim.set_body_hash(bodyHash(request.parsed));
-    claim.set_agent(this->state.settings.agentName);
-    claim.set_attempt(request.parsed.requestId);
-    const auto unixTime = std::chrono::system_clock::now().time_since_epoch();
-    claim.set_unix_ms(static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(unixTime).count()));
-    const auto left = std::chrono::duration_cast<milliseconds>(request.state.facts.deadline - BootClock::now());
-    request.claimPending = true;
-    const Number number = request.number;
-    this->needs.claims->claim(claim, std::max(left, milliseconds(1)), [this, number](const wire::ClaimReply &reply) {
-        const auto found = this->running.find(number);
-        if (found == this->running.end()) {
-            return;
-        }
-        found->second->claim = reply;
-        found->second->claimPending = false;
-        this->handle(number, {.kind = EventKind::ClaimAnswered, .claim = claimAnswer(reply)});
-    });
-}
-
-void RequestRunner::route(Running &request)
-{
-    std::uint32_t upstream = 0;
-    if (request.origin == Origin::Peer) {
-        upstream = this->routeForwarded(request);
-    } else if (request.state.facts.keyed) {
-        upstream = this->routeKeyed(request);
-    } else {
-        upstream = this->routeUnkeyed(request);
-    }
-    const bool local = upstream != 0 && this->needs.localUpstream(upstream) != nullptr;
-    this->logChoice(request, upstream);
-    this->handle(request.number, {.kind = EventKind::Routed, .upstream = upstream, .local = local});
-}
-
-std::uint32_t RequestRunner::routeKeyed(const Running &request) const
-{
-    const agent::RequestFacts &facts = request.state.facts;
-    const auto slice = agent::findSlice(this->state.map, facts.service, facts.hash);
-    const wire::UpstreamInfo *owner = slice ? agent::findUpstream(this->state.map, slice->owner) : nullptr;
-    if (owner == nullptr) {
-        return 0;
-    }
-    if (!this->state.ownership.ownUpstreams.contains(slice->owner)) {
-        return slice->owner;
-    }
-    const bool served =
-        this->needs.localUpstream(slice->owner) != nullptr
-        && agent::ownsLocally(
-            this->state.ownership, this->state.map, this->state.lease, facts.service, facts.hash, BootClock::now());
-    return served ? slice->owner : 0;
-}
-
-std::uint32_t RequestRunner::routeUnkeyed(Running &request)
-{
-    ServiceState &service = this->state.services[request.state.facts.service];
-    return agent::choose(
-        service.routing, service.candidates, request.state.tried, this->state.random, BootClock::now());
-}
-
-std::uint32_t RequestRunner::routeForwarded(const Running &request) const
-{
-    const agent::RequestFacts &facts = request.state.facts;
-    const std::uint32_t wanted = request.parsed.wantedUpstream;
-    const LocalUpstream *upstream = this->needs.localUpstream(wanted);
-    if (upstream == nullptr || upstream->announcement().service != facts.service) {
-        return 0;
-    }
-    return facts.keyed && this->routeKeyed(request) != wanted ? 0 : wanted;
-}
-
 void RequestRunner::wait(Running &request, std::chrono::nanoseconds delay)
 {
     if (this->needs.metrics != nullptr && request.state.facts.keyed && request.state.lastEnd == AttemptEnd::NotOwner) {
--- a/src/process/RequestRunnerAnswers.cpp
+++ b/src/process/RequestRunnerAnswers.cpp
@@ -4,7 +4,6 @@
 #include "process/AgentState.h"
 #include "process/LocalUpstream.h"
 #include "process/RunningRequest.h"
-#include "rpc/ClaimClient.h"
 
 #include <array>
 #include <cstdlib>
@@ -14,14 +13,9 @@
 namespace {
 
 using agent::AttemptEnd;
-using std::chrono::milliseconds;
 
 constexpr loop::Log Log("request");
 
-constexpr milliseconds RecordTimeout{10000};
-/** Answers larger than this aren't kept with a claim. */
-constexpr std::size_t MaxRecordedBody = 16384;
-
 double readLoad(const net::HttpAnswer &answer)
 {
     const std::string *load = net::findHeader(answer.headers, LoadHeader);
@@ -105,23 +99,6 @@
     request.exchange->answer(std::move(answer));
 }
 
-void RequestRunner::relayRecorded(Running &request)
-{
-    const wire::ClaimOutcome &outcome = request.claim.outcome();
-    net::HttpAnswer answer;
-    answer.status = static_cast<int>(outcome.status());
-    if (!outcome.content_type().empty()) {
-        answer.headers.push_back({"Content-Type", outcome.content_type()});
-    }
-    answer.body = outcome.body();
-    if (request.origin != Origin::Peer) {
-        this->needs.ended({.service = request.state.facts.service,
-                           .status = answer.status,
-                           .latency = BootClock::now() - request.acceptedAt});
-    }
-    request.exchange->answer(std::move(answer));
-}
-
 void RequestRunner::countEnd(const Running &request, std::string_view outcome, int status)
 {
     if (this->needs.metrics == nullptr || request.origin == Origin::Peer) {
@@ -163,26 +140,4 @@
     request.exchange->answer(std::move(answer));
 }
 
-void RequestRunner::record(Running &request, const agent::RequestAction &action)
-{
-    wire::ClaimOutcome outcome;
-    outcome.set_service(request.state.facts.service);
-    outcome.set_idempotency_key(request.parsed.idempotencyKey);
-    outcome.set_attempt(request.parsed.requestId);
-    outcome.set_released(action.outcome == agent::ClaimEnd::Released);
-    outcome.set_unknown(action.outcome == agent::ClaimEnd::Unknown);
-    if (action.outcome == agent::ClaimEnd::Answered) {
-        const net::HttpAnswer &answer = request.attempts.at(action.attempt).answer;
-        outcome.set_status(static_cast<std::uint32_t>(answer.status));
-        outcome.set_body_dropped(answer.body.size() > MaxRecordedBody);
-        if (!outcome.body_dropped()) {
-            outcome.set_body(answer.body);
-        }
-        if (const std::string *type = net::findHeader(answer.headers, "Content-Type"); type != nullptr) {
-            outcome.set_content_type(*type);
-        }
-    }
-    this->needs.claims->recordOutcome(outcome, RecordTimeout, [](const wire::OutcomeReply &) {});
-}
-
 } // namespace bergamotweir::process
--- /dev/null
+++ b/src/process/RequestRunnerRouting.cpp
@@ -0,0 +1,59 @@
+#include "process/AgentState.h"
+#include "process/LocalUpstream.h"
+#include "process/RequestRunner.h"
+#include "process/RunningRequest.h"
+
+namespace bergamotweir::process {
+
+void RequestRunner::route(Running &request)
+{
+    std::uint32_t upstream = 0;
+    if (request.origin == Origin::Peer) {
+        upstream = this->routeForwarded(request);
+    } else if (request.state.facts.keyed) {
+        upstream = this->routeKeyed(request);
+    } else {
+        upstream = this->routeUnkeyed(request);
+    }
+    const bool local = upstream != 0 && this->needs.localUpstream(upstream) != nullptr;
+    this->logChoice(request, upstream);
+    this->handle(request.number, {.kind = agent::EventKind::Routed, .upstream = upstream, .local = local});
+}
+
+std::uint32_t RequestRunner::routeKeyed(const Running &request) const
+{
+    const agent::RequestFacts &facts = request.state.facts;
+    const auto slice = agent::findSlice(this->state.map, facts.service, facts.hash);
+    const wire::UpstreamInfo *owner = slice ? agent::findUpstream(this->state.map, slice->owner) : nullptr;
+    if (owner == nullptr) {
+        return 0;
+    }
+    if (!this->state.ownership.ownUpstreams.contains(slice->owner)) {
+        return slice->owner;
+    }
+    const bool served =
+        this->needs.localUpstream(slice->owner) != nullptr
+        && agent::ownsLocally(
+            this->state.ownership, this->state.map, this->state.lease, facts.service, facts.hash, BootClock::now());
+    return served ? slice->owner : 0;
+}
+
+std::uint32_t RequestRunner::routeUnkeyed(Running &request)
+{
+    ServiceState &service = this->state.services[request.state.facts.service];
+    return agent::choose(
+        service.routing, service.candidates, request.state.tried, this->state.random, BootClock::now());
+}
+
+std::uint32_t RequestRunner::routeForwarded(const Running &request) const
+{
+    const agent::RequestFacts &facts = request.state.facts;
+    const std::uint32_t wanted = request.parsed.wantedUpstream;
+    const LocalUpstream *upstream = this->needs.localUpstream(wanted);
+    if (upstream == nullptr || upstream->announcement().service != facts.service) {
+        return 0;
+    }
+    return facts.keyed && this->routeKeyed(request) != wanted ? 0 : wanted;
+}
+
+} // namespace bergamotweir::process
--- /dev/null
+++ b/tests/ComeBackTest.cpp
@@ -0,0 +1,28 @@
+#include "agent/ComeBack.h"
+
+#include <catch2/catch.hpp>
+
+#include <set>
+
+using namespace bergamotweir;
+using namespace bergamotweir::agent;
+using namespace std::chrono_literals;
+
+// A treasurer's browser is refused because the owner of the key has just been lost, comes back after 0.2 s, is refused
+// again and gives up, half a second before the next owner serves the key.
+TEST_CASE("come back: later where an owner is missing than where there is no room, within callers' patience, spread")
+{
+    pcg32 random(3);
+    std::set<std::chrono::milliseconds> forRoom;
+    std::set<std::chrono::milliseconds> forOwner;
+    for (int draw = 0; draw < 1000; ++draw) {
+        forRoom.insert(comeBackAfter(AttemptEnd::NoRoom, random));
+        forOwner.insert(comeBackAfter(AttemptEnd::NotOwner, random));
+    }
+    // A third of two seconds is the longest that a caller with that deadline waits.
+    CHECK(*forOwner.rbegin() < 667ms);
+    CHECK(*forOwner.begin() >= 400ms);
+    CHECK(*forRoom.rbegin() <= 500ms);
+    CHECK(forRoom.size() > 200);
+    CHECK(forOwner.size() > 150);
+}
