--- a/include/control/LoadBook.h
+++ b/include/control/LoadBook.h
@@ -20,8 +20,9 @@
 class LoadBook
 {
 public:
-    /** Share of a new report in the smoothed rate. */
-    static constexpr double Weight = 0.1;
+    /** Share of a new report in the smoothed rate: which keys are busy changes within seconds, and reports come each.
+     */
+    static constexpr double Weight = 0.3;
     /** Hot keys remembered for a service; the coldest one makes room. */
     static constexpr std::size_t MostHotKeys = 1024;
 
@@ -29,8 +30,8 @@
     void report(const wire::Renew &renew, BootTime now);
 
     /**
-     * Gives every slice its share of the service's load: half by measured rate and half by width, so that noise on
-     * quiet services moves nothing; by width alone where too little was measured.
+     * Gives every slice its share of the service's load: four fifths by measured rate and the rest by width, so
+     * that slices nobody asks for are shared out too; by width alone where too little was measured.
      */
     void weigh(const std::string &service, const SliceMap &map, std::vector<LoadedSlice> &slices) const;
 
