--- a/include/rpc/ControlSession.h
+++ b/include/rpc/ControlSession.h
@@ -40,8 +40,8 @@
      */
     BackoffSettings opening{std::chrono::milliseconds(500), std::chrono::milliseconds(4000)};
     /**
-     * Pause before the next replica is tried. At its longest, 80 agents ask 5 replicas about 100 times a second each,
-     * a tenth of what one of them can answer on 0.3 cores.
+     * Pause before the next replica is tried. At its longest, 80 agents ask each of 5 replicas about 100 times a second
+     * while there is no leader.
      */
     BackoffSettings pause{std::chrono::milliseconds(25), std::chrono::milliseconds(200)};
     /** Longest silence of a leader that has accepted the session and owes the full state, after failures in a row. */
--- a/src/control/CoordinatorAgents.cpp
+++ b/src/control/CoordinatorAgents.cpp
@@ -6,6 +6,20 @@
 
 namespace bergamotweir::control {
 
+namespace {
+
+/** @return whether another process that the agent announced has taken the upstream's address since */
+bool isReplaced(const wire::UpstreamInfo &upstream, const AgentRecord &agent)
+{
+    return !upstream.address().empty()
+           && std::any_of(agent.announced.begin(), agent.announced.end(), [&](const auto &entry) {
+                  const wire::UpstreamInfo &other = entry.second;
+                  return other.address() == upstream.address() && other.started_unix_ms() > upstream.started_unix_ms();
+              });
+}
+
+} // namespace
+
 void Coordinator::renew(AgentRecord &agent, const Heartbeat &heartbeat, BootTime now)
 {
     // The full state went ahead, in this round at the latest: an agent must not serve by what it knew before.
@@ -101,16 +115,6 @@
     this->propose(std::move(command), std::move(proposal));
 }
 
-/** @return whether another process that the agent announced has taken the upstream's address since */
-static bool isReplaced(const wire::UpstreamInfo &upstream, const AgentRecord &agent)
-{
-    return !upstream.address().empty()
-           && std::any_of(agent.announced.begin(), agent.announced.end(), [&](const auto &entry) {
-                  const wire::UpstreamInfo &other = entry.second;
-                  return other.address() == upstream.address() && other.started_unix_ms() > upstream.started_unix_ms();
-              });
-}
-
 /**
  * Guards against keys that nobody serves after a loss of power. It shows as 3.5 s of refusals once the leader and all
  * agents are back: each agent is given that long to announce the upstreams that it had, though another process listens
--- a/src/rpc/ControlService.cpp
+++ b/src/rpc/ControlService.cpp
@@ -30,8 +30,8 @@
 constexpr std::chrono::milliseconds ShutdownPatience{200};
 
 /**
- * Messages of this size on, such as full states, are compressed: text with names that recur shrinks to about a fifth,
- * and an agent's link may carry no more than 2 Mbit/s. Below, compressing costs more than the bytes.
+ * Messages of this size on, such as full states, are compressed: they are mostly names that recur, and an agent's link
+ * may carry no more than 2 Mbit/s. Smaller ones go as they are, as they come often and would gain little.
  */
 constexpr std::size_t CompressedFrom = 4096;
 
