An agent that has heard nothing from control yet refuses for now, and no longer with 404

Ruled out: load alone. Change: 503 with Retry-After until the first state has come; the tests' deployment waits for all its agents, as no join was promised when the table is in force. Test: an agent that has heard nothing...; red before (404).

--- a/src/process/RequestRunner.cpp
+++ b/src/process/RequestRunner.cpp
@@ -120,6 +120,13 @@
 std::variant<ParsedRequest, net::HttpAnswer>
 RequestRunner::read(const net::HttpRequest &request, Origin origin, BootTime now)
 {
+    if (origin == Origin::Caller && this->state.map.version.index() == 0) {
+        // Guards against a service that seems not to exist. It shows as 404, which nobody sends again, from an agent
+        // that has just started and hasn't heard from control which services there are.
+        const agent::RefusalFacts refusal{
+            .end = AttemptEnd::NotOwner, .status = 503, .ran = agent::Ran::No, .retryAfter = true};
+        return this->state.protocol->refuse({refusal, &this->state.random});
+    }
     if (origin == Origin::Caller) {
         return this->state.protocol->readRequest(request, this->state.table, this->state.random, now);
     }
--- a/tests/Deployment.cpp
+++ b/tests/Deployment.cpp
@@ -178,6 +178,13 @@
     });
     INFO(put.output);
     REQUIRE(inForce);
+    // A table is in force at the agents that control knows; those that join later get it with their first state.
+    for (const UpstreamVm &vm : this->vms) {
+        REQUIRE(eventually(5s, [&] {
+            const nlohmann::json health = nlohmann::json::parse(get(vm.operatorPort, "/healthz"), nullptr, false);
+            return health.is_object() && health.value("table_version", 0) > 0;
+        }));
+    }
 }
 
 Deployment::~Deployment()
--- a/tests/WholePathTest.cpp
+++ b/tests/WholePathTest.cpp
@@ -108,6 +108,27 @@
     REQUIRE(Deployment::ask(vm, {.path = "/s/catalogue/x"}).status == 200);
 }
 
+// A learner is told that there is no such service, and the browser doesn't ask again. Order: control is down, an agent
+// is started; until control is back it knows of no service at all.
+TEST_CASE("an agent that has heard nothing from control yet refuses for now, and says that nothing ran", "[process]")
+{
+    Deployment deployment(smallPlan("no-state"));
+    for (ControlVm &control : deployment.controls) {
+        Deployment::kill(control.control);
+    }
+    UpstreamVm &vm = deployment.vms.front();
+    Deployment::kill(vm.agent);
+    Deployment::start(vm.agent);
+    Reply reply;
+    REQUIRE(Deployment::eventually(5s, [&] {
+        reply = Deployment::ask(vm, {.path = "/s/catalogue/x"});
+        return reply.status != 0;
+    }));
+    REQUIRE(reply.status == 503);
+    REQUIRE(reply.headers.at("request-ran") == "no");
+    REQUIRE(reply.headers.contains("retry-after"));
+}
+
 // A port scanner, or a program that speaks another protocol, brings a process down and with it its keys.
 // Order: each port of each process gets noise, half a request, and the preface of HTTP/2 with noise after it.
 TEST_CASE("garbage on any port of any process makes none fall", "[process]")
