Routes know uploads, services say how their upstreams get keys

Change: RouteKind in the table (idempotent, non-idempotent, upload; the last two run at most once), told by metrics; the way of granting is a property of the routed service, checked when it is read.

--- a/include/process/ParsedRequest.h
+++ b/include/process/ParsedRequest.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agent/RequestState.h"
+#include "table/RouteKind.h"
 
 #include <cstdint>
 #include <string>
@@ -15,6 +16,8 @@
     std::string key;
     /** What the table calls the route, for logs and metrics; the service where there are no routes. */
     std::string route;
+    /** What the route says of it; where there are no routes, the method does. */
+    std::optional<table::RouteKind> kind;
     std::string idempotencyKey;
     std::uint64_t fingerprint = 0;
     /** Service of the VM at which the request began; empty at the agent where it begins. */
--- a/include/table/RouteTable.h
+++ b/include/table/RouteTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Finding.h"
+#include "table/RouteKind.h"
 
 #include <control.pb.h>
 
@@ -26,8 +27,7 @@
     std::string host;
     /** Begins and ends with a slash. */
     std::string prefix;
-    /** Whether a request may be sent again whatever became of an earlier send. */
-    bool idempotent = false;
+    RouteKind kind = RouteKind::NonIdempotent;
     /** Longest time that a caller is kept waiting. */
     std::chrono::milliseconds timeout{0};
     /** An answer within this time is as good as can be. */
@@ -51,6 +51,8 @@
     bool numberedKeys = false;
     /** Requests a second that a cold upstream bears; 0 is not stated. */
     double warmupPerSecond = 0;
+    /** Whether its upstreams get their keys by orders, and not with the answers to their heartbeats. */
+    bool grantsByCall = false;
 };
 
 /**
--- a/src/process/AgentMetrics.cpp
+++ b/src/process/AgentMetrics.cpp
@@ -91,11 +91,11 @@
 
 AgentMetrics::~AgentMetrics() = default;
 
-void AgentMetrics::requestEnded(const std::string &route, bool repeatable, std::string_view outcome, int status)
+void AgentMetrics::requestEnded(const std::string &route, table::RouteKind kind, std::string_view outcome, int status)
 {
     this->parts->requests
         .Add({{"route", Parts::bounded(this->parts->routes, route)},
-              {"kind", repeatable ? "idempotent" : "non_idempotent"},
+              {"kind", table::toText(kind)},
               {"outcome", std::string(outcome)},
               {"status", std::to_string(status)}})
         .Increment();
--- a/src/process/AgentMetrics.h
+++ b/src/process/AgentMetrics.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "table/RouteKind.h"
+
 #include <chrono>
 #include <cstdint>
 #include <memory>
@@ -38,7 +40,7 @@
     AgentMetrics &operator=(const AgentMetrics &) = delete;
 
     /** A caller's request ended. @param outcome "answered" or "refused" */
-    void requestEnded(const std::string &route, bool repeatable, std::string_view outcome, int status);
+    void requestEnded(const std::string &route, table::RouteKind kind, std::string_view outcome, int status);
     /** @param reason how the attempt ended that decided it */
     void refused(std::string_view reason);
     void retried(const std::string &service, double budgetLeft);
--- a/src/process/RequestRunnerAnswers.cpp
+++ b/src/process/RequestRunnerAnswers.cpp
@@ -104,7 +104,10 @@
     if (this->needs.metrics == nullptr || request.origin == Origin::Peer) {
         return;
     }
-    this->needs.metrics->requestEnded(request.parsed.route, agent::mayRepeat(request.state.facts), outcome, status);
+    const table::RouteKind byMethod =
+        agent::mayRepeat(request.state.facts) ? table::RouteKind::Idempotent : table::RouteKind::NonIdempotent;
+    this->needs.metrics->requestEnded(
+        request.parsed.route, request.parsed.kind.value_or(byMethod), outcome, status);
     this->needs.metrics->spent(TimeSpent::Whole, request.state.facts.service, BootClock::now() - request.acceptedAt);
     if (request.state.tries > 1) {
         this->needs.metrics->retried(request.state.facts.service,
--- a/src/table/RouteTable.cpp
+++ b/src/table/RouteTable.cpp
@@ -20,13 +20,25 @@
     return lower;
 }
 
+RouteKind fromWire(wire::RouteKind from)
+{
+    switch (from) {
+    case wire::ROUTE_KIND_IDEMPOTENT:
+        return RouteKind::Idempotent;
+    case wire::ROUTE_KIND_UPLOAD:
+        return RouteKind::Upload;
+    default:
+        return RouteKind::NonIdempotent;
+    }
+}
+
 Route fromWire(const wire::Route &from)
 {
     Route route;
     route.name = from.name();
     route.host = lowerCase(from.host());
     route.prefix = from.prefix();
-    route.idempotent = from.kind() == wire::ROUTE_KIND_IDEMPOTENT;
+    route.kind = fromWire(from.kind());
     route.timeout = milliseconds(from.timeout_ms());
     route.targetLatency = milliseconds(from.target_latency_ms());
     route.priority = from.priority();
@@ -45,6 +57,7 @@
         .maxConnections = from.max_connections(),
         .numberedKeys = from.numbered_keys(),
         .warmupPerSecond = from.warmup_per_second(),
+        .grantsByCall = from.grant_way() == wire::GRANT_WAY_CALL,
     };
 }
 
--- a/src/table/Table.cpp
+++ b/src/table/Table.cpp
@@ -131,6 +131,7 @@
         .sloPercentile = row.sloPercentile.value_or(defaults.sloPercentile),
         .numberedKeys = numbered,
         .warmupPerSecond = routed == nullptr ? 0 : routed->warmupPerSecond,
+        .grantsByCall = routed != nullptr && routed->grantsByCall,
     };
 }
 
--- a/tests/AgentMetricsTest.cpp
+++ b/tests/AgentMetricsTest.cpp
@@ -8,8 +8,8 @@
 TEST_CASE("metrics: requests, refusals and times are told in the Prometheus text format")
 {
     AgentMetrics metrics;
-    metrics.requestEnded("browse", true, "answered", 200);
-    metrics.requestEnded("browse", true, "answered", 200);
+    metrics.requestEnded("browse", bergamotweir::table::RouteKind::Idempotent, "answered", 200);
+    metrics.requestEnded("browse", bergamotweir::table::RouteKind::Idempotent, "answered", 200);
     metrics.refused("no-room");
     metrics.spent(TimeSpent::Queue, "catalogue", 40ms);
     metrics.connectionsOpened(5);
@@ -32,7 +32,7 @@
 {
     AgentMetrics metrics;
     for (int number = 0; number < 3000; ++number) {
-        metrics.requestEnded("route-" + std::to_string(number), false, "refused", 503);
+        metrics.requestEnded("route-" + std::to_string(number), bergamotweir::table::RouteKind::Upload, "refused", 503);
         metrics.spent(TimeSpent::Whole, "service-" + std::to_string(number), 1ms);
     }
     const std::string text = metrics.text();
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -92,6 +92,38 @@
     REQUIRE(json::parse(platform::writeManifest(change.table())) == written);
 }
 
+TEST_CASE("platform: uploads are a kind of their own, and run at most once")
+{
+    std::string text = ManifestText;
+    text.replace(text.find("\"non_idempotent\""), std::string("\"non_idempotent\"").size(), "\"upload\"");
+    const wire::PutRoutes change = platform::readManifest(text, false).value();
+    REQUIRE(change.table().routes(1).kind() == wire::ROUTE_KIND_UPLOAD);
+    const table::RouteTable routes(change.table());
+    const table::Route *upload = routes.find("b.example", "/q/r/x");
+    REQUIRE(upload->kind == table::RouteKind::Upload);
+    REQUIRE_FALSE(table::mayRepeat(upload->kind));
+    text.replace(text.find("\"upload\""), std::string("\"upload\"").size(), "\"download\"");
+    REQUIRE(platform::readManifest(text, false).error().front().place == "route r2");
+}
+
+TEST_CASE("platform: a service says whether its upstreams get their keys by calls or with their heartbeats")
+{
+    const auto manifestWith = [](const std::string &grants) {
+        return R"({"version":"1","base_version":"0","routes":{"columns":[],"rows":[]},)"
+               R"("services":{"columns":["name","health_path","sharded","grants"],"rows":[["s","/h",true,)"
+               + grants + "]]}}";
+    };
+    const auto wayOf = [&](const std::string &grants) {
+        return platform::readManifest(manifestWith(grants), false).value().table().services(0).grant_way();
+    };
+    REQUIRE(wayOf("null") == wire::GRANT_WAY_HEARTBEAT);
+    REQUIRE(wayOf("\"heartbeat\"") == wire::GRANT_WAY_HEARTBEAT);
+    REQUIRE(wayOf("\"call\"") == wire::GRANT_WAY_CALL);
+    const auto unknown = platform::readManifest(manifestWith("\"pigeon\""), false);
+    REQUIRE(unknown.error().front().place == "service s");
+    REQUIRE_FALSE(platform::readManifest(manifestWith("7"), false));
+}
+
 TEST_CASE("platform: a change of named items is read, and two texts never count as one change")
 {
     const std::string text =
