A disowned key is an end of its own; only callers' own requests pay into the retry budget

Cause: each request paid into two budgets, at its origin and at the agent that it was forwarded to, so all agents together could send twice the ratio again. A 421 of an upstream is AttemptEnd::Disowned: truly not run, paid for out of the budget, and nobody is told to come back for room.

--- a/include/agent/AttemptEnd.h
+++ b/include/agent/AttemptEnd.h
@@ -11,6 +11,8 @@
     Answered,
     /** The agent that was asked doesn't own the key, has no lease, or is moving it. */
     NotOwner,
+    /** The upstream refused it: it doesn't hold the key, or is another one than was asked for. */
+    Disowned,
     /** Shed by the gate or by the upstream. */
     NoRoom,
     /** Shed by the gate at the limit that the table sets. */
--- a/src/agent/AttemptEnd.cpp
+++ b/src/agent/AttemptEnd.cpp
@@ -13,8 +13,9 @@
     std::string_view name;
 };
 
-constexpr std::array<NamedEnd, 11> NamedEnds{{{AttemptEnd::Answered, "answered"},
+constexpr std::array<NamedEnd, 12> NamedEnds{{{AttemptEnd::Answered, "answered"},
                                               {AttemptEnd::NotOwner, "not-owner"},
+                                              {AttemptEnd::Disowned, "disowned"},
                                               {AttemptEnd::NoRoom, "no-room"},
                                               {AttemptEnd::OverLimit, "over-limit"},
                                               {AttemptEnd::Quarantined, "quarantined"},
--- a/src/agent/ComeBack.cpp
+++ b/src/agent/ComeBack.cpp
@@ -17,7 +17,7 @@
 
 milliseconds comeBackAfter(AttemptEnd end, pcg32 &random)
 {
-    const bool noOwner = end == AttemptEnd::NotOwner || end == AttemptEnd::NotSent;
+    const bool noOwner = end == AttemptEnd::NotOwner || end == AttemptEnd::Disowned || end == AttemptEnd::NotSent;
     const milliseconds shortest = noOwner ? ShortestForOwner : ShortestForRoom;
     const milliseconds longest = noOwner ? LongestForOwner : LongestForRoom;
     return shortest + milliseconds(random(static_cast<std::uint32_t>((longest - shortest).count())));
--- a/src/agent/RequestStep.cpp
+++ b/src/agent/RequestStep.cpp
@@ -55,6 +55,7 @@
     case AttemptEnd::TimedOut:
         return 504;
     case AttemptEnd::NotOwner:
+    case AttemptEnd::Disowned:
     case AttemptEnd::NoRoom:
     case AttemptEnd::NotSent:
         return 503;
@@ -106,8 +107,12 @@
 
 void start(RequestState &state, const RequestContext &context, Actions &actions)
 {
-    deposit(*context.retries);
-    deposit(*context.hedges);
+    // Guards against a budget that one request pays into twice. It shows as more second sends than the ratio allows:
+    // the agent that a request is forwarded to never sends it again, and would save up for its own callers' requests.
+    if (!state.facts.forwarded) {
+        deposit(*context.retries);
+        deposit(*context.hedges);
+    }
     if (!state.facts.claimed) {
         route(state, actions);
         return;
--- a/src/process/RequestRunnerAnswers.cpp
+++ b/src/process/RequestRunnerAnswers.cpp
@@ -65,6 +65,7 @@
     case AttemptEnd::NoRoom:
     case AttemptEnd::OverLimit:
     case AttemptEnd::NotOwner:
+    case AttemptEnd::Disowned:
     case AttemptEnd::Quarantined:
         agent::noteShed(routing, attempt.upstream, now);
         break;
@@ -106,8 +107,7 @@
     }
     const table::RouteKind byMethod =
         agent::mayRepeat(request.state.facts) ? table::RouteKind::Idempotent : table::RouteKind::NonIdempotent;
-    this->needs.metrics->requestEnded(
-        request.parsed.route, request.parsed.kind.value_or(byMethod), outcome, status);
+    this->needs.metrics->requestEnded(request.parsed.route, request.parsed.kind.value_or(byMethod), outcome, status);
     this->needs.metrics->spent(TimeSpent::Whole, request.state.facts.service, BootClock::now() - request.acceptedAt);
     if (request.state.tries > 1) {
         this->needs.metrics->retried(request.state.facts.service,
--- a/src/process/RequestText.cpp
+++ b/src/process/RequestText.cpp
@@ -105,6 +105,7 @@
 {
     switch (end) {
     case agent::AttemptEnd::NotOwner:
+    case agent::AttemptEnd::Disowned:
         return {"no owner", "nobody serves this key or service now"};
     case agent::AttemptEnd::NoRoom:
         return {"no room", "the upstream can't serve this request in time"};
--- a/tests/RequestStepTest.cpp
+++ b/tests/RequestStepTest.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <map>
+#include <numeric>
 
 using namespace bergamotweir;
 using namespace bergamotweir::agent;
@@ -211,7 +212,7 @@
     return orders;
 }
 
-World accepted(const std::string &method, bool keyed, bool claimed, bool forwarded = false)
+World fresh(const std::string &method, bool keyed, bool claimed, bool forwarded)
 {
     World world;
     world.state.facts = {.service = "enrolments",
@@ -221,6 +222,12 @@
                          .claimed = claimed,
                          .forwarded = forwarded,
                          .deadline = Start + 1s};
+    return world;
+}
+
+World accepted(const std::string &method, bool keyed, bool claimed, bool forwarded = false)
+{
+    World world = fresh(method, keyed, claimed, forwarded);
     act(world, {.kind = EventKind::Accepted}, "accepted");
     return world;
 }
@@ -337,6 +344,66 @@
     REQUIRE(world.state.ran == Ran::Unknown);
 }
 
+/*
+ * An upstream answers 421 for every key: callers wait, and the upstream is sent the same requests again and again. Not
+ * counted as second sends, they outgrew what all agents may send a second time.
+ */
+TEST_CASE("a request that its upstream disowned is sent again only out of the budget")
+{
+    World world = accepted("GET", true, false);
+    world.retries.tokens = 1;
+    act(world, {.kind = EventKind::Routed, .upstream = Far}, "far");
+    act(world, endOf(1, AttemptEnd::Disowned, false), "disowned");
+    REQUIRE(world.state.stage == Stage::Waiting);
+    REQUIRE(world.retries.tokens == 0);
+    act(world, {.kind = EventKind::Woken}, "woken");
+    act(world, {.kind = EventKind::Routed, .upstream = Far}, "far");
+    act(world, endOf(2, AttemptEnd::Disowned, false), "disowned");
+    REQUIRE(world.hasEnded());
+    REQUIRE(world.state.ran == Ran::No);
+}
+
+/*
+ * Fifteen agents, each request forwarded to another one, an upstream that disowns all of them. The upstream is sent
+ * more a second time than the agents' ratio allows where each request pays into two budgets: at the agent where it
+ * began and at the one that it was forwarded to. In any window all agents together keep to the ratio and what they had
+ * saved up.
+ */
+TEST_CASE("agents that share no state keep the common budget of second sends")
+{
+    constexpr std::size_t Agents = 15;
+    constexpr std::size_t PerSecond = 270;
+    constexpr std::size_t Seconds = 30;
+    constexpr std::size_t Window = 10;
+    constexpr double Ratio = 0.1;
+    constexpr double SavedUp = 3;
+    std::vector<RetryBudget> budgets(Agents, RetryBudget{.ratio = Ratio, .most = SavedUp, .tokens = SavedUp});
+    std::vector<RetryBudget> hedges(Agents);
+    pcg32 random{11};
+    std::vector<std::size_t> repeats(Seconds);
+    for (std::size_t number = 0; number < PerSecond * Seconds; ++number) {
+        const std::size_t origin = random(Agents);
+        const RequestContext there{&budgets[(origin + 1) % Agents], &hedges[origin], &random};
+        const RequestContext here{&budgets[origin], &hedges[origin], &random};
+        World forwarded = fresh("GET", true, false, true);
+        step(forwarded.state, {.kind = EventKind::Accepted}, forwarded.now, there);
+        World world = fresh("GET", true, false, false);
+        step(world.state, {.kind = EventKind::Accepted}, world.now, here);
+        for (unsigned attempt = 1; !world.hasEnded(); ++attempt) {
+            step(world.state, {.kind = EventKind::Routed, .upstream = Far}, world.now, here);
+            repeats[number / PerSecond] += attempt > 1 ? 1 : 0;
+            step(world.state, endOf(attempt, AttemptEnd::Disowned, false), world.now, here);
+            world.now += 20ms;
+            step(world.state, {.kind = EventKind::Woken}, world.now, here);
+        }
+    }
+    for (std::size_t first = 0; first + Window <= Seconds; ++first) {
+        const auto begin = repeats.begin() + static_cast<std::ptrdiff_t>(first);
+        const std::size_t sent = std::accumulate(begin, begin + Window, std::size_t{0});
+        CHECK(static_cast<double>(sent) <= Ratio * PerSecond * Window + SavedUp * Agents);
+    }
+}
+
 TEST_CASE("the first answer of a hedged read wins and the loser is cancelled")
 {
     World world = accepted("GET", false, false);
