--- a/include/agent/Ownership.h
+++ b/include/agent/Ownership.h
@@ -22,6 +22,8 @@
     std::uint64_t first = 0;
     std::uint64_t last = 0;
     std::uint64_t epoch = 0;
+    /** The upstream is known to hold it at this moment; otherwise it only may. */
+    bool confirmed = true;
 
     bool operator==(const HeldRange &other) const = default;
 };
@@ -89,9 +91,12 @@
                  std::uint64_t hash,
                  BootTime now);
 
-/** @return whether one of the ranges, under the slice's epoch, covers all of the slice */
+/** @return whether one of the ranges that are surely held, under the slice's epoch, covers all of the slice */
 bool covers(const std::vector<HeldRange> &held, const RouteMap &map, std::string_view service, const Slice &slice);
 
+/** The upstream said that it doesn't hold a key that it was believed to hold: not believed until it is told again. */
+void disowned(Ownership &ownership, std::string_view service, std::uint64_t hash);
+
 /** Counts work on a key from its dispatch until it has surely ended; endWork() is called with the same key. */
 void beginWork(Ownership &ownership, const std::string &service, std::uint64_t hash);
 void endWork(Ownership &ownership, const std::string &service, std::uint64_t hash);
--- a/include/process/AgentProtocol.h
+++ b/include/process/AgentProtocol.h
@@ -6,6 +6,7 @@
 #include "net/HttpCall.h"
 #include "net/HttpRequest.h"
 #include "process/Heartbeat.h"
+#include "process/OrderAnswer.h"
 #include "process/ParsedRequest.h"
 #include "process/RequestOrder.h"
 
@@ -65,14 +66,21 @@
     /** @return the acknowledgement of a heartbeat */
     net::HttpAnswer (*answerHeartbeat)(const HeartbeatAnswer &answer) = nullptr;
 
+    /** @return the call that carries an order about keys to the upstream */
+    net::HttpCall (*orderCall)(const Announcement &upstream, const agent::GrantOrder &order) = nullptr;
+
+    /** @return what became of such an order */
+    OrderAnswer (*readOrderAnswer)(const net::CallResult &result) = nullptr;
+
     /** @return a call that asks the upstream whether it is well */
     net::HttpCall (*healthCall)(const std::string &address,
                                 const std::string &path,
                                 std::chrono::milliseconds timeout) = nullptr;
 
     /**
-     * Whether grants travel in the answers to heartbeats and a request is given up by closing its connection. Otherwise
-     * the agent sends the upstream orders of its own, and asks it for its health all the time.
+     * Whether upstreams send heartbeats, which carry their grants unless the table says otherwise, and a request is
+     * given up by closing its connection. Otherwise the agent sends the upstream orders of its own, and asks it for its
+     * health all the time.
      */
     bool byHeartbeat = false;
 };
--- /dev/null
+++ b/src/agent/GrantOrders.cpp
@@ -0,0 +1,265 @@
+#include "agent/GrantOrders.h"
+
+#include <algorithm>
+
+namespace bergamotweir::agent {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+milliseconds scaled(milliseconds time, double factor)
+{
+    return milliseconds(static_cast<milliseconds::rep>(static_cast<double>(time.count()) * factor));
+}
+
+bool overlap(const HeldRange &one, const HeldRange &other)
+{
+    return one.first <= other.last && other.first <= one.last;
+}
+
+bool isSame(const HeldRange &one, const HeldRange &other)
+{
+    return one.first == other.first && one.last == other.last && one.epoch == other.epoch;
+}
+
+bool contains(const HeldRange &outer, const HeldRange &inner)
+{
+    return outer.first <= inner.first && inner.last <= outer.last && outer.epoch == inner.epoch;
+}
+
+/** @return whether an order on any of the range's keys is under way */
+bool isBusy(const GrantOrders &orders, const HeldRange &range)
+{
+    return std::any_of(orders.open.begin(), orders.open.end(), [&](const GrantOrder &order) {
+        return overlap(order.range, range);
+    });
+}
+
+bool isOutdated(const GrantOrders &orders, const HeldRange &range)
+{
+    return std::any_of(orders.outdated.begin(), orders.outdated.end(), [&](const HeldRange &refused) {
+        return overlap(refused, range) && range.epoch <= refused.epoch;
+    });
+}
+
+KeyHold *holdOf(GrantOrders &orders, const HeldRange &range)
+{
+    const auto found = std::find_if(orders.holds.begin(), orders.holds.end(), [&](const KeyHold &hold) {
+        return isSame(hold.range, range);
+    });
+    return found == orders.holds.end() ? nullptr : &*found;
+}
+
+/** @return until when the range is surely held as a whole, by a grant of its own or of a wider range */
+BootTime surelyHeldUntil(const GrantOrders &orders, const HeldRange &range)
+{
+    BootTime until;
+    for (const KeyHold &hold : orders.holds) {
+        if (contains(hold.range, range)) {
+            until = std::max(until, hold.surelyUntil);
+        }
+    }
+    return until;
+}
+
+/** @return how long a grant sent now may hold; nothing when it isn't worth sending */
+milliseconds holdWithin(const GrantTimes &times, BootTime leaseUntil, BootTime now)
+{
+    const auto left = std::chrono::duration_cast<milliseconds>(leaseUntil - now) - times.grantTimeout;
+    const milliseconds hold = std::min(times.hold, scaled(left, 1 / (1 + times.slowClock)));
+    return hold < times.shortestHold ? milliseconds(0) : hold;
+}
+
+void addOrder(GrantOrders &orders, GrantOrder order, std::vector<GrantOrder> &due)
+{
+    order.id = ++orders.lastId;
+    orders.open.push_back(order);
+    due.push_back(std::move(order));
+}
+
+void grantDue(
+    GrantOrders &orders, const WantedKeys &wanted, milliseconds holdFor, BootTime now, std::vector<GrantOrder> &due)
+{
+    KeyHold *hold = holdOf(orders, wanted.range);
+    const bool isEarly = hold != nullptr && now < hold->nextOrder;
+    const bool lasts = surelyHeldUntil(orders, wanted.range) - now > orders.times.renewBelow;
+    if (isEarly || lasts || isBusy(orders, wanted.range) || isOutdated(orders, wanted.range)) {
+        return;
+    }
+    if (hold == nullptr) {
+        orders.holds.emplace_back().range = wanted.range;
+        hold = &orders.holds.back();
+    }
+    const BootTime latestEnd = now + orders.times.grantTimeout + scaled(holdFor, 1 + orders.times.slowClock);
+    hold->perhapsUntil = std::max(hold->perhapsUntil, latestEnd);
+    GrantOrder order;
+    order.kind = OrderKind::Grant;
+    order.range = wanted.range;
+    order.holdFor = holdFor;
+    order.handover = wanted.handover;
+    order.sentAt = now;
+    addOrder(orders, std::move(order), due);
+}
+
+void releaseDue(GrantOrders &orders, const HeldRange &unwanted, BootTime now, std::vector<GrantOrder> &due)
+{
+    bool held = false;
+    for (const KeyHold &hold : orders.holds) {
+        const bool ofRange = overlap(hold.range, unwanted) && hold.range.epoch <= unwanted.epoch;
+        held = held || (ofRange && now >= hold.nextOrder && !hold.released);
+    }
+    if (held && !isBusy(orders, unwanted)) {
+        GrantOrder order;
+        order.kind = OrderKind::Release;
+        order.range = unwanted;
+        order.sentAt = now;
+        addOrder(orders, std::move(order), due);
+    }
+}
+
+void grantEnded(GrantOrders &orders, const GrantOrder &order, OrderEnd end, BootTime now)
+{
+    KeyHold *hold = holdOf(orders, order.range);
+    if (end == OrderEnd::Outdated) {
+        orders.outdated.push_back(order.range);
+    }
+    if (hold == nullptr) {
+        return;
+    }
+    if (end == OrderEnd::Done) {
+        hold->surelyUntil = order.sentAt + order.holdFor;
+        return;
+    }
+    hold->nextOrder = now + orders.times.retryAfter;
+    if (end == OrderEnd::Unknown) {
+        const milliseconds longest = scaled(order.holdFor, 1 + orders.times.slowClock);
+        hold->unansweredUntil = std::max(hold->unansweredUntil, order.sentAt + orders.times.grantTimeout + longest);
+    }
+}
+
+/** Takes the keys of an answered release out of a hold; what unanswered grants may still do to them stays. */
+void cut(const KeyHold &hold, const HeldRange &freed, std::vector<KeyHold> &left)
+{
+    if (!overlap(hold.range, freed) || hold.range.epoch > freed.epoch) {
+        left.push_back(hold);
+        return;
+    }
+    if (hold.range.first < freed.first) {
+        KeyHold before = hold;
+        before.range.last = freed.first - 1;
+        left.push_back(before);
+    }
+    if (freed.last < hold.range.last) {
+        KeyHold after = hold;
+        after.range.first = freed.last + 1;
+        left.push_back(after);
+    }
+    KeyHold within = hold;
+    within.range.first = std::max(hold.range.first, freed.first);
+    within.range.last = std::min(hold.range.last, freed.last);
+    within.surelyUntil = {};
+    within.released = true;
+    within.perhapsUntil = hold.unansweredUntil;
+    left.push_back(within);
+}
+
+void releaseEnded(GrantOrders &orders, const GrantOrder &order, OrderEnd end, BootTime now)
+{
+    if (end != OrderEnd::Done) {
+        for (KeyHold &hold : orders.holds) {
+            if (overlap(hold.range, order.range)) {
+                hold.nextOrder = now + orders.times.retryAfter;
+            }
+        }
+        return;
+    }
+    std::vector<KeyHold> left;
+    for (const KeyHold &hold : orders.holds) {
+        cut(hold, order.range, left);
+    }
+    orders.holds = std::move(left);
+}
+
+} // namespace
+
+std::vector<GrantOrder> ordersDue(GrantOrders &orders,
+                                  const std::vector<WantedKeys> &wanted,
+                                  const std::vector<HeldRange> &unwanted,
+                                  BootTime leaseUntil,
+                                  BootTime now)
+{
+    std::vector<GrantOrder> due;
+    for (const HeldRange &range : unwanted) {
+        releaseDue(orders, range, now, due);
+    }
+    const milliseconds holdFor = holdWithin(orders.times, leaseUntil, now);
+    if (holdFor.count() == 0) {
+        return due;
+    }
+    for (const WantedKeys &keys : wanted) {
+        grantDue(orders, keys, holdFor, now, due);
+    }
+    return due;
+}
+
+void orderEnded(GrantOrders &orders, OrderId id, OrderEnd end, BootTime now)
+{
+    const auto found = std::find_if(orders.open.begin(), orders.open.end(), [&](const GrantOrder &order) {
+        return order.id == id;
+    });
+    if (found == orders.open.end()) {
+        return;
+    }
+    const GrantOrder order = *found;
+    orders.open.erase(found);
+    if (order.kind == OrderKind::Grant) {
+        grantEnded(orders, order, end, now);
+    } else {
+        releaseEnded(orders, order, end, now);
+    }
+}
+
+void disowned(GrantOrders &orders, std::uint64_t hash)
+{
+    for (KeyHold &hold : orders.holds) {
+        if (hold.range.first <= hash && hash <= hold.range.last) {
+            hold.surelyUntil = {};
+        }
+    }
+}
+
+std::vector<HeldRange> heldNow(GrantOrders &orders, BootTime now)
+{
+    std::erase_if(orders.holds, [&](const KeyHold &hold) {
+        return hold.perhapsUntil <= now;
+    });
+    std::vector<HeldRange> held;
+    for (const KeyHold &hold : orders.holds) {
+        held.push_back(hold.range);
+        held.back().confirmed = now < hold.surelyUntil;
+    }
+    return held;
+}
+
+BootTime nextLook(const GrantOrders &orders, BootTime now)
+{
+    BootTime next = BootTime::max();
+    for (const KeyHold &hold : orders.holds) {
+        const BootTime renewal = hold.surelyUntil - orders.times.renewBelow;
+        for (const BootTime moment : {hold.nextOrder, renewal, hold.surelyUntil, hold.perhapsUntil}) {
+            if (moment > now) {
+                next = std::min(next, moment);
+            }
+        }
+    }
+    return next;
+}
+
+void forgetAll(GrantOrders &orders)
+{
+    orders.holds.clear();
+    orders.open.clear();
+}
+
+} // namespace bergamotweir::agent
--- a/src/agent/Ownership.cpp
+++ b/src/agent/Ownership.cpp
@@ -116,7 +116,7 @@
 {
     const std::uint64_t last = lastHashOf(map, service, slice);
     return std::any_of(held.begin(), held.end(), [&](const HeldRange &range) {
-        return range.first <= slice.begin && last <= range.last && range.epoch == slice.epoch;
+        return range.confirmed && range.first <= slice.begin && last <= range.last && range.epoch == slice.epoch;
     });
 }
 
@@ -131,6 +131,19 @@
     return checkOwnership(ownership, map, lease, service, hash, now, &slice) == Refusal::None;
 }
 
+void disowned(Ownership &ownership, std::string_view service, std::uint64_t hash)
+{
+    const auto held = ownership.held.find(service);
+    if (held == ownership.held.end()) {
+        return;
+    }
+    for (HeldRange &range : held->second) {
+        if (range.first <= hash && hash <= range.last) {
+            range.confirmed = false;
+        }
+    }
+}
+
 void beginWork(Ownership &ownership, const std::string &service, std::uint64_t hash)
 {
     ownership.work[service].insert(hash);
--- a/src/process/AgentProcess.cpp
+++ b/src/process/AgentProcess.cpp
@@ -178,6 +178,7 @@
     };
     events.revoked = [this](const wire::Revoke &order) {
         if (this->state.protocol->byHeartbeat) {
+            this->sendGrants();
             return;
         }
         for (const auto &[name, upstream] : this->upstreams) {
@@ -189,6 +190,7 @@
     };
     events.renewed = [this] {
         if (this->state.protocol->byHeartbeat) {
+            this->sendGrants();
             return;
         }
         for (const auto &[name, upstream] : this->upstreams) {
@@ -275,11 +277,12 @@
 
 void AgentProcess::sendGrants()
 {
-    if (this->state.protocol->byHeartbeat) {
-        return;
-    }
     for (const auto &[name, upstream] : this->upstreams) {
-        upstream->sendGrants();
+        if (this->state.protocol->byHeartbeat) {
+            upstream->lookAtGrants();
+        } else {
+            upstream->sendGrants();
+        }
     }
 }
 
--- a/src/process/AgentProcessUpstreams.cpp
+++ b/src/process/AgentProcessUpstreams.cpp
@@ -131,6 +131,10 @@
     events.workEnded = [this] {
         this->control->tellReleased();
     };
+    events.holdsChanged = [this] {
+        this->control->tellReleased();
+        this->runner->stateChanged();
+    };
     events.decided = [this](agent::TicketId ticket, bool admitted) {
         this->runner->gateDecided(ticket, admitted);
     };
--- /dev/null
+++ b/src/process/CallGrants.cpp
@@ -0,0 +1,203 @@
+#include "process/CallGrants.h"
+
+#include "base/KeyHash.h"
+#include "loop/Log.h"
+#include "loop/LogEvent.h"
+#include "process/AgentProtocol.h"
+#include "process/AgentState.h"
+
+#include <algorithm>
+
+namespace bergamotweir::process {
+
+namespace {
+
+constexpr loop::Log Log("grants");
+
+const char *toText(agent::OrderEnd end)
+{
+    switch (end) {
+    case agent::OrderEnd::Done:
+        return "done";
+    case agent::OrderEnd::Outdated:
+        return "outdated";
+    case agent::OrderEnd::NotTaken:
+        return "not-taken";
+    case agent::OrderEnd::Unknown:
+        break;
+    }
+    return "unknown";
+}
+
+/** Neighbours of one epoch that have no handovers to tell share an order. */
+void addWanted(std::vector<agent::WantedKeys> &wanted, agent::WantedKeys keys)
+{
+    if (!wanted.empty()) {
+        agent::WantedKeys &before = wanted.back();
+        const bool plain = before.handover.empty() && keys.handover.empty() && before.range.epoch == keys.range.epoch;
+        if (plain && before.range.last + 1 == keys.range.first) {
+            before.range.last = keys.range.last;
+            return;
+        }
+    }
+    wanted.push_back(std::move(keys));
+}
+
+} // namespace
+
+CallGrants::CallGrants(loop::EventLoop &loop, AgentState &state, net::HttpClient &client, CallGrantsEvents events)
+    : loop(loop)
+    , state(state)
+    , client(client)
+    , events(std::move(events))
+    , alive(std::make_shared<bool>(true))
+{
+}
+
+CallGrants::~CallGrants()
+{
+    *this->alive = false;
+    this->loop.cancel(this->timer);
+}
+
+void CallGrants::look(const Announcement &upstream, std::uint32_t id, bool serving)
+{
+    this->upstream = upstream;
+    this->id = id;
+    this->serving = serving;
+    this->lookAgain();
+}
+
+void CallGrants::lookAgain()
+{
+    const BootTime now = BootClock::now();
+    const std::vector<agent::GrantOrder> due =
+        agent::ordersDue(this->orders, this->wanted(), this->unwanted(), this->state.lease.validUntil, now);
+    const bool changed = this->publish();
+    for (const agent::GrantOrder &order : due) {
+        this->send(order);
+    }
+    this->loop.cancel(this->timer);
+    this->timer = 0;
+    if (const BootTime next = agent::nextLook(this->orders, now); next != BootTime::max()) {
+        this->timer = this->loop.after(next - now, [this] {
+            this->timer = 0;
+            this->lookAgain();
+        });
+    }
+    if (changed) {
+        this->events.changed();
+    }
+}
+
+/** @return whether what the upstream may or surely does hold differs from what was known before */
+bool CallGrants::publish()
+{
+    std::vector<agent::HeldRange> held = agent::heldNow(this->orders, BootClock::now());
+    std::vector<agent::HeldRange> &known = this->state.ownership.held[this->upstream.service];
+    if (held == known) {
+        return false;
+    }
+    known = std::move(held);
+    return true;
+}
+
+void CallGrants::send(const agent::GrantOrder &order)
+{
+    net::HttpCall call = this->state.protocol->orderCall(this->upstream, order);
+    const agent::GrantTimes &times = this->orders.times;
+    call.timeout = order.kind == agent::OrderKind::Grant ? times.grantTimeout : times.releaseTimeout;
+    call.connectTimeout = times.grantTimeout;
+    this->client.send(std::move(call), [this, order, alive = this->alive](const net::CallResult &result) {
+        if (*alive) {
+            this->ended(order, this->state.protocol->readOrderAnswer(result));
+        }
+    });
+}
+
+void CallGrants::ended(const agent::GrantOrder &order, const OrderAnswer &answer)
+{
+    const BootTime now = BootClock::now();
+    agent::orderEnded(this->orders, order.id, answer.end, now);
+    const bool isGrant = order.kind == agent::OrderKind::Grant;
+    if (!isGrant || answer.end != agent::OrderEnd::Done) {
+        Log.event(answer.end == agent::OrderEnd::Done ? loop::LogLevel::Info : loop::LogLevel::Warn,
+                  isGrant ? "grant failed" : "release ended",
+                  loop::OrdinaryBound)
+            .with("upstream", this->upstream.name)
+            .with("first_key", order.range.first / KeyGrain)
+            .with("last_key", order.range.last / KeyGrain)
+            .with("epoch", order.range.epoch)
+            .with("end", toText(answer.end))
+            .with("took_ms", now - order.sentAt);
+    }
+    if (!isGrant && answer.end == agent::OrderEnd::Done) {
+        this->noteHandover(order, answer.handover);
+    }
+    this->lookAgain();
+}
+
+void CallGrants::noteHandover(const agent::GrantOrder &order, const std::string &handover)
+{
+    agent::Ownership &ownership = this->state.ownership;
+    for (const agent::SliceKey &key : ownership.revoked) {
+        const bool inRange = order.range.first <= key.begin && key.begin <= order.range.last;
+        if (key.service == this->upstream.service && inRange && !handover.empty()) {
+            ownership.handovers[key] = handover;
+        }
+    }
+}
+
+std::vector<agent::WantedKeys> CallGrants::wanted() const
+{
+    std::vector<agent::WantedKeys> wanted;
+    const auto slices = this->state.map.slices.find(this->upstream.service);
+    if (this->id == 0 || !this->serving || slices == this->state.map.slices.end()) {
+        return wanted;
+    }
+    const agent::Ownership &ownership = this->state.ownership;
+    for (const agent::Slice &slice : slices->second) {
+        if (slice.owner != this->id) {
+            continue;
+        }
+        const agent::SliceKey key{this->upstream.service, slice.begin, slice.epoch};
+        if (ownership.released.contains(key) || ownership.revoked.contains(key)) {
+            continue;
+        }
+        const std::uint64_t last = agent::lastHashOf(this->state.map, this->upstream.service, slice);
+        addWanted(wanted, {{slice.begin, last, slice.epoch}, slice.handover});
+    }
+    return wanted;
+}
+
+/** Revoked slices get no new work from now on. */
+std::vector<agent::HeldRange> CallGrants::unwanted()
+{
+    std::vector<agent::HeldRange> unwanted;
+    agent::Ownership &ownership = this->state.ownership;
+    for (const agent::SliceKey &key : ownership.revoked) {
+        if (key.service != this->upstream.service) {
+            continue;
+        }
+        agent::Slice slice;
+        slice.begin = key.begin;
+        unwanted.push_back({key.begin, agent::lastHashOf(this->state.map, key.service, slice), key.epoch});
+        ownership.withheld.insert(key);
+    }
+    return unwanted;
+}
+
+void CallGrants::disowned(std::uint64_t hash)
+{
+    agent::disowned(this->orders, hash);
+    this->lookAgain();
+}
+
+void CallGrants::processEnded()
+{
+    agent::forgetAll(this->orders);
+    this->loop.cancel(this->timer);
+    this->timer = 0;
+}
+
+} // namespace bergamotweir::process
--- a/src/process/LocalUpstream.cpp
+++ b/src/process/LocalUpstream.cpp
@@ -90,6 +90,13 @@
     , latest(std::move(announcement))
     , events(std::move(events))
     , client(loop, clientSettings(state, this->latest))
+    , callGrants(loop,
+                 state,
+                 this->client,
+                 {.changed =
+                      [this] {
+                          this->events.holdsChanged();
+                      }})
     , gate(agent::makeGate(gateSettings(state, this->latest), BootClock::now()))
     , lastAnnounced(BootClock::now())
     , lastAnswer(this->lastAnnounced)
@@ -259,6 +266,9 @@
             this->slowness = *said;
             this->slownessAt = this->lastAnswer;
         }
+        if (outcome.end == agent::AttemptEnd::Disowned) {
+            this->noteDisowned(found->second.request);
+        }
         const bool shed = outcome.end == agent::AttemptEnd::NoRoom;
         this->endWork(ticket, shed ? agent::WorkEnd::Shed : agent::WorkEnd::Answered, outcome.mayHaveRun);
     } else if (!outcome.mayHaveRun) {
--- a/src/process/LocalUpstream.h
+++ b/src/process/LocalUpstream.h
@@ -4,6 +4,7 @@
 #include "loop/EventLoop.h"
 #include "loop/LogEvent.h"
 #include "net/HttpClient.h"
+#include "process/CallGrants.h"
 #include "process/Heartbeat.h"
 #include "process/UpstreamProtocol.h"
 
@@ -53,6 +54,8 @@
     std::function<void(const wire::ReportCrash &)> crashed;
     /** Work ended: a revoked slice may be free. */
     std::function<void()> workEnded;
+    /** It holds other keys than before: requests may go on, and a revoked slice may be free. */
+    std::function<void()> holdsChanged;
     /** A heartbeat came behind a newer one. */
     std::function<void()> heartbeatLate;
     /** A waiting ticket was let through, or shed. */
@@ -89,6 +92,9 @@
     /** Starts from what the agent before this one had learned, once, as soon as control's state is known. */
     void resumeLimit();
 
+    /** Sends the grants and releases that map and lease ask for now, by calls; to be called after each change. */
+    void lookAtGrants();
+
     /** Sends the grants that map and lease allow now; to be called after each change. */
     void sendGrants();
 
@@ -151,6 +157,8 @@
     std::vector<KeyGrant> grantKeys();
     void noteHeld(const std::vector<KeyGrant> &grants, std::chrono::milliseconds holdFor);
     void holdsEnded();
+    bool grantsByCall() const;
+    void noteDisowned(const Dispatch &request);
     void setStatus(UpstreamStatus status);
     void moveQueue();
     void armQueueTimer();
@@ -161,6 +169,7 @@
     Announcement latest;
     LocalUpstreamEvents events;
     net::HttpClient client;
+    CallGrants callGrants;
     agent::Gate gate;
     bool mayResume = true;
     std::map<agent::TicketId, Work> work;
--- a/src/process/LocalUpstreamHolds.cpp
+++ b/src/process/LocalUpstreamHolds.cpp
@@ -1,5 +1,6 @@
 #include "base/KeyHash.h"
 #include "loop/Log.h"
+#include "loop/LogEvent.h"
 #include "process/AgentProtocol.h"
 #include "process/AgentState.h"
 #include "process/LocalUpstream.h"
@@ -71,7 +72,7 @@
     }
     const bool differs = heartbeat.announcement != this->latest;
     this->latest = heartbeat.announcement;
-    if (!heartbeat.farewell) {
+    if (!heartbeat.farewell && !this->grantsByCall()) {
         this->holdsReported(heartbeat);
     }
     if (this->present == UpstreamStatus::Frozen) {
@@ -88,6 +89,10 @@
         this->events.changed();
     }
     HeartbeatAnswer answer;
+    if (this->grantsByCall()) {
+        this->lookAtGrants();
+        return answer;
+    }
     const auto left = std::chrono::duration_cast<milliseconds>(this->state.lease.validUntil - now);
     const auto hold = milliseconds(static_cast<milliseconds::rep>(static_cast<double>(left.count()) / (1 + SlowClock)));
     if (heartbeat.farewell || this->present != UpstreamStatus::Serving || hold < ShortestHold) {
@@ -163,8 +168,37 @@
     });
 }
 
+bool LocalUpstream::grantsByCall() const
+{
+    return this->state.table.service(this->latest.service).grantsByCall;
+}
+
+void LocalUpstream::lookAtGrants()
+{
+    if (this->present != UpstreamStatus::Crashed && this->grantsByCall()) {
+        this->callGrants.look(this->latest, this->id(), this->present == UpstreamStatus::Serving);
+    }
+}
+
+void LocalUpstream::noteDisowned(const Dispatch &request)
+{
+    Log.event(loop::LogLevel::Warn, "key disowned by the upstream", loop::FailureBound)
+        .with("request", request.requestId)
+        .with("upstream", this->latest.name)
+        .with("keyed", request.keyed)
+        .with("epoch", request.epoch);
+    if (!request.keyed) {
+        return;
+    }
+    agent::disowned(this->state.ownership, request.service, request.hash);
+    if (this->grantsByCall()) {
+        this->callGrants.disowned(request.hash);
+    }
+}
+
 void LocalUpstream::holdsEnded()
 {
+    this->callGrants.processEnded();
     this->loop.cancel(this->holdTimer);
     this->holdTimer = 0;
     this->state.ownership.held.erase(this->latest.service);
--- /dev/null
+++ b/tests/GrantExplorerTest.cpp
@@ -0,0 +1,428 @@
+#include "agent/GrantOrders.h"
+#include "agent/Lease.h"
+#include "agent/RouteMap.h"
+
+#include <catch2/catch.hpp>
+
+#include <array>
+#include <cstdio>
+#include <optional>
+#include <sstream>
+#include <unordered_set>
+
+using namespace bergamotweir;
+using namespace bergamotweir::agent;
+using namespace std::chrono_literals;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds Step{100};
+constexpr milliseconds LeaseLength{600};
+/** Control waits so much longer than a lease before it gives keys away. */
+constexpr milliseconds Margin{100};
+constexpr const char *Service = "seats";
+constexpr std::uint64_t LastHash = ~std::uint64_t{0};
+constexpr std::size_t Sides = 2;
+
+/** Guards that a world may lack, to show that the explorer finds what they prevent. */
+enum class Without { Nothing, UnansweredGrants, LeaseBound, Predecessor, AnswerOfRelease };
+
+/** Short times, so that few steps go through a whole lease; their order is the product's. */
+GrantTimes shortTimes()
+{
+    GrantTimes times;
+    times.hold = 200ms;
+    times.shortestHold = 100ms;
+    times.renewBelow = 150ms;
+    times.grantTimeout = Step;
+    times.releaseTimeout = Step;
+    times.retryAfter = Step;
+    return times;
+}
+
+/** An order on its way to an upstream. */
+struct Sent {
+    GrantOrder order;
+    /** Nobody waits for its answer any more. */
+    bool late = false;
+};
+
+/** An upstream's own process. */
+struct Process {
+    std::uint64_t epoch = 0;
+    std::uint64_t highestSeen = 0;
+    BootTime until;
+};
+
+/** One upstream and the agent beside it, which runs the real functions. */
+struct Side {
+    Process process;
+    std::vector<Sent> sent;
+    GrantOrders orders;
+    Ownership ownership;
+    RouteMap map;
+    BootTime leaseUntil;
+    BootTime startedAt;
+    bool cut = false;
+};
+
+/** Control as far as it matters here: one slice, its owner and epoch, and whose lease it must wait for. */
+struct World {
+    std::array<Side, Sides> sides;
+    BootTime now{100s};
+    std::size_t owner = 0;
+    std::uint64_t epoch = 1;
+    std::array<BootTime, Sides> renewedAt{};
+    bool moving = false;
+    unsigned restarts = 0;
+    Without without = Without::Nothing;
+};
+
+void tellOwner(World &world, Side &side)
+{
+    wire::StateUpdate state;
+    state.mutable_version()->set_index(world.epoch);
+    state.set_full(true);
+    wire::ServiceSlices &slices = *state.add_services();
+    slices.set_service(Service);
+    wire::SliceOwner &slice = *slices.add_slices();
+    slice.set_owner(static_cast<std::uint32_t>(world.owner + 1));
+    slice.set_epoch(world.epoch);
+    apply(side.map, state);
+    forgetOldEpochs(side.ownership, side.map);
+}
+
+void giveTo(World &world, std::size_t owner)
+{
+    world.owner = owner;
+    world.epoch++;
+    world.moving = false;
+    for (Side &side : world.sides) {
+        if (!side.cut) {
+            tellOwner(world, side);
+        }
+    }
+}
+
+void publish(World &world, Side &side)
+{
+    if (world.without == Without::UnansweredGrants) {
+        for (KeyHold &hold : side.orders.holds) {
+            hold.unansweredUntil = {};
+        }
+    }
+    side.ownership.held[Service] = heldNow(side.orders, world.now);
+    const bool ended = world.without == Without::Predecessor || world.now >= side.startedAt + LeaseLength;
+    side.ownership.grantsOfPredecessorEnded = ended;
+}
+
+/** The agent's turn: orders that are due, and slices that it can give back. */
+void act(World &world, std::size_t number)
+{
+    Side &side = world.sides.at(number);
+    const auto slice = findSlice(side.map, Service, 0);
+    std::vector<WantedKeys> wanted;
+    std::vector<HeldRange> unwanted;
+    const SliceKey key{Service, 0, slice ? slice->epoch : 0};
+    const bool given = side.ownership.revoked.contains(key) || side.ownership.released.contains(key);
+    if (slice && slice->owner == number + 1 && !given) {
+        wanted.push_back({{0, LastHash, slice->epoch}, {}});
+    }
+    for (const SliceKey &revoked : side.ownership.revoked) {
+        unwanted.push_back({0, LastHash, revoked.epoch});
+        side.ownership.withheld.insert(revoked);
+    }
+    const BootTime lease = world.without == Without::LeaseBound ? world.now + 1h : side.leaseUntil;
+    for (const GrantOrder &order : ordersDue(side.orders, wanted, unwanted, lease, world.now)) {
+        side.sent.push_back({order});
+    }
+    publish(world, side);
+    if (side.cut) {
+        return;
+    }
+    const wire::Released released = takeReleased(side.ownership, side.map);
+    const bool isCurrent = released.slices_size() > 0 && released.slices(0).epoch() == world.epoch;
+    if (isCurrent && world.owner == number) {
+        giveTo(world, 1 - number);
+    }
+}
+
+/** An upstream carries an order out, its time counted from its arrival. */
+OrderEnd carryOut(World &world, Process &process, const GrantOrder &order)
+{
+    if (order.kind == OrderKind::Release) {
+        if (process.epoch <= order.range.epoch) {
+            process.until = {};
+        }
+        return OrderEnd::Done;
+    }
+    if (order.range.epoch < process.highestSeen) {
+        return OrderEnd::Outdated;
+    }
+    const auto slow = milliseconds(static_cast<int>(static_cast<double>(order.holdFor.count()) * 1.02));
+    const BootTime until = order.sentAt + slow;
+    process.highestSeen = order.range.epoch;
+    process.epoch = order.range.epoch;
+    process.until = until > world.now ? until : BootTime();
+    return OrderEnd::Done;
+}
+
+void advance(World &world)
+{
+    world.now += Step;
+    for (std::size_t number = 0; number < Sides; ++number) {
+        Side &side = world.sides.at(number);
+        for (Sent &sent : side.sent) {
+            if (!sent.late) {
+                sent.late = true;
+                const bool believed =
+                    world.without == Without::AnswerOfRelease && sent.order.kind == OrderKind::Release;
+                orderEnded(side.orders, sent.order.id, believed ? OrderEnd::Done : OrderEnd::Unknown, world.now);
+            }
+        }
+        std::erase_if(side.sent, [&](const Sent &sent) {
+            return world.now - sent.order.sentAt > LeaseLength;
+        });
+        if (!side.cut) {
+            side.leaseUntil = world.now + LeaseLength;
+            world.renewedAt.at(number) = world.now;
+        }
+    }
+    const bool ownerIsCut = world.sides.at(world.owner).cut;
+    if (ownerIsCut && world.now > world.renewedAt.at(world.owner) + LeaseLength + Margin) {
+        giveTo(world, 1 - world.owner);
+    }
+}
+
+void answer(World &world, Side &side, std::size_t index, bool told)
+{
+    const Sent sent = side.sent.at(index);
+    const OrderEnd end = carryOut(world, side.process, sent.order);
+    if (told) {
+        side.sent.erase(side.sent.begin() + static_cast<std::ptrdiff_t>(index));
+        orderEnded(side.orders, sent.order.id, end, world.now);
+        return;
+    }
+    orderEnded(side.orders, sent.order.id, OrderEnd::Unknown, world.now);
+    side.sent.erase(side.sent.begin() + static_cast<std::ptrdiff_t>(index));
+}
+
+void beginMove(World &world)
+{
+    world.moving = true;
+    wire::Revoke order;
+    wire::SliceRef &slice = *order.add_slices();
+    slice.set_service(Service);
+    slice.set_epoch(world.epoch);
+    revoke(world.sides.at(world.owner).ownership, order);
+}
+
+void restartAgent(World &world, std::size_t number)
+{
+    Side &side = world.sides.at(number);
+    world.restarts++;
+    side.orders = GrantOrders{.times = shortTimes(), .holds = {}, .open = {}, .outdated = {}};
+    side.ownership = Ownership{};
+    side.ownership.upstreamsHold = true;
+    side.ownership.ownUpstreams = {static_cast<std::uint32_t>(number + 1)};
+    side.map = RouteMap{};
+    side.startedAt = world.now;
+    side.leaseUntil = side.cut ? BootTime() : world.now + LeaseLength;
+    for (Sent &sent : side.sent) {
+        sent.late = true;
+    }
+    if (!side.cut) {
+        world.renewedAt.at(number) = world.now;
+        tellOwner(world, side);
+        if (world.moving && world.owner == number) {
+            beginMove(world);
+        }
+    }
+}
+
+/** The upstream's process ends and starts again; its agent hears of it, and control gives a new epoch. */
+void restartProcess(World &world, std::size_t number)
+{
+    Side &side = world.sides.at(number);
+    world.restarts++;
+    side.process = {};
+    side.sent.clear();
+    forgetAll(side.orders);
+    publish(world, side);
+    if (world.owner == number && !side.cut) {
+        giveTo(world, number);
+    }
+}
+
+/** Does the event of that number, if there is one. @return whether there was */
+bool happen(World &world, unsigned event)
+{
+    unsigned number = event;
+    if (number-- == 0) {
+        advance(world);
+        return true;
+    }
+    if (number-- == 0) {
+        if (!world.moving && !world.sides.at(world.owner).cut) {
+            beginMove(world);
+        }
+        return true;
+    }
+    for (std::size_t place = 0; place < Sides; ++place) {
+        Side &side = world.sides.at(place);
+        if (number-- == 0) {
+            side.cut = !side.cut;
+            if (!side.cut) {
+                tellOwner(world, side);
+            }
+            return true;
+        }
+        if (number-- == 0) {
+            if (world.restarts < 2) {
+                restartAgent(world, place);
+            }
+            return true;
+        }
+        if (number-- == 0) {
+            if (world.restarts < 2) {
+                restartProcess(world, place);
+            }
+            return true;
+        }
+        for (std::size_t index = 0; index < side.sent.size(); ++index) {
+            if (number-- == 0) {
+                answer(world, side, index, true);
+                return true;
+            }
+            if (number-- == 0) {
+                answer(world, side, index, false);
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+bool holds(const World &world, std::size_t number)
+{
+    return world.sides.at(number).process.until > world.now;
+}
+
+/** All that decides what can follow, with times against the present. */
+std::string fingerprint(const World &world)
+{
+    std::ostringstream text;
+    const auto since = [&](BootTime time) {
+        return time == BootTime() ? -99999 : (time - world.now) / 1ms;
+    };
+    text << world.owner << world.epoch << world.moving << world.restarts;
+    for (std::size_t number = 0; number < Sides; ++number) {
+        const Side &side = world.sides.at(number);
+        text << '|' << side.process.epoch << ',' << side.process.highestSeen << ',' << since(side.process.until) << ','
+             << since(side.leaseUntil) << ',' << since(world.renewedAt.at(number)) << ',' << side.cut
+             << std::max<std::int64_t>(since(side.startedAt), -2000) << side.map.version.index();
+        for (const Sent &sent : side.sent) {
+            text << ';' << static_cast<int>(sent.order.kind) << sent.order.range.epoch << ','
+                 << since(sent.order.sentAt) << sent.late << sent.order.holdFor.count();
+        }
+        for (const KeyHold &hold : side.orders.holds) {
+            text << '/' << hold.range.epoch << ',' << since(hold.surelyUntil) << ',' << since(hold.perhapsUntil) << ','
+                 << since(hold.unansweredUntil) << ',' << since(hold.nextOrder);
+        }
+        text << '+' << side.ownership.revoked.size() << side.ownership.released.size() << side.ownership.withheld.size()
+             << side.orders.outdated.size();
+    }
+    return text.str();
+}
+
+struct Exploration {
+    std::size_t states = 0;
+    /** The first order of events after which two upstreams held the keys. */
+    std::optional<std::vector<unsigned>> broken;
+};
+
+void explore(const World &world,
+             unsigned depth,
+             std::vector<unsigned> &path,
+             std::vector<std::unordered_set<std::string>> &seen,
+             Exploration &found)
+{
+    for (unsigned event = 0; !found.broken; ++event) {
+        World next = world;
+        if (!happen(next, event)) {
+            return;
+        }
+        path.push_back(event);
+        for (std::size_t number = 0; number < Sides; ++number) {
+            act(next, number);
+        }
+        found.states++;
+        if (holds(next, 0) && holds(next, 1)) {
+            found.broken = path;
+        } else if (depth > 1 && seen.at(depth).insert(fingerprint(next)).second) {
+            explore(next, depth - 1, path, seen, found);
+        }
+        path.pop_back();
+    }
+}
+
+/** @param before events that have happened already */
+Exploration explored(Without without, unsigned depth, const std::vector<unsigned> &before = {})
+{
+    World world;
+    world.without = without;
+    for (std::size_t number = 0; number < Sides; ++number) {
+        restartAgent(world, number);
+        world.sides.at(number).startedAt = world.now - 1h;
+        world.renewedAt.at(number) = world.now;
+    }
+    world.restarts = 0;
+    // The owner has its keys before anything happens.
+    act(world, 0);
+    answer(world, world.sides.at(0), 0, true);
+    act(world, 0);
+    REQUIRE(holds(world, 0));
+    for (const unsigned event : before) {
+        REQUIRE(happen(world, event));
+        act(world, 0);
+        act(world, 1);
+    }
+    Exploration found;
+    std::vector<unsigned> path;
+    std::vector<std::unordered_set<std::string>> seen(depth + 1);
+    explore(world, depth, path, seen, found);
+    return found;
+}
+
+} // namespace
+
+/*
+ * Callers would see two upstreams change the same key: orders and answers get lost, orders are carried out late, agents
+ * and upstreams restart, agents are cut off from control. Every order of these events is played to a stated depth with
+ * the agents' own functions; two upstreams never hold the keys together.
+ */
+TEST_CASE("grants by call: no order of events lets two upstreams hold a key")
+{
+    constexpr unsigned Depth = 8;
+    const Exploration found = explored(Without::Nothing, Depth);
+    std::printf("grants by call: %zu states to depth %u\n", found.states, Depth);
+    REQUIRE(found.states > 1000);
+    INFO(Catch::Detail::stringify(found.broken.value_or(std::vector<unsigned>())));
+    REQUIRE_FALSE(found.broken);
+}
+
+TEST_CASE("grants by call: the explorer finds what each guard prevents")
+{
+    constexpr unsigned Depth = 9;
+    REQUIRE(explored(Without::UnansweredGrants, Depth).broken);
+    REQUIRE(explored(Without::AnswerOfRelease, Depth).broken);
+    REQUIRE(explored(Without::Predecessor, Depth).broken);
+    // Cut off from control for most of its lease.
+    const std::vector<unsigned> cutOff{2, 0, 0, 0, 0, 0};
+    REQUIRE(explored(Without::LeaseBound, Depth, cutOff).broken);
+    const auto broken = explored(Without::Nothing, Depth - 1, cutOff).broken;
+    INFO(Catch::Detail::stringify(broken.value_or(std::vector<unsigned>())));
+    REQUIRE_FALSE(broken);
+}
--- /dev/null
+++ b/tests/GrantOrdersTest.cpp
@@ -0,0 +1,189 @@
+#include "agent/GrantOrders.h"
+
+#include <catch2/catch.hpp>
+
+using namespace bergamotweir;
+using namespace bergamotweir::agent;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr BootTime Start{100s};
+constexpr HeldRange Keys{0, 999, 4};
+
+/** One upstream whose answers the test gives. */
+struct Upstream {
+    GrantOrders orders;
+    BootTime now = Start;
+    BootTime leaseUntil = Start + 1h;
+
+    std::vector<GrantOrder> want(const std::vector<WantedKeys> &wanted, const std::vector<HeldRange> &unwanted = {})
+    {
+        return ordersDue(this->orders, wanted, unwanted, this->leaseUntil, this->now);
+    }
+
+    GrantOrder grantOnly(const HeldRange &range = Keys)
+    {
+        const std::vector<GrantOrder> due = this->want({{range, {}}});
+        REQUIRE(due.size() == 1);
+        REQUIRE(due.front().kind == OrderKind::Grant);
+        return due.front();
+    }
+
+    void end(const GrantOrder &order, OrderEnd how)
+    {
+        orderEnded(this->orders, order.id, how, this->now);
+    }
+
+    std::vector<HeldRange> held()
+    {
+        return heldNow(this->orders, this->now);
+    }
+
+    bool surely()
+    {
+        const std::vector<HeldRange> ranges = this->held();
+        return !ranges.empty() && ranges.front().confirmed;
+    }
+};
+
+} // namespace
+
+TEST_CASE("grants by call: keys are held for sure only from the answer on, and renewed before they run out")
+{
+    Upstream upstream;
+    const GrantOrder first = upstream.grantOnly();
+    REQUIRE(upstream.held().size() == 1);
+    REQUIRE_FALSE(upstream.surely());
+    REQUIRE(upstream.want({{Keys, {}}}).empty());
+    upstream.now += 5ms;
+    upstream.end(first, OrderEnd::Done);
+    REQUIRE(upstream.surely());
+    REQUIRE(upstream.want({{Keys, {}}}).empty());
+    const BootTime next = nextLook(upstream.orders, upstream.now);
+    REQUIRE(next > upstream.now);
+    REQUIRE(next < Start + upstream.orders.times.hold);
+    upstream.now = next;
+    upstream.end(upstream.grantOnly(), OrderEnd::Done);
+    REQUIRE(upstream.surely());
+}
+
+/*
+ * Control can't be reached and the agent's lease runs out, while the upstream beside it still answers. A grant that
+ * outlasted the lease would let the upstream serve keys that control has meanwhile given to another.
+ */
+TEST_CASE("grants by call: no grant outlasts the agent's lease, however late it arrives and however slow the clock")
+{
+    Upstream upstream;
+    upstream.leaseUntil = Start + 1000ms;
+    const GrantOrder order = upstream.grantOnly();
+    const GrantTimes &times = upstream.orders.times;
+    const auto latest =
+        order.sentAt + times.grantTimeout
+        + std::chrono::milliseconds(static_cast<int>(static_cast<double>(order.holdFor.count()) * 1.02));
+    REQUIRE(latest <= upstream.leaseUntil);
+    upstream.end(order, OrderEnd::Done);
+    upstream.now = Start + 700ms;
+    REQUIRE(upstream.want({{Keys, {}}}).empty());
+}
+
+/*
+ * The answer to a grant is lost, and the upstream carries the grant out a second later. Meanwhile the keys are
+ * released, which the upstream answers at once. Were they free then, another upstream would get them while the first
+ * one holds them by the late grant.
+ */
+TEST_CASE("grants by call: after a release, keys stay taken until a grant without an answer has run out")
+{
+    Upstream upstream;
+    upstream.end(upstream.grantOnly(), OrderEnd::Done);
+    upstream.now = Start + 800ms;
+    const GrantOrder lost = upstream.grantOnly();
+    upstream.now += upstream.orders.times.grantTimeout;
+    upstream.end(lost, OrderEnd::Unknown);
+    upstream.now += upstream.orders.times.retryAfter;
+    const std::vector<GrantOrder> release = upstream.want({}, {Keys});
+    REQUIRE(release.size() == 1);
+    REQUIRE(release.front().kind == OrderKind::Release);
+    upstream.end(release.front(), OrderEnd::Done);
+    REQUIRE(upstream.held().size() == 1);
+    REQUIRE_FALSE(upstream.surely());
+    REQUIRE(upstream.want({}, {Keys}).empty());
+    upstream.now = lost.sentAt + upstream.orders.times.hold;
+    REQUIRE(upstream.held().size() == 1);
+    upstream.now += upstream.orders.times.grantTimeout + 50ms;
+    REQUIRE(upstream.held().empty());
+}
+
+TEST_CASE("grants by call: an answered release frees its part at once, and the rest stays held")
+{
+    Upstream upstream;
+    upstream.end(upstream.grantOnly(), OrderEnd::Done);
+    const std::vector<GrantOrder> release = upstream.want({}, {{200, 299, 4}});
+    REQUIRE(release.size() == 1);
+    upstream.end(release.front(), OrderEnd::Done);
+    const std::vector<HeldRange> held = upstream.held();
+    REQUIRE(held.size() == 2);
+    REQUIRE(held[0] == HeldRange{0, 199, 4});
+    REQUIRE(held[1] == HeldRange{300, 999, 4});
+}
+
+TEST_CASE("grants by call: a release without an answer frees nothing and is sent again after a pause")
+{
+    Upstream upstream;
+    upstream.end(upstream.grantOnly(), OrderEnd::Done);
+    const std::vector<GrantOrder> release = upstream.want({}, {Keys});
+    REQUIRE(release.size() == 1);
+    upstream.now += upstream.orders.times.releaseTimeout;
+    upstream.end(release.front(), OrderEnd::Unknown);
+    REQUIRE(upstream.held().size() == 1);
+    REQUIRE(upstream.want({}, {Keys}).empty());
+    upstream.now += upstream.orders.times.retryAfter;
+    REQUIRE(upstream.want({}, {Keys}).size() == 1);
+}
+
+/*
+ * An upstream refuses a grant since it knows a higher epoch: a grant of another leader's time. Sent again and again, it
+ * would never be taken, and each try would cost a call.
+ */
+TEST_CASE("grants by call: a grant refused as outdated is not sent again under that epoch")
+{
+    Upstream upstream;
+    upstream.end(upstream.grantOnly(), OrderEnd::Outdated);
+    upstream.now += 10s;
+    REQUIRE(upstream.want({{Keys, {}}}).empty());
+    REQUIRE(upstream.want({{{0, 999, 5}, {}}}).size() == 1);
+}
+
+/*
+ * An upstream answers 421 for a key that it was granted: a late order took the key away. Callers would be sent there
+ * until the next renewal.
+ */
+TEST_CASE("grants by call: a disowned key isn't held any more, and is granted again at once")
+{
+    Upstream upstream;
+    upstream.end(upstream.grantOnly(), OrderEnd::Done);
+    disowned(upstream.orders, 500);
+    REQUIRE_FALSE(upstream.surely());
+    upstream.end(upstream.grantOnly(), OrderEnd::Done);
+    REQUIRE(upstream.surely());
+}
+
+TEST_CASE("grants by call: an upstream that doesn't answer is not asked without a pause")
+{
+    Upstream upstream;
+    upstream.end(upstream.grantOnly(), OrderEnd::NotTaken);
+    REQUIRE(upstream.want({{Keys, {}}}).empty());
+    REQUIRE(nextLook(upstream.orders, upstream.now) == upstream.now + upstream.orders.times.retryAfter);
+    upstream.now += upstream.orders.times.retryAfter;
+    REQUIRE(upstream.want({{Keys, {}}}).size() == 1);
+}
+
+TEST_CASE("grants by call: a process that has ended holds nothing, and answers to its orders change nothing")
+{
+    Upstream upstream;
+    const GrantOrder order = upstream.grantOnly();
+    forgetAll(upstream.orders);
+    upstream.end(order, OrderEnd::Done);
+    REQUIRE(upstream.held().empty());
+    REQUIRE(nextLook(upstream.orders, upstream.now) == BootTime::max());
+}
--- a/tests/PlatformProcessTest.cpp
+++ b/tests/PlatformProcessTest.cpp
@@ -25,8 +25,10 @@
     std::vector<Process> controls;
     std::vector<Process> agents;
     std::vector<std::unique_ptr<PlatformWorker>> workers;
+    bool grantsByCall = false;
 
-    Machines()
+    explicit Machines(bool grantsByCall = false)
+        : grantsByCall(grantsByCall)
     {
         std::filesystem::remove_all(this->folder);
         std::filesystem::create_directories(this->folder);
@@ -65,7 +67,8 @@
                                                                       .zone = "z" + std::to_string(number),
                                                                       .address = this->ip(number),
                                                                       .port = 8628,
-                                                                      .control = this->ip(number) + ":8620"}));
+                                                                      .control = this->ip(number) + ":8620",
+                                                                      .grantsByCall = this->grantsByCall}));
     }
 
     std::string common(int number) const
@@ -128,12 +131,12 @@
     }
 };
 
-std::string manifest(const std::string &version, const std::string &base)
+std::string manifest(const std::string &version, const std::string &base, const std::string &grants = "null")
 {
     return R"({"version":")" + version + R"(","routes":{"columns":["name","host","prefix","kind","timeout_ms",)"
            + R"("target_latency_ms","priority","attempts","service"],"rows":[["r","shop.example","/book/",)"
-           + R"("non_idempotent",1200,600,1,2,"seats"]]},"services":{"columns":["name","health_path","sharded"],)"
-           + R"("rows":[["seats","/health",true]]},"base_version":")" + base + R"("})";
+           + R"("non_idempotent",1200,600,1,2,"seats"]]},"services":{"columns":["name","health_path","sharded",)"
+           + R"("grants"],"rows":[["seats","/health",true,)" + grants + R"(]]},"base_version":")" + base + R"("})";
 }
 
 std::uint64_t keysHeld(PlatformWorker &worker)
@@ -197,6 +200,48 @@
     REQUIRE(Deployment::waitForExit(machines.agents[0], 3s) == 0);
 }
 
+/*
+ * Upstreams get their keys by calls. Callers would see two upstreams change the same key, or keys that nobody serves:
+ * keys move while the load is evened out, and an agent is killed while its upstream goes on with what it was granted.
+ */
+TEST_CASE("platform process: keys granted by calls are served, moved and held by one upstream at a time", "[process]")
+{
+    Machines machines(true);
+    REQUIRE(Deployment::eventually(10s, [&] {
+        return machines.order(1, "PUT", "/api/config", manifest("00000003", "00000000", "\"call\"")).status == 200;
+    }));
+    REQUIRE(machines.served(11, 0));
+    REQUIRE(Deployment::eventually(10s, [&] {
+        return keysHeld(*machines.workers[0]) > 20000 && keysHeld(*machines.workers[1]) > 20000;
+    }));
+    const auto checkHolders = [&] {
+        const auto first = machines.workers[0]->held();
+        for (const auto &other : machines.workers[1]->held()) {
+            for (const auto &row : first) {
+                REQUIRE((row[1] < other[0] || other[1] < row[0]));
+            }
+        }
+    };
+    Deployment::kill(machines.agents[0]);
+    checkHolders();
+    Deployment::start(machines.agents[0]);
+    const auto begun = std::chrono::steady_clock::now();
+    for (unsigned key = 0; key < 65536; key += 3001) {
+        REQUIRE(machines.served(12, key));
+        checkHolders();
+    }
+    REQUIRE(std::chrono::steady_clock::now() - begun < 5s);
+    const std::string body(300000, 'u');
+    const Reply reply = Deployment::askAt(
+        machines.ip(11) + ":8629",
+        {.method = "POST",
+         .path = "/book/x",
+         .headers = {"Host: shop.example", "X-Request-Id: large", "X-Deadline-Ms: 1500", "X-Shard-Key: 60000"},
+         .body = body});
+    REQUIRE(reply.status == 200);
+    REQUIRE(reply.body.find(body) != std::string::npos);
+}
+
 // A control VM comes back at its old address without its disk. Nobody adds it by hand.
 TEST_CASE("platform process: a control VM that lost its disk joins its group again by itself", "[process]")
 {
--- a/tests/PlatformWorker.cpp
+++ b/tests/PlatformWorker.cpp
@@ -55,7 +55,17 @@
 std::vector<std::array<std::uint64_t, 3>> PlatformWorker::held()
 {
     const std::lock_guard guard(this->mutex);
-    if (std::chrono::steady_clock::now() >= this->heldUntil) {
+    const auto now = std::chrono::steady_clock::now();
+    if (this->settings.grantsByCall) {
+        std::vector<std::array<std::uint64_t, 3>> held;
+        for (const CalledHold &hold : this->called) {
+            if (now < hold.until) {
+                held.push_back(hold.row);
+            }
+        }
+        return held;
+    }
+    if (now >= this->heldUntil) {
         this->rows.clear();
     }
     return this->rows;
@@ -69,9 +79,56 @@
     });
 }
 
+net::HttpAnswer PlatformWorker::grant(const json &order)
+{
+    const std::lock_guard guard(this->mutex);
+    const std::array<std::uint64_t, 3> row{order["from"], order["target_version"], order["fence"]};
+    const bool outdated = std::any_of(this->called.begin(), this->called.end(), [&](const CalledHold &hold) {
+        return hold.row[0] <= row[1] && row[0] <= hold.row[1] && hold.row[2] > row[2];
+    });
+    if (outdated) {
+        return {409, {}, ""};
+    }
+    std::erase_if(this->called, [&](const CalledHold &hold) {
+        return row[0] <= hold.row[0] && hold.row[1] <= row[1];
+    });
+    const std::chrono::milliseconds holdFor(order["hold_ms"].get<std::uint64_t>());
+    this->called.push_back({row, std::chrono::steady_clock::now() + holdFor});
+    return {200, {}, ""};
+}
+
+net::HttpAnswer PlatformWorker::release(const json &order)
+{
+    const std::lock_guard guard(this->mutex);
+    const std::array<std::uint64_t, 3> row{order["from"], order["target_version"], order["fence"]};
+    std::vector<CalledHold> left;
+    for (const CalledHold &hold : this->called) {
+        if (hold.row[1] < row[0] || row[1] < hold.row[0] || hold.row[2] > row[2]) {
+            left.push_back(hold);
+            continue;
+        }
+        if (hold.row[0] < row[0]) {
+            left.push_back({{hold.row[0], row[0] - 1, hold.row[2]}, hold.until});
+        }
+        if (row[1] < hold.row[1]) {
+            left.push_back({{row[1] + 1, hold.row[1], hold.row[2]}, hold.until});
+        }
+    }
+    this->called = std::move(left);
+    return {200, {{"X-Handover", "state-of-" + this->settings.id}}, ""};
+}
+
 void PlatformWorker::serve(const std::shared_ptr<net::Exchange> &exchange)
 {
     const net::HttpRequest &request = exchange->request();
+    if (request.target == "/api/grant") {
+        exchange->answer(this->grant(json::parse(request.body)));
+        return;
+    }
+    if (request.target == "/api/release") {
+        exchange->answer(this->release(json::parse(request.body)));
+        return;
+    }
     const std::string key = valueOf(request, "X-Shard-Key");
     net::HttpAnswer answer;
     answer.headers = {{"X-Request-Id", valueOf(request, "X-Request-Id")}};
@@ -98,11 +155,13 @@
         {"born", this->born},
         {"info", {{"service", this->settings.service}, {"version", "v1"}, {"zone", this->settings.zone}, {"slots", 8}}},
         {"status", {{"state", "ready"}, {"seq", ++this->sequence}, {"warmup_left_ms", 0}}}};
-    body["holds"] = json::array();
-    for (const auto &row : this->held()) {
-        body["holds"].push_back(row);
+    if (!this->settings.grantsByCall) {
+        body["holds"] = json::array();
+        for (const auto &row : this->held()) {
+            body["holds"].push_back(row);
+        }
+        body["freed"] = std::exchange(this->freed, json::array());
     }
-    body["freed"] = std::exchange(this->freed, json::array());
     net::HttpCall call;
     call.address = this->settings.control;
     call.method = "PUT";
--- a/tests/PlatformWorker.h
+++ b/tests/PlatformWorker.h
@@ -31,6 +31,8 @@
         std::uint16_t port = 0;
         /** IP:port that heartbeats go to. */
         std::string control;
+        /** Whether it gets its keys by calls, and says nothing of them in its heartbeats. */
+        bool grantsByCall = false;
     };
 
     explicit PlatformWorker(Settings settings);
@@ -51,10 +53,19 @@
     void beat();
     void serve(const std::shared_ptr<net::Exchange> &exchange);
     bool holds(std::uint64_t key);
+    net::HttpAnswer grant(const nlohmann::json &order);
+    net::HttpAnswer release(const nlohmann::json &order);
+
+    /** Keys that it holds by a call. */
+    struct CalledHold {
+        std::array<std::uint64_t, 3> row;
+        std::chrono::steady_clock::time_point until;
+    };
 
     const Settings settings;
     std::mutex mutex;
     std::vector<std::array<std::uint64_t, 3>> rows;
+    std::vector<CalledHold> called;
     nlohmann::json freed = nlohmann::json::array();
     std::chrono::steady_clock::time_point heldUntil;
     std::uint64_t sequence = 0;
