--- a/include/table/Policy.h
+++ b/include/table/Policy.h
@@ -32,8 +32,6 @@
     bool numberedKeys = false;
     /** Requests a second that a cold upstream bears; 0 where the table doesn't say. */
     double warmupPerSecond = 0;
-    /** Whether its upstreams get their keys by orders, and not with the answers to their heartbeats. */
-    bool grantsByCall = false;
 
     bool operator==(const ServicePolicy &other) const = default;
 };
--- a/src/process/CallGrants.cpp
+++ b/src/process/CallGrants.cpp
@@ -181,8 +181,13 @@
         }
         agent::Slice slice;
         slice.begin = key.begin;
-        unwanted.push_back({key.begin, agent::lastHashOf(this->state.map, key.service, slice), key.epoch});
+        const std::uint64_t last = agent::lastHashOf(this->state.map, key.service, slice);
         ownership.withheld.insert(key);
+        if (!unwanted.empty() && unwanted.back().last + 1 == key.begin && unwanted.back().epoch == key.epoch) {
+            unwanted.back().last = last;
+        } else {
+            unwanted.push_back({key.begin, last, key.epoch});
+        }
     }
     return unwanted;
 }
--- a/src/process/LocalUpstream.h
+++ b/src/process/LocalUpstream.h
@@ -157,6 +157,7 @@
     std::vector<KeyGrant> grantKeys();
     void noteHeld(const std::vector<KeyGrant> &grants, std::chrono::milliseconds holdFor);
     void holdsEnded();
+    bool grantsByHeartbeat() const;
     bool grantsByCall() const;
     void noteDisowned(const Dispatch &request);
     void setStatus(UpstreamStatus status);
--- a/src/process/LocalUpstreamHealth.cpp
+++ b/src/process/LocalUpstreamHealth.cpp
@@ -86,6 +86,7 @@
     }
     const bool allEnded = ended.size() == this->work.size();
     if (allEnded) {
+        this->callGrants.processEnded();
         this->holdsEnded();
     }
     this->setStatus(allEnded ? UpstreamStatus::Crashed : UpstreamStatus::Frozen);
@@ -130,6 +131,7 @@
             open.push_back(ticket);
         }
     }
+    this->callGrants.processEnded();
     this->holdsEnded();
     this->setStatus(UpstreamStatus::Crashed);
     for (const agent::TicketId ticket : open) {
--- a/src/process/LocalUpstreamHolds.cpp
+++ b/src/process/LocalUpstreamHolds.cpp
@@ -72,7 +72,7 @@
     }
     const bool differs = heartbeat.announcement != this->latest;
     this->latest = heartbeat.announcement;
-    if (!heartbeat.farewell && !this->grantsByCall()) {
+    if (!heartbeat.farewell && this->grantsByHeartbeat()) {
         this->holdsReported(heartbeat);
     }
     if (this->present == UpstreamStatus::Frozen) {
@@ -89,7 +89,7 @@
         this->events.changed();
     }
     HeartbeatAnswer answer;
-    if (this->grantsByCall()) {
+    if (!this->grantsByHeartbeat()) {
         this->lookAtGrants();
         return answer;
     }
@@ -168,9 +168,17 @@
     });
 }
 
+/** Neither way is known before the agent has the routes. */
+bool LocalUpstream::grantsByHeartbeat() const
+{
+    const table::RoutedService *const routed = this->state.table.routes().service(this->latest.service);
+    return routed != nullptr && !routed->grantsByCall;
+}
+
 bool LocalUpstream::grantsByCall() const
 {
-    return this->state.table.service(this->latest.service).grantsByCall;
+    const table::RoutedService *const routed = this->state.table.routes().service(this->latest.service);
+    return routed != nullptr && routed->grantsByCall;
 }
 
 void LocalUpstream::lookAtGrants()
@@ -198,7 +206,6 @@
 
 void LocalUpstream::holdsEnded()
 {
-    this->callGrants.processEnded();
     this->loop.cancel(this->holdTimer);
     this->holdTimer = 0;
     this->state.ownership.held.erase(this->latest.service);
--- a/src/table/Table.cpp
+++ b/src/table/Table.cpp
@@ -131,7 +131,6 @@
         .sloPercentile = row.sloPercentile.value_or(defaults.sloPercentile),
         .numberedKeys = numbered,
         .warmupPerSecond = routed == nullptr ? 0 : routed->warmupPerSecond,
-        .grantsByCall = routed != nullptr && routed->grantsByCall,
     };
 }
 
