Keys follow the speed of upstreams; loads count what came, not what was let in

Change: agents tell the mean time of their answers, control shares keys by it (bounded at 0.3 and 3 times an equal share); requests for keys are counted when they come to the gate.

--- a/include/agent/LoadSketch.h
+++ b/include/agent/LoadSketch.h
@@ -27,6 +27,9 @@
     /** By the slice's begin. */
     std::map<std::uint64_t, std::uint64_t> slices;
     std::vector<WatchedKey> keys;
+    /** Answers of the upstream here, and the time that it worked on them. */
+    std::uint32_t answers = 0;
+    std::chrono::nanoseconds worked{0};
 };
 
 /**
@@ -46,9 +49,12 @@
     BootTime since{};
 };
 
-/** Counts a request to a keyed service that was dispatched here. */
+/** Counts a request to a keyed service that came here to be served, whether there was room for it or not. */
 void countRequest(LoadSketch &sketch, const RouteMap &map, std::string_view service, std::uint64_t hash);
 
+/** Counts an answer of the upstream here to a request for one of its keys. @param worked since the dispatch */
+void countAnswer(LoadSketch &sketch, std::string_view service, std::chrono::nanoseconds worked);
+
 /**
  * Tells the rates since the last report and begins anew.
  * Every slice owned here is told, also one without requests: control would go on counting with its last rate.
--- a/include/control/LoadBook.h
+++ b/include/control/LoadBook.h
@@ -38,6 +38,13 @@
     /** @return hashes of the keys which carry at least @p share of the service's rate, reported lately */
     std::vector<std::uint64_t> hotKeys(const std::string &service, double share, BootTime now) const;
 
+    /**
+     * Guards against a slow upstream that drowns while others idle. It shows as refusals at the upstreams that work
+     * longest on a request, each of which has as many requests as a fast one. Rightful shares follow the speed seen.
+     * @return how fast an upstream is against the mean of its service; 1 while nothing is known of it
+     */
+    double speedOf(const std::string &service, std::uint32_t upstream) const;
+
     /** Forgets everything. */
     void clear();
 
@@ -50,6 +57,8 @@
     struct Service {
         std::map<std::uint64_t, double> rates;
         std::map<std::uint64_t, HotKey> hotKeys;
+        /** Smoothed time that an upstream works on a request, in seconds. */
+        std::map<std::uint32_t, double> workTimes;
     };
 
     double totalRate(const Service &service) const;
--- a/src/agent/LoadSketch.cpp
+++ b/src/agent/LoadSketch.cpp
@@ -26,6 +26,34 @@
     *lightest = {.hash = hash, .count = lightest->count + 1, .error = lightest->count};
 }
 
+ServiceLoad &loadOf(LoadSketch &sketch, std::string_view service)
+{
+    const auto load = sketch.services.find(service);
+    return load == sketch.services.end() ? sketch.services.emplace(service, ServiceLoad{}).first->second : load->second;
+}
+
+void tellWork(const std::string &service,
+              const ServiceLoad &load,
+              const RouteMap &map,
+              const Ownership &ownership,
+              wire::Renew &renew)
+{
+    if (load.answers == 0) {
+        return;
+    }
+    for (const std::uint32_t own : ownership.ownUpstreams) {
+        const wire::UpstreamInfo *known = findUpstream(map, own);
+        if (known == nullptr || known->service() != service || !known->serving()) {
+            continue;
+        }
+        wire::UpstreamWork &told = *renew.add_work();
+        told.set_service(service);
+        told.set_upstream(own);
+        told.set_mean_seconds(std::chrono::duration<float>(load.worked).count() / static_cast<float>(load.answers));
+        told.set_answers(load.answers);
+    }
+}
+
 float perSecond(std::uint64_t count, double seconds)
 {
     return static_cast<float>(static_cast<double>(count) / seconds);
@@ -75,13 +103,17 @@
     if (!slice) {
         return;
     }
-    auto load = sketch.services.find(service);
-    if (load == sketch.services.end()) {
-        load = sketch.services.emplace(service, ServiceLoad{}).first;
-    }
-    ++load->second.requests;
-    ++load->second.slices[slice->begin];
-    watchKey(load->second.keys, hash);
+    ServiceLoad &load = loadOf(sketch, service);
+    ++load.requests;
+    ++load.slices[slice->begin];
+    watchKey(load.keys, hash);
+}
+
+void countAnswer(LoadSketch &sketch, std::string_view service, std::chrono::nanoseconds worked)
+{
+    ServiceLoad &load = loadOf(sketch, service);
+    ++load.answers;
+    load.worked += worked;
 }
 
 void reportLoad(LoadSketch &sketch, const RouteMap &map, const Ownership &ownership, BootTime now, wire::Renew &renew)
@@ -94,6 +126,7 @@
         ServiceLoad &load = sketch.services[service];
         tellSlices(service, slices, load, ownership, seconds, renew);
         tellKeys(service, load, seconds, renew);
+        tellWork(service, load, map, ownership, renew);
     }
     sketch.services.clear();
     sketch.since = now;
--- a/src/control/CoordinatorMoves.cpp
+++ b/src/control/CoordinatorMoves.cpp
@@ -127,7 +127,7 @@
     for (const std::uint32_t id : ids) {
         const double weight = this->weightOf(*this->state.upstreams().find(id), now);
         if (weight > 0) {
-            members.push_back({id, weight});
+            members.push_back({id, weight * this->loads.speedOf(service, id)});
         }
     }
     return members;
--- a/src/control/LoadBook.cpp
+++ b/src/control/LoadBook.cpp
@@ -21,6 +21,11 @@
  */
 constexpr double MeasuredPart = 0.8;
 constexpr std::chrono::seconds HotKeyAge{10};
+/** A report of so many answers counts as much as all before it: times of single requests vary by their length. */
+constexpr double HalfLifeAnswers = 60;
+/** No upstream gets less or more than this times an equal share, however slow or fast it seems. */
+constexpr double SlowestShare = 0.3;
+constexpr double FastestShare = 3;
 
 } // namespace
 
@@ -30,6 +35,15 @@
         double &rate = this->services[load.service()].rates[load.begin()];
         rate += Weight * (load.rate() - rate);
     }
+    for (const wire::UpstreamWork &work : renew.work()) {
+        if (!(work.mean_seconds() > 0)) {
+            continue;
+        }
+        const double answers = work.answers();
+        const auto [known, added] =
+            this->services[work.service()].workTimes.try_emplace(work.upstream(), work.mean_seconds());
+        known->second += answers / (answers + HalfLifeAnswers) * (work.mean_seconds() - known->second);
+    }
     for (const wire::HotKey &key : renew.hot_keys()) {
         Service &service = this->services[key.service()];
         if (service.hotKeys.size() >= MostHotKeys && !service.hotKeys.contains(key.hash())) {
@@ -42,6 +56,20 @@
     }
 }
 
+double LoadBook::speedOf(const std::string &service, std::uint32_t upstream) const
+{
+    const auto found = this->services.find(service);
+    if (found == this->services.end() || !found->second.workTimes.contains(upstream)) {
+        return 1;
+    }
+    double total = 0;
+    for (const auto &[id, seconds] : found->second.workTimes) {
+        total += 1 / seconds;
+    }
+    const double mean = total / static_cast<double>(found->second.workTimes.size());
+    return std::clamp(1 / found->second.workTimes.at(upstream) / mean, SlowestShare, FastestShare);
+}
+
 void LoadBook::weigh(const std::string &service, const SliceMap &map, std::vector<LoadedSlice> &slices) const
 {
     const auto found = this->services.find(service);
--- a/src/process/LocalUpstream.cpp
+++ b/src/process/LocalUpstream.cpp
@@ -205,7 +205,6 @@
     entry.dispatchedAt = now;
     if (entry.request.keyed) {
         agent::beginWork(this->state.ownership, entry.request.service, entry.request.hash);
-        agent::countRequest(this->state.load, this->state.map, entry.request.service, entry.request.hash);
     }
     agent::began(this->state.crashes, entry.request.fingerprint);
     net::HttpCall call = std::move(entry.request.call);
@@ -339,6 +338,9 @@
     const BootTime now = BootClock::now();
     if (ended.request.keyed) {
         agent::endWork(this->state.ownership, ended.request.service, ended.request.hash);
+        if (end == agent::WorkEnd::Answered && answeredInFull) {
+            agent::countAnswer(this->state.load, ended.request.service, now - ended.dispatchedAt);
+        }
     }
     agent::ended(this->state.crashes, ended.request.fingerprint, answeredInFull);
     agent::finish(this->gate, end, now - ended.dispatchedAt, now);
--- a/src/process/RequestRunner.cpp
+++ b/src/process/RequestRunner.cpp
@@ -270,6 +270,9 @@
     attempt.begunAt = BootClock::now();
     attempt.ticket = ++this->lastTicket;
     const std::uint64_t ticket = attempt.ticket;
+    if (request.state.facts.keyed) {
+        agent::countRequest(this->state.load, this->state.map, request.state.facts.service, request.state.facts.hash);
+    }
     request.attempts[action.attempt] = std::move(attempt);
     this->tickets[ticket] = {request.number, action.attempt};
     agent::noteSent(this->state.services[request.state.facts.service].routing, action.upstream, BootClock::now());
