The process that took an ended one's address gets its keys without a release

Found by the log line 'slices revoked', new here. Ruled out: the election (leader after 0.5 s), the sessions (0.1 s later). Change: the slices pass to the process that took the address, beside the same agent, under the next epoch at once. Test first: CoordinatorGuardTest, red without the call.

--- a/include/control/Coordinator.h
+++ b/include/control/Coordinator.h
@@ -141,6 +141,8 @@
     void proposeUpstream(const wire::UpstreamInfo &upstream, const std::string &takenFrom);
     void reconcile(AgentRecord &agent, BootTime now);
     bool mayMoveHere(const wire::UpstreamInfo &registered, const AgentRecord &agent, BootTime now) const;
+    /** @return whether another process that the agent announced has taken the upstream's address since */
+    static bool hasReplaced(const wire::UpstreamInfo &later, const wire::UpstreamInfo &upstream);
     void retireUnannounced(AgentRecord &agent, BootTime now);
     void retireLost(BootTime now);
     std::chrono::nanoseconds longestWork(const wire::UpstreamInfo &upstream) const;
@@ -154,6 +156,10 @@
     bool proposeSplits(const std::string &service, const SliceMap &map, std::size_t memberCount, BootTime now);
     std::vector<SliceMove>
     wantedMoves(const std::string &service, const SliceMap &map, const std::vector<Member> &members, BootTime now);
+    /** Gives the slices of upstreams whose process has ended to the process that took its address. */
+    void passToSuccessors(const std::string &service, const SliceMap &map, BootTime now);
+    /** @return the upstream that listens at the ended one's address now and takes work; 0 for none */
+    std::uint32_t successorOf(std::uint32_t ended, BootTime now) const;
     void beginMoves(const std::string &service,
                     const SliceMap &map,
                     const std::vector<SliceMove> &wanted,
--- a/src/control/CoordinatorAgents.cpp
+++ b/src/control/CoordinatorAgents.cpp
@@ -6,20 +6,12 @@
 
 namespace bergamotweir::control {
 
-namespace {
-
-/** @return whether another process that the agent announced has taken the upstream's address since */
-bool isReplaced(const wire::UpstreamInfo &upstream, const AgentRecord &agent)
+bool Coordinator::hasReplaced(const wire::UpstreamInfo &later, const wire::UpstreamInfo &upstream)
 {
-    return !upstream.address().empty()
-           && std::any_of(agent.announced.begin(), agent.announced.end(), [&](const auto &entry) {
-                  const wire::UpstreamInfo &other = entry.second;
-                  return other.address() == upstream.address() && other.started_unix_ms() > upstream.started_unix_ms();
-              });
+    return !upstream.address().empty() && later.address() == upstream.address()
+           && later.started_unix_ms() > upstream.started_unix_ms();
 }
 
-} // namespace
-
 void Coordinator::renew(AgentRecord &agent, const Heartbeat &heartbeat, BootTime now)
 {
     // The full state went ahead, in this round at the latest: an agent must not serve by what it knew before.
@@ -132,7 +124,10 @@
         if (gone || agent.announced.contains(name) || this->upstreamsInFlight.contains(name)) {
             continue;
         }
-        if (now < agent.announceBy && !isReplaced(upstream, agent)) {
+        const bool replaced = std::any_of(agent.announced.begin(), agent.announced.end(), [&](const auto &entry) {
+            return hasReplaced(entry.second, upstream);
+        });
+        if (now < agent.announceBy && !replaced) {
             continue;
         }
         upstream.set_serving(false);
--- a/src/control/CoordinatorMoves.cpp
+++ b/src/control/CoordinatorMoves.cpp
@@ -235,6 +235,56 @@
     return assign(members, slices, settled ? this->settings.tolerance : AnyImbalance);
 }
 
+std::uint32_t Coordinator::successorOf(std::uint32_t ended, BootTime now) const
+{
+    const wire::UpstreamInfo *const before = this->state.upstreams().find(ended);
+    const AgentRecord *const agent = before == nullptr ? nullptr : this->book.find(before->agent());
+    if (agent == nullptr || !agent->informed || !this->settings.addressProvesEnd) {
+        return 0;
+    }
+    for (const auto &[name, announced] : agent->announced) {
+        const wire::UpstreamInfo *const later = this->state.upstreams().find(name.first, name.second);
+        const bool fits = later != nullptr && later->service() == before->service() && later->agent() == agent->name;
+        if (fits && hasReplaced(*later, *before) && this->weightOf(*later, now) > 0) {
+            return later->id();
+        }
+    }
+    return 0;
+}
+
+/**
+ * Guards against keys that nobody serves for seconds after a loss of power. It shows when agents and upstreams come
+ * back together: each agent is asked to release the slices of an upstream that has ended, and may not say that they are
+ * free before all that the agent before it can have granted has run out. The process that took the address is the only
+ * one that those grants can have reached, and the agent is its only gate: it gets the slices under the next epoch at
+ * once.
+ */
+void Coordinator::passToSuccessors(const std::string &service, const SliceMap &map, BootTime now)
+{
+    std::map<std::uint32_t, std::uint32_t> successors;
+    for (const auto &[begin, holding] : map.slices()) {
+        const auto [known, added] = successors.try_emplace(holding.owner, 0);
+        if (added && holding.owner != 0) {
+            known->second = this->successorOf(holding.owner, now);
+        }
+        if (known->second == 0) {
+            continue;
+        }
+        const SliceName name(service, begin);
+        const Move *const begun = this->moveBook.find(name);
+        if (begun != nullptr && begun->phase != MovePhase::Revoking) {
+            continue;
+        }
+        this->moveBook.moves[name] = {.epoch = holding.epoch,
+                                      .from = holding.owner,
+                                      .to = known->second,
+                                      .phase = MovePhase::Released,
+                                      .takenFrom = {},
+                                      .notBefore = {},
+                                      .handover = {}};
+    }
+}
+
 void Coordinator::planService(const std::string &service, const SliceMap &map, BootTime now)
 {
     Watch &watch = this->watches[service];
@@ -249,6 +299,7 @@
         // The slices change under the plan; it's made again once they have.
         return;
     }
+    this->passToSuccessors(service, map, now);
     const std::vector<SliceMove> wanted = this->wantedMoves(service, map, members, now);
     if (wanted.empty()) {
         // Nothing to do until it has settled or, later, the loads have drifted; any other change makes it dirty.
--- a/src/process/ControlLink.cpp
+++ b/src/process/ControlLink.cpp
@@ -1,6 +1,7 @@
 #include "process/ControlLink.h"
 
 #include "loop/Log.h"
+#include "loop/LogEvent.h"
 #include "process/AgentState.h"
 
 namespace bergamotweir::process {
@@ -117,6 +118,9 @@
     } else if (message.has_update()) {
         this->update(id, message.update());
     } else if (message.has_revoke()) {
+        Log.event(loop::LogLevel::Info, "slices revoked")
+            .with("slices", message.revoke().slices_size())
+            .with("first", message.revoke().slices_size() > 0 ? message.revoke().slices(0).begin() : 0);
         agent::revoke(this->state.ownership, message.revoke());
         this->events.revoked(message.revoke());
         this->tellReleased();
--- a/tests/CoordinatorGuardTest.cpp
+++ b/tests/CoordinatorGuardTest.cpp
@@ -73,6 +73,33 @@
         }
     }
 
+    /** The agent says Released for all that it was asked to give up. */
+    void releaseAll(control::SessionId session)
+    {
+        for (const wire::ControlMessage &message : std::exchange(this->sent[session], {})) {
+            if (!message.has_revoke()) {
+                continue;
+            }
+            wire::AgentMessage answer;
+            *answer.mutable_released()->mutable_slices() = message.revoke().slices();
+            this->coordinator.received(session, answer, this->now);
+            this->collect();
+        }
+    }
+
+    /** @return first hash and epoch of the slices that an upstream owns */
+    std::map<std::uint64_t, std::uint64_t> epochsOf(const std::string &upstream) const
+    {
+        std::map<std::uint64_t, std::uint64_t> epochs;
+        for (const auto &[begin, holding] : this->state.services().at("catalogue").slices()) {
+            const wire::UpstreamInfo *const owner = this->state.upstreams().find(holding.owner);
+            if (owner != nullptr && owner->name() == upstream) {
+                epochs[begin] = holding.epoch;
+            }
+        }
+        return epochs;
+    }
+
     void confirm()
     {
         this->coordinator.confirmed(true, this->now);
@@ -348,3 +375,42 @@
     CHECK(led.state.upstreams().find("catalogue", "after")->serving());
     CHECK(led.state.upstreams().find("catalogue", "before")->serving() == !sameAddress);
 }
+
+/*
+ * All VMs lose power. An agent and its upstream come back together, the upstream as a new process at its old address.
+ * The agent may not say that the old process's keys are free: it doesn't know what the agent before it had granted. The
+ * keys were refused for as long as that could hold; the new process at that very address can have them at once.
+ */
+TEST_CASE("control: the process that took an ended one's address gets its slices without a release")
+{
+    control::CoordinatorSettings settings;
+    settings.addressProvesEnd = true;
+    settings.announceGrace = 3s;
+    settings.settle = 0ms;
+    Led led(true, settings);
+    led.announce(1, "before", true, 1000);
+    for (int round = 0; round < 20; ++round) {
+        led.pass(200ms);
+        led.commitAll();
+        led.releaseAll(1);
+        led.releaseAll(2);
+        led.commitAll();
+    }
+    const std::map<std::uint64_t, std::uint64_t> owned = led.epochsOf("before");
+    REQUIRE_FALSE(owned.empty());
+
+    led.coordinator.closed(1);
+    led.greet(3, "a", "second", 0ms);
+    led.announce(3, "upstream-a", true);
+    led.announce(3, "after", true, 2000);
+    for (int round = 0; round < 4; ++round) {
+        led.pass(50ms, {2, 3});
+        led.commitAll();
+    }
+    CHECK(led.epochsOf("before").empty());
+    const std::map<std::uint64_t, std::uint64_t> passed = led.epochsOf("after");
+    for (const auto &[begin, epoch] : owned) {
+        REQUIRE(passed.contains(begin));
+        CHECK(passed.at(begin) == epoch + 1);
+    }
+}
