--- a/src/process/RequestRunner.cpp
+++ b/src/process/RequestRunner.cpp
@@ -285,6 +285,7 @@
                       admission == agent::Admission::Queued ? "request queued" : "turned away at the gate",
                       admission == agent::Admission::Queued ? loop::OrdinaryBound : loop::FailureBound)
                 .with("request", request.parsed.requestId)
+                .with("priority", request.state.facts.urgency.priority)
                 .with("start_within_ms", request.state.facts.urgency.startBy - BootClock::now()));
     }
     switch (admission) {
