Requests wait for half of their target for a key on the move

Hypothesis: a move takes a release, a commit and a grant, some 250 ms; requests for its keys were refused after 120 ms and came back 400 to 650 ms later, too late for their target. Change: Urgency::ownerBy bounds the wait for an owner, startBy the wait for a slot as before.

--- a/include/agent/Urgency.h
+++ b/include/agent/Urgency.h
@@ -14,6 +14,8 @@
     BootTime orderBy{};
     /** Not handed to an upstream by then, it is refused, as its answer would come too late to be worth much. */
     BootTime startBy = BootTime::max();
+    /** A key whose owner is being changed is waited for until then. */
+    BootTime ownerBy = BootTime::max();
 };
 
 /** What the routes say of a request's time. */
--- a/src/agent/RequestStep.cpp
+++ b/src/agent/RequestStep.cpp
@@ -97,7 +97,9 @@
 {
     const auto spread = static_cast<std::uint32_t>((LongestPause - ShortestPause).count());
     const std::chrono::milliseconds pause = ShortestPause + std::chrono::milliseconds((*context.random)(spread));
-    if (now + pause >= std::min(state.facts.deadline, state.facts.urgency.startBy)) {
+    const bool ownerChanges = state.facts.keyed && state.lastEnd == AttemptEnd::NotOwner;
+    const BootTime latest = ownerChanges ? state.facts.urgency.ownerBy : state.facts.urgency.startBy;
+    if (now + pause >= std::min(state.facts.deadline, latest)) {
         refuseAttempt(state, actions);
         return;
     }
--- a/src/agent/Urgency.cpp
+++ b/src/agent/Urgency.cpp
@@ -11,6 +11,11 @@
 
 /** Part of the timeout that a request waits at most: answers to those that start later miss their target anyway. */
 constexpr double StartShare = 0.1;
+/**
+ * Part of the target that a request waits for the next owner of its key. A move takes a release, a commit and a grant:
+ * who waits for it is answered within the target, who is sent away comes back too late for that.
+ */
+constexpr double OwnerShare = 0.5;
 /**
  * Shorter waits than the time between two free slots refuse what would be served at once: six slots with work of 290 ms
  * on a slow VM free one every 80 ms. Played on six such slots at their capacity: lookups of 55 ms refused 14 in 100,
@@ -31,6 +36,7 @@
         .priority = targets.priority,
         .orderBy = acceptedAt + targets.targetLatency,
         .startBy = acceptedAt + std::max(part(targets.timeout, StartShare), ShortestWait),
+        .ownerBy = acceptedAt + std::max(part(targets.targetLatency, OwnerShare), ShortestWait),
     };
 }
 
--- a/tests/RequestStepTest.cpp
+++ b/tests/RequestStepTest.cpp
@@ -295,6 +295,29 @@
     REQUIRE(world.retries.tokens == 10);
 }
 
+/*
+ * Keys move to another upstream, which takes a release, a commit and a grant: a quarter of a second. Their requests
+ * were refused after the time that waiting for a slot is worth, and came back when an answer was late.
+ */
+TEST_CASE("a request waits for half of its target for a key on the move, and no longer")
+{
+    const auto refusedAfter = [](AttemptEnd end) {
+        World world = fresh("GET", true, false, false);
+        world.state.facts.urgency = urgencyOf({.targetLatency = 500ms, .timeout = 1200ms, .priority = 1}, Start);
+        act(world, {.kind = EventKind::Accepted}, "accepted");
+        for (unsigned attempt = 1; !world.hasEnded(); ++attempt) {
+            act(world, {.kind = EventKind::Routed, .upstream = Far}, "far");
+            act(world, endOf(attempt, end, false), "ended");
+            world.now += 10ms;
+            act(world, {.kind = EventKind::Woken}, "woken");
+        }
+        return world.now - Start;
+    };
+    CHECK(refusedAfter(AttemptEnd::NotOwner) > 200ms);
+    CHECK(refusedAfter(AttemptEnd::NotOwner) <= 260ms);
+    CHECK(refusedAfter(AttemptEnd::NotSent) <= 130ms);
+}
+
 TEST_CASE("a request of an unkeyed service asks another upstream at once when one has left")
 {
     World world = accepted("POST", false, false);
