--- a/tests/LocalUpstreamTest.cpp
+++ b/tests/LocalUpstreamTest.cpp
@@ -6,6 +6,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <thread>
+
 using namespace bergamotweir;
 using namespace bergamotweir::process;
 using namespace std::chrono_literals;
@@ -17,6 +19,7 @@
     std::unique_ptr<loop::EventLoop> loop = loop::EventLoop::create().value();
     AgentState state;
     std::unique_ptr<LocalUpstream> upstream;
+    agent::TicketId lastTicket = 0;
 
     Beside()
     {
@@ -46,6 +49,24 @@
         return heartbeat;
     }
 
+    /** A request arrives and is given up at once. @return whether it was let through or may wait for its turn */
+    bool takesRequest()
+    {
+        return this->enter() != agent::Admission::NotServing;
+    }
+
+    agent::Admission enter()
+    {
+        const agent::TicketId ticket = ++this->lastTicket;
+        const agent::Admission admission = this->upstream->enter({ticket, BootClock::now() + 1s, {}});
+        if (admission == agent::Admission::Admitted) {
+            this->upstream->giveBack(ticket);
+        } else {
+            this->upstream->cancel(ticket);
+        }
+        return admission;
+    }
+
     void putTable(wire::GrantWay way)
     {
         wire::RouteTable routes;
@@ -80,3 +101,38 @@
     REQUIRE(beside.upstream->heartbeat(Beside::heartbeat(3)).holdFor);
     REQUIRE(beside.state.ownership.heardFrom.contains("seats"));
 }
+
+/*
+ * An upstream says that it leaves, and its agent acknowledges that. Two seconds later the upstream may end at any
+ * moment: a request that still gets there is cut off.
+ */
+TEST_CASE("a leaving upstream gets no request two seconds after that was acknowledged")
+{
+    Beside beside;
+    beside.putTable(wire::GRANT_WAY_HEARTBEAT);
+    REQUIRE(beside.takesRequest());
+    Heartbeat leaving = Beside::heartbeat(1);
+    leaving.leaving = true;
+    beside.upstream->heartbeat(leaving);
+    REQUIRE_FALSE(beside.upstream->takesWork());
+    // Requests that are on their way while the others hear of it are served.
+    REQUIRE(beside.takesRequest());
+    std::this_thread::sleep_for(1900ms);
+    REQUIRE_FALSE(beside.takesRequest());
+}
+
+/*
+ * An operator empties a failure domain and is told that this is in force. Five seconds later it may be switched off: a
+ * request that still gets to an upstream there is lost.
+ */
+TEST_CASE("an upstream in a failure domain marked out gets no request five seconds later")
+{
+    Beside beside;
+    beside.putTable(wire::GRANT_WAY_HEARTBEAT);
+    beside.state.domainOutSince = BootClock::now() - 1s;
+    REQUIRE(beside.takesRequest());
+    beside.state.domainOutSince = BootClock::now() - 4900ms;
+    REQUIRE_FALSE(beside.takesRequest());
+    beside.state.domainOutSince = BootTime();
+    REQUIRE(beside.takesRequest());
+}
--- /dev/null
+++ b/tests/PlatformGrantsTest.cpp
@@ -0,0 +1,94 @@
+#include "base/KeyHash.h"
+#include "platform/Grants.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace bergamotweir;
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+namespace {
+
+agent::GrantOrder order(agent::OrderKind kind)
+{
+    agent::GrantOrder order;
+    order.kind = kind;
+    order.range = {placeOfKey(4096), placeOfKey(8192) - 1, 12};
+    order.holdFor = 1800ms;
+    order.handover = "5c0e7a21d94b36f8";
+    return order;
+}
+
+process::Announcement worker()
+{
+    process::Announcement worker;
+    worker.address = "10.0.0.9:80";
+    worker.instance = "i-1";
+    return worker;
+}
+
+agent::OrderEnd endOf(int status, std::vector<net::Header> headers = {}, std::string body = {})
+{
+    net::CallResult result;
+    result.end = net::CallEnd::Answered;
+    result.answer = {status, std::move(headers), std::move(body)};
+    return platform::readOrderAnswer(result).end;
+}
+
+} // namespace
+
+TEST_CASE("platform: grants and releases name the keys, the epoch, the time and the process that they are meant for")
+{
+    const net::HttpCall grant = platform::orderCall(worker(), order(agent::OrderKind::Grant));
+    CHECK(grant.address == "10.0.0.9:80");
+    CHECK(grant.method == "POST");
+    CHECK(grant.target == "/api/grant");
+    CHECK(*net::findHeader(grant.headers, "X-Expected-Instance") == "i-1");
+    CHECK(json::parse(grant.body)
+          == json::parse(
+              R"({"from":4096,"target_version":8191,"fence":12,"hold_ms":1800,"handover":"5c0e7a21d94b36f8"})"));
+    const net::HttpCall release = platform::orderCall(worker(), order(agent::OrderKind::Release));
+    CHECK(release.target == "/api/release");
+    CHECK(json::parse(release.body) == json::parse(R"({"from":4096,"target_version":8191,"fence":12})"));
+}
+
+/*
+ * An upstream answers an order with what nobody expects: other statuses, endless handovers, an answer cut short. Taken
+ * for a release that was carried out, two upstreams would hold the keys; only a plain 200 says so.
+ */
+TEST_CASE("platform: only a plain success says that an order was carried out")
+{
+    using agent::OrderEnd;
+    CHECK(endOf(200) == OrderEnd::Done);
+    CHECK(endOf(200, {}, "no JSON at all") == OrderEnd::Done);
+    CHECK(endOf(409) == OrderEnd::Outdated);
+    CHECK(endOf(400) == OrderEnd::NotTaken);
+    CHECK(endOf(421) == OrderEnd::NotTaken);
+    for (const int status : {201, 204, 301, 404, 429, 500, 502, 503, 504}) {
+        CHECK(endOf(status) == OrderEnd::Unknown);
+    }
+    for (const net::CallEnd end : {net::CallEnd::Broken,
+                                   net::CallEnd::ShortAnswer,
+                                   net::CallEnd::TooLarge,
+                                   net::CallEnd::TimedOut,
+                                   net::CallEnd::Cancelled}) {
+        net::CallResult result;
+        result.end = end;
+        result.mayHaveRun = true;
+        result.answer.status = 200;
+        CHECK(platform::readOrderAnswer(result).end == OrderEnd::Unknown);
+    }
+    CHECK(platform::readOrderAnswer({}).end == OrderEnd::NotTaken);
+}
+
+TEST_CASE("platform: a handover is passed on as it came, and one of any length is left out")
+{
+    net::CallResult result;
+    result.end = net::CallEnd::Answered;
+    result.answer = {200, {{"X-Handover", "5c0e"}}, ""};
+    CHECK(platform::readOrderAnswer(result).handover == "5c0e");
+    result.answer.headers = {{"X-Handover", std::string(100000, 'x')}};
+    CHECK(platform::readOrderAnswer(result).handover.empty());
+    CHECK(platform::readOrderAnswer(result).end == agent::OrderEnd::Done);
+}
