Speeds of upstreams are worked out once a plan, and those long silent are forgotten

Cause, found when reading the change: the mean of a service was taken anew for each member, n times n steps in the leader's planning (41 million at 6,400 upstreams), and upstreams that are gone stayed in the book for ever.

--- a/include/control/Coordinator.h
+++ b/include/control/Coordinator.h
@@ -149,7 +149,7 @@
 
     void planAll(BootTime now);
     void planService(const std::string &service, const SliceMap &map, BootTime now);
-    std::vector<Member> membersOf(const std::string &service, BootTime now) const;
+    std::vector<Member> membersOf(const std::string &service, BootTime now);
     /** @return the weight by which an upstream may own slices now; 0 when it may not */
     double weightOf(const wire::UpstreamInfo &upstream, BootTime now) const;
     void noteMembers(Watch &watch, const std::vector<Member> &members, BootTime now) const;
--- a/include/control/LoadBook.h
+++ b/include/control/LoadBook.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace bergamotweir::control {
@@ -41,9 +42,10 @@
     /**
      * Guards against a slow upstream that drowns while others idle. It shows as refusals at the upstreams that work
      * longest on a request, each of which has as many requests as a fast one. Rightful shares follow the speed seen.
-     * @return how fast an upstream is against the mean of its service; 1 while nothing is known of it
+     * An upstream that has answered nothing for a minute is forgotten.
+     * @return by upstream, how fast it is against the mean of its service; who isn't among them counts as 1
      */
-    double speedOf(const std::string &service, std::uint32_t upstream) const;
+    std::unordered_map<std::uint32_t, double> speeds(const std::string &service, BootTime now);
 
     /** Forgets everything. */
     void clear();
@@ -54,11 +56,17 @@
         BootTime reported;
     };
 
+    /** How long an upstream works on a request. */
+    struct WorkTime {
+        /** Smoothed. */
+        double seconds = 0;
+        BootTime reported;
+    };
+
     struct Service {
         std::map<std::uint64_t, double> rates;
         std::map<std::uint64_t, HotKey> hotKeys;
-        /** Smoothed time that an upstream works on a request, in seconds. */
-        std::map<std::uint32_t, double> workTimes;
+        std::unordered_map<std::uint32_t, WorkTime> workTimes;
     };
 
     double totalRate(const Service &service) const;
--- a/src/control/CoordinatorMoves.cpp
+++ b/src/control/CoordinatorMoves.cpp
@@ -119,15 +119,17 @@
     }
 }
 
-std::vector<Member> Coordinator::membersOf(const std::string &service, BootTime now) const
+std::vector<Member> Coordinator::membersOf(const std::string &service, BootTime now)
 {
+    const std::unordered_map<std::uint32_t, double> speeds = this->loads.speeds(service, now);
     std::vector<Member> members;
     const std::set<std::uint32_t> &ids = this->state.upstreams().ofService(service);
     members.reserve(ids.size());
     for (const std::uint32_t id : ids) {
         const double weight = this->weightOf(*this->state.upstreams().find(id), now);
         if (weight > 0) {
-            members.push_back({id, weight * this->loads.speedOf(service, id)});
+            const auto speed = speeds.find(id);
+            members.push_back({id, speed == speeds.end() ? weight : weight * speed->second});
         }
     }
     return members;
--- a/src/control/LoadBook.cpp
+++ b/src/control/LoadBook.cpp
@@ -21,6 +21,7 @@
  */
 constexpr double MeasuredPart = 0.8;
 constexpr std::chrono::seconds HotKeyAge{10};
+constexpr std::chrono::minutes WorkTimeAge{1};
 /** A report of so many answers counts as much as all before it: times of single requests vary by their length. */
 constexpr double HalfLifeAnswers = 60;
 /** No upstream gets less or more than this times an equal share, however slow or fast it seems. */
@@ -41,8 +42,10 @@
         }
         const double answers = work.answers();
         const auto [known, added] =
-            this->services[work.service()].workTimes.try_emplace(work.upstream(), work.mean_seconds());
-        known->second += answers / (answers + HalfLifeAnswers) * (work.mean_seconds() - known->second);
+            this->services[work.service()].workTimes.try_emplace(work.upstream(), WorkTime{work.mean_seconds(), now});
+        WorkTime &time = known->second;
+        time.seconds += answers / (answers + HalfLifeAnswers) * (work.mean_seconds() - time.seconds);
+        time.reported = now;
     }
     for (const wire::HotKey &key : renew.hot_keys()) {
         Service &service = this->services[key.service()];
@@ -56,18 +59,25 @@
     }
 }
 
-double LoadBook::speedOf(const std::string &service, std::uint32_t upstream) const
+std::unordered_map<std::uint32_t, double> LoadBook::speeds(const std::string &service, BootTime now)
 {
+    std::unordered_map<std::uint32_t, double> speeds;
     const auto found = this->services.find(service);
-    if (found == this->services.end() || !found->second.workTimes.contains(upstream)) {
-        return 1;
+    if (found == this->services.end()) {
+        return speeds;
     }
+    std::erase_if(found->second.workTimes, [&](const auto &entry) {
+        return entry.second.reported + WorkTimeAge < now;
+    });
     double total = 0;
-    for (const auto &[id, seconds] : found->second.workTimes) {
-        total += 1 / seconds;
+    for (const auto &[upstream, time] : found->second.workTimes) {
+        total += 1 / time.seconds;
     }
     const double mean = total / static_cast<double>(found->second.workTimes.size());
-    return std::clamp(1 / found->second.workTimes.at(upstream) / mean, SlowestShare, FastestShare);
+    for (const auto &[upstream, time] : found->second.workTimes) {
+        speeds[upstream] = std::clamp(1 / time.seconds / mean, SlowestShare, FastestShare);
+    }
+    return speeds;
 }
 
 void LoadBook::weigh(const std::string &service, const SliceMap &map, std::vector<LoadedSlice> &slices) const
