--- a/include/net/PipelineServer.h
+++ b/include/net/PipelineServer.h
@@ -14,8 +14,7 @@
  * worked on side by side, and answered in their order. In all else it is like HttpServer, which works on one request
  * of a connection at a time: libmicrohttpd doesn't read the next one before that.
  *
- * Gain, measured on the users' machines on a calm day whose keyed reads are sent ahead: their share of the best
- * possible credit rose from 0.77 to 0.87 (QAELA 0.73 to 0.87).
+ * Gain: a read that was sent ahead doesn't wait for the work on those before it.
  */
 class PipelineServer
 {
--- a/src/agent/Urgency.cpp
+++ b/src/agent/Urgency.cpp
@@ -16,11 +16,7 @@
  * who waits for it is answered within the target, who is sent away comes back too late for that.
  */
 constexpr double OwnerShare = 0.5;
-/**
- * Shorter waits than the time between two free slots refuse what would be served at once: six slots with work of 290 ms
- * on a slow VM free one every 80 ms. Played on six such slots at their capacity: lookups of 55 ms refused 14 in 100,
- * with 40 ms as the shortest wait 31 in 100.
- */
+/** Shorter waits than the time between two free slots refuse what would be served at once. */
 constexpr milliseconds ShortestWait{100};
 
 milliseconds part(milliseconds whole, double share)
--- a/src/control/LoadBook.cpp
+++ b/src/control/LoadBook.cpp
@@ -11,14 +11,10 @@
 
 /**
  * Below this many requests a second in all, a slice's rate says little about the next seconds, and moves cost more than
- * they even out: with 15 the calm day of a service with 35 requests a second fell from 0.90 to 0.88 of its credit.
+ * they even out.
  */
 constexpr double LeastMeasuredRate = 40;
-/**
- * Part of a slice's load that goes by its measured rate. Busy keys are neighbours, so widths say little: with half by
- * width and a tenth of each report in the smoothed rate, keyed reads earned 0.41 to 0.61 of their credit on the five
- * days of trouble of viva-recife, so they earn 0.51 to 0.67.
- */
+/** Part of a slice's load that goes by its measured rate. Busy keys are neighbours, so widths say little. */
 constexpr double MeasuredPart = 0.8;
 constexpr std::chrono::seconds HotKeyAge{10};
 constexpr std::chrono::minutes WorkTimeAge{1};
