Logs and metrics that tell why an agent acts on old routes

No logic changes. An agent logs which replica it asks, over a kept or a new connection, why it leaves it and after what time, and each revision in force with the version it came with. Control logs how each order ended. Metrics: the revision that control has, and the agents that haven't confirmed the newest change.

--- a/include/rpc/ControlSession.h
+++ b/include/rpc/ControlSession.h
@@ -93,7 +93,9 @@
     void connect(const std::string &address);
     void connectNext();
     void received(SessionId session, wire::ControlMessage message);
+    void streamEnded(SessionId session);
     void ended(SessionId session);
+    void logLeft(const char *why) const;
     void leave();
     void checkSilence();
     std::chrono::milliseconds longestSilence() const;
@@ -120,6 +122,8 @@
     std::string avoidedAddress;
     BootTime avoidedUntil{};
     BootTime lastHeard{};
+    /** When the present replica was asked for a session. */
+    BootTime soughtAt{};
     loop::TimerId silenceTimer = 0;
     loop::TimerId pauseTimer = 0;
     std::shared_ptr<bool> alive;
--- a/src/control/OperatorReads.cpp
+++ b/src/control/OperatorReads.cpp
@@ -3,6 +3,7 @@
 #include "base/KeyHash.h"
 #include "control/Coordinator.h"
 #include "control/State.h"
+#include "control/VersionOrder.h"
 
 #include <algorithm>
 #include <cstdlib>
@@ -155,8 +156,10 @@
 std::string metricsText(const State &state, const Coordinator &coordinator, BootTime now)
 {
     std::size_t leases = 0;
+    std::size_t behind = 0;
     for (const auto &[name, agent] : coordinator.agents().agents) {
         leases += mayHoldLease(agent, now) ? 1 : 0;
+        behind += isBefore(agent.inForce, state.visibleVersion()) ? 1 : 0;
     }
     const auto line = [](const std::string &name, std::uint64_t value) {
         return "# TYPE bergamotweir_control_" + name + " gauge\nbergamotweir_control_" + name + " "
@@ -170,6 +173,8 @@
     text += line("term", state.version().term());
     text += line("applied_index", state.version().index());
     text += line("table_version", state.tables().tableVersion());
+    text += line("routes_revision", state.tables().routes().revision());
+    text += line("agents_behind", behind);
     text += line("upstreams", state.upstreams().all().size());
     text += line("slices", slices);
     text += line("slices_without_owner", slicesByOwner(state)[0]);
--- a/src/process/ControlLink.cpp
+++ b/src/process/ControlLink.cpp
@@ -23,14 +23,20 @@
     }
 }
 
-void readRoutes(AgentState &state)
+void readRoutes(AgentState &state, bool whole)
 {
     const wire::RouteTable &routes = state.map.routes;
     if (routes.revision() == state.table.routes().revision()) {
         return;
     }
+    const BootTime begun = BootClock::now();
     state.table = state.table.withRoutes(table::RouteTable(routes));
-    Log.info("routes of revision " + std::to_string(routes.revision()) + " in force");
+    Log.event(loop::LogLevel::Info, "routes in force")
+        .with("revision", routes.revision())
+        .with("routes", routes.routes_size())
+        .with("index", state.map.version.index())
+        .with("whole", whole)
+        .with("took_ms", BootClock::now() - begun);
 }
 
 void readTable(AgentState &state)
@@ -101,7 +107,6 @@
 
 void ControlLink::opened(rpc::SessionId id)
 {
-    Log.info("session open");
     agent::beginSession(this->state.lease, id);
     for (const wire::UpstreamInfo &upstream : this->events.upstreams()) {
         this->tell(upstream);
@@ -137,7 +142,7 @@
     agent::forgetOldEpochs(this->state.ownership, this->state.map);
     if (update.has_table()) {
         readTable(this->state);
-        readRoutes(this->state);
+        readRoutes(this->state, update.full());
     }
     this->session->learn({update.controls().begin(), update.controls().end()});
     if (update.full()) {
--- a/src/process/ControlProcessOrders.cpp
+++ b/src/process/ControlProcessOrders.cpp
@@ -1,4 +1,5 @@
 #include "control/OperatorReads.h"
+#include "loop/Log.h"
 #include "net/HttpServer.h"
 #include "process/CommandTimes.h"
 #include "process/ControlProcess.h"
@@ -13,6 +14,25 @@
 /** Bytes of an operator's order: a table of routes, with as much again to spare. */
 constexpr std::size_t MostOrderBytes = std::size_t{4} * 1024 * 1024;
 
+constexpr loop::Log Log("control");
+
+/** Logs how an order ended, so that its acknowledgement can be compared with what each agent has in force. */
+void logOrder(const net::HttpRequest &request,
+              const wire::OperatorRequest &order,
+              const wire::OperatorReply &reply,
+              std::chrono::nanoseconds took)
+{
+    const wire::PutRoutes &routes = order.put_routes();
+    Log.event(loop::LogLevel::Info, "order answered")
+        .with("order", request.method + " " + request.target)
+        .with("base", routes.base_revision())
+        .with("revision", order.has_put_routes() ? routes.table().revision() : reply.routes().revision())
+        .with("status", wire::OperatorStatus_Name(reply.status()))
+        .with("in_force", reply.table_version())
+        .with("index", reply.version().index())
+        .with("took_ms", took);
+}
+
 } // namespace
 
 Findings ControlProcess::openOrderPort()
@@ -41,6 +61,10 @@
     const OperatorProtocol &protocol = *this->settings.operatorProtocol;
     auto read = protocol.read(exchange->request());
     if (auto *refusal = std::get_if<net::HttpAnswer>(&read)) {
+        Log.event(loop::LogLevel::Info, "order not readable")
+            .with("order", exchange->request().method + " " + exchange->request().target)
+            .with("bytes", static_cast<std::uint64_t>(exchange->request().body.size()))
+            .with("status", refusal->status);
         exchange->answer(std::move(*refusal));
         return;
     }
@@ -51,13 +75,15 @@
                                             + std::to_string(unixMilliseconds()) + "-"
                                             + std::to_string(++this->ordersTaken));
     }
-    this->operate(order, [this, &protocol, exchange, order](const wire::OperatorReply &reply) {
-        if (reply.status() == wire::OPERATOR_STATUS_NOT_LEADER) {
-            exchange->answer(protocol.redirect(exchange->request(), this->leaderOrderAddress()));
-            return;
-        }
-        exchange->answer(protocol.write(order, reply));
-    });
+    this->operate(order,
+                  [this, &protocol, exchange, order, begun = BootClock::now()](const wire::OperatorReply &reply) {
+                      logOrder(exchange->request(), order, reply, BootClock::now() - begun);
+                      if (reply.status() == wire::OPERATOR_STATUS_NOT_LEADER) {
+                          exchange->answer(protocol.redirect(exchange->request(), this->leaderOrderAddress()));
+                          return;
+                      }
+                      exchange->answer(protocol.write(order, reply));
+                  });
 }
 
 std::string ControlProcess::leaderOrderAddress() const
--- a/src/rpc/ControlSession.cpp
+++ b/src/rpc/ControlSession.cpp
@@ -220,10 +220,14 @@
     const SessionId name = ++this->session;
     this->accepted = false;
     this->currentAddress = address;
-    Log.info("asking " + address);
     this->lastHeard = BootClock::now();
+    this->soughtAt = this->lastHeard;
     const std::weak_ptr<bool> life = this->alive;
     std::unique_ptr<wire::Control::Stub> &stub = this->stubs[address];
+    Log.event(loop::LogLevel::Info, "session sought")
+        .with("replica", address)
+        .with("connection", stub ? "kept" : "new")
+        .with("failures", this->failures);
     if (!stub) {
         stub = wire::Control::NewStub(openChannel(address));
     }
@@ -239,7 +243,7 @@
         [this, life, name, &target = this->loop] {
             target.post([this, life, name] {
                 if (!life.expired()) {
-                    this->ended(name);
+                    this->streamEnded(name);
                 }
             });
         });
@@ -258,7 +262,7 @@
 void ControlSession::checkOpening(SessionId name)
 {
     if (name == this->session && this->stream && !this->opened && !this->accepted) {
-        Log.warn(this->currentAddress + " doesn't open a session");
+        this->logLeft("no answer");
         this->ended(name);
     }
 }
@@ -289,6 +293,7 @@
     if (message.has_redirect()) {
         const std::string leader = message.redirect().leader_address();
         if (leader.empty() || leader == this->currentAddress || this->isAvoided(leader)) {
+            this->logLeft(leader.empty() ? "knows no leader" : "names an unusable leader");
             this->ended(name);
             return;
         }
@@ -301,12 +306,34 @@
     }
     if (!this->opened) {
         this->opened = true;
+        Log.event(loop::LogLevel::Info, "session open")
+            .with("replica", this->currentAddress)
+            .with("took_ms", this->lastHeard - this->soughtAt);
         this->failures = 0;
         this->events.opened(name);
     }
     this->events.message(name, std::move(message));
 }
 
+void ControlSession::logLeft(const char *why) const
+{
+    Log.event(loop::LogLevel::Warn, "replica left")
+        .with("replica", this->currentAddress)
+        .with("why", why)
+        .with("opened", this->opened)
+        .with("accepted", this->accepted)
+        .with("silent_ms", BootClock::now() - this->lastHeard)
+        .with("took_ms", BootClock::now() - this->soughtAt);
+}
+
+void ControlSession::streamEnded(SessionId name)
+{
+    if (name == this->session && this->stream) {
+        this->logLeft("stream ended");
+    }
+    this->ended(name);
+}
+
 void ControlSession::ended(SessionId name)
 {
     // A stream that was left tells of its end later.
@@ -340,7 +367,7 @@
     if (!this->stream || BootClock::now() - this->lastHeard < this->longestSilence()) {
         return;
     }
-    Log.warn(this->currentAddress + " says nothing");
+    this->logLeft("silent");
     this->avoidedAddress = this->currentAddress;
     this->avoidedUntil = BootClock::now() + this->patience.avoidance;
     this->ended(this->session);
