Agents drop their connections to control once one has stalled

Cause: an agent kept one gRPC channel for each replica and used it again whatever had become of it. What was sent during a partition is retransmitted by TCP after 0.2, 0.4, ... 6.4 s; new streams on the connection wait behind it, though a new connection works at once. A connection that stalls for good without a reset is used until TCP gives up, after minutes. Evidence: an agent asks a reachable replica at 10.94 and hears from it at 12.67, the time of the next retransmission; each try logs connection=kept. Replicas among themselves were not affected: their channels send pings. Fix: a replica that doesn't answer, or falls silent, makes the next tries use new connections, to all replicas: what stalled one has probably stalled the others. No traffic is added while a session works.

--- a/include/rpc/ControlSession.h
+++ b/include/rpc/ControlSession.h
@@ -96,6 +96,8 @@
     void streamEnded(SessionId session);
     void ended(SessionId session);
     void logLeft(const char *why) const;
+    void dropConnections();
+    void freeEndedStreams();
     void leave();
     void checkSilence();
     std::chrono::milliseconds longestSilence() const;
@@ -106,7 +108,8 @@
     std::vector<std::string> addresses;
     ControlSessionEvents events;
     ControlSessionPatience patience;
-    std::map<std::string, std::unique_ptr<wire::Control::Stub>> stubs;
+    /** Kept connections by address; a stream holds on to its own. */
+    std::map<std::string, std::shared_ptr<wire::Control::Stub>> stubs;
     std::unique_ptr<Stream> stream;
     /** Cancelled streams that gRPC has not finished with. */
     std::vector<std::unique_ptr<Stream>> leaving;
--- a/src/rpc/ControlSession.cpp
+++ b/src/rpc/ControlSession.cpp
@@ -31,8 +31,10 @@
 class ControlSession::Stream : public grpc::ClientBidiReactor<wire::AgentMessage, wire::ControlMessage>
 {
 public:
-    Stream(wire::Control::Stub &stub, std::function<void(wire::ControlMessage)> received, std::function<void()> ended)
-        : stub(stub)
+    Stream(std::shared_ptr<wire::Control::Stub> stub,
+           std::function<void(wire::ControlMessage)> received,
+           std::function<void()> ended)
+        : stub(std::move(stub))
         , received(std::move(received))
         , ended(std::move(ended))
     {
@@ -40,7 +42,7 @@
 
     void start(const wire::AgentMessage &first)
     {
-        this->stub.async()->Session(&this->context, this);
+        this->stub->async()->Session(&this->context, this);
         this->AddHold();
         this->send(first);
         this->StartRead(&this->incoming);
@@ -132,7 +134,7 @@
         this->StartWrite(&this->outgoing.front());
     }
 
-    wire::Control::Stub &stub;
+    const std::shared_ptr<wire::Control::Stub> stub;
     grpc::ClientContext context;
     std::function<void(wire::ControlMessage)> received;
     std::function<void()> ended;
@@ -223,7 +225,7 @@
     this->lastHeard = BootClock::now();
     this->soughtAt = this->lastHeard;
     const std::weak_ptr<bool> life = this->alive;
-    std::unique_ptr<wire::Control::Stub> &stub = this->stubs[address];
+    std::shared_ptr<wire::Control::Stub> &stub = this->stubs[address];
     Log.event(loop::LogLevel::Info, "session sought")
         .with("replica", address)
         .with("connection", stub ? "kept" : "new")
@@ -232,7 +234,7 @@
         stub = wire::Control::NewStub(openChannel(address));
     }
     this->stream = std::make_unique<Stream>(
-        *stub,
+        stub,
         [this, life, name, &target = this->loop](wire::ControlMessage message) {
             target.post([this, life, name, message = std::move(message)]() mutable {
                 if (!life.expired()) {
@@ -263,6 +265,7 @@
 {
     if (name == this->session && this->stream && !this->opened && !this->accepted) {
         this->logLeft("no answer");
+        this->dropConnections();
         this->ended(name);
     }
 }
@@ -273,9 +276,7 @@
         return;
     }
     this->stream->cancel();
-    std::erase_if(this->leaving, [](const std::unique_ptr<Stream> &left) {
-        return left->hasEnded();
-    });
+    this->freeEndedStreams();
     this->leaving.push_back(std::move(this->stream));
     this->stream.reset();
     if (this->opened) {
@@ -315,6 +316,23 @@
     this->events.message(name, std::move(message));
 }
 
+/**
+ * Makes the next tries use new connections. After a partition, TCP retransmits what was sent during it only at
+ * intervals that have grown to seconds, and new streams on the same connection wait behind that. One stalled connection
+ * is taken as a sign for all of them.
+ */
+void ControlSession::dropConnections()
+{
+    this->stubs.clear();
+}
+
+void ControlSession::freeEndedStreams()
+{
+    std::erase_if(this->leaving, [](const std::unique_ptr<Stream> &left) {
+        return left->hasEnded();
+    });
+}
+
 void ControlSession::logLeft(const char *why) const
 {
     Log.event(loop::LogLevel::Warn, "replica left")
@@ -364,10 +382,12 @@
 // hence silence longer than two renewals means that this replica cannot confirm itself.
 void ControlSession::checkSilence()
 {
+    this->freeEndedStreams();
     if (!this->stream || BootClock::now() - this->lastHeard < this->longestSilence()) {
         return;
     }
     this->logLeft("silent");
+    this->dropConnections();
     this->avoidedAddress = this->currentAddress;
     this->avoidedUntil = BootClock::now() + this->patience.avoidance;
     this->ended(this->session);
--- a/tests/ControlSessionTest.cpp
+++ b/tests/ControlSessionTest.cpp
@@ -1,4 +1,5 @@
 #include "rpc/ControlSession.h"
+#include "LoopbackProxy.h"
 #include "control.grpc.pb.h"
 #include "rpc/ClaimClient.h"
 #include "rpc/OperatorClient.h"
@@ -6,6 +7,7 @@
 #include <catch2/catch.hpp>
 #include <grpcpp/server_builder.h>
 
+#include <array>
 #include <atomic>
 #include <memory>
 #include <thread>
@@ -291,3 +293,78 @@
     // 250, 500, then 1000 ms of patience.
     CHECK(leader.sessions == 3);
 }
+
+// Guards against an agent that acts on an old table because the connection to the leader stalled without a reset.
+TEST_CASE("an agent whose connection to the leader has stalled opens a session over a new one")
+{
+    constexpr auto ContactBound = 3s;
+    FakeReplica leader;
+    test::LoopbackProxy proxy(leader.address());
+    FakeReplica follower;
+    follower.leader = proxy.address();
+    auto loop = loop::EventLoop::create().value();
+    int opened = 0;
+    std::chrono::steady_clock::time_point stalledAt;
+    std::chrono::nanoseconds without{0};
+    rpc::ControlSessionEvents events;
+    events.hello = someHello;
+    events.opened = [&](rpc::SessionId) {
+        if (++opened == 1) {
+            proxy.stallConnections();
+            stalledAt = std::chrono::steady_clock::now();
+        } else {
+            without = std::chrono::steady_clock::now() - stalledAt;
+            loop->stop();
+        }
+    };
+    events.message = [](rpc::SessionId, const wire::ControlMessage &) {};
+    events.closed = [](rpc::SessionId) {};
+    const rpc::ControlSession session(
+        *loop, {proxy.address(), follower.address()}, events, {.silence = 1500ms, .seed = 7});
+    stopAfter(*loop, 10s);
+    loop->run();
+    CHECK(opened == 2);
+    CHECK(without < ContactBound);
+}
+
+// Guards against an agent that stays without a session when the connections to all replicas stalled during a partition.
+TEST_CASE("an agent whose connections to all replicas have stalled opens a session over new ones")
+{
+    constexpr auto ContactBound = 3s;
+    FakeReplica leader;
+    std::array<FakeReplica, 4> followers;
+    std::vector<std::unique_ptr<test::LoopbackProxy>> proxies;
+    std::vector<std::string> addresses;
+    for (FakeReplica &follower : followers) {
+        proxies.push_back(std::make_unique<test::LoopbackProxy>(follower.address()));
+        addresses.push_back(proxies.back()->address());
+        // A replica that names itself is left, so that each one is asked once.
+        follower.leader = proxies.back()->address();
+    }
+    proxies.push_back(std::make_unique<test::LoopbackProxy>(leader.address()));
+    addresses.push_back(proxies.back()->address());
+    auto loop = loop::EventLoop::create().value();
+    int opened = 0;
+    std::chrono::steady_clock::time_point stalledAt;
+    std::chrono::nanoseconds without{0};
+    rpc::ControlSessionEvents events;
+    events.hello = someHello;
+    events.opened = [&](rpc::SessionId) {
+        if (++opened == 1) {
+            for (const auto &proxy : proxies) {
+                proxy->stallConnections();
+            }
+            stalledAt = std::chrono::steady_clock::now();
+        } else {
+            without = std::chrono::steady_clock::now() - stalledAt;
+            loop->stop();
+        }
+    };
+    events.message = [](rpc::SessionId, const wire::ControlMessage &) {};
+    events.closed = [](rpc::SessionId) {};
+    const rpc::ControlSession session(*loop, addresses, events, {.silence = 1500ms, .seed = 7});
+    stopAfter(*loop, 10s);
+    loop->run();
+    CHECK(opened == 2);
+    CHECK(without < ContactBound);
+}
