Claims drop their connections once a try has no answer

What callers would see: keyed requests with an idempotency key refused as unavailable while the control group works. Cause: the same as of the incident, found by looking for other users of a channel without pings: ClaimClient kept one channel for each replica and repeated its tries, 250 ms each, on a connection that had stalled. Fix: after a try without an answer the next one uses a new connection; a call in progress keeps its channel.

--- a/src/rpc/ClaimClient.cpp
+++ b/src/rpc/ClaimClient.cpp
@@ -2,6 +2,7 @@
 
 #include "base/BootClock.h"
 #include "control.grpc.pb.h"
+#include "loop/Log.h"
 #include "rpc/Channel.h"
 
 #include <grpcpp/channel.h>
@@ -20,6 +21,8 @@
 constexpr std::chrono::milliseconds LongestTry{250};
 constexpr std::chrono::milliseconds PauseBetweenTries{20};
 
+constexpr loop::Log Log("claim");
+
 bool isAnswer(const wire::ClaimReply &reply)
 {
     return reply.verdict() != wire::CLAIM_VERDICT_UNAVAILABLE;
@@ -35,6 +38,7 @@
 struct Call {
     Request request;
     Reply reply;
+    std::string replica;
     std::unique_ptr<grpc::ClientContext> context;
     BootTime deadline;
     std::function<void(Reply)> done;
@@ -106,6 +110,7 @@
                                     + std::chrono::duration_cast<std::chrono::microseconds>(
                                         std::min<std::chrono::nanoseconds>(left, LongestTry)));
         call->reply.Clear();
+        call->replica = this->target;
         {
             const std::lock_guard guard(this->mutex);
             this->running.insert(call->context.get());
@@ -150,6 +155,11 @@
             call->done(call->reply);
             return;
         }
+        if (!ok) {
+            // The connection may have stalled while a new one works; a call in progress keeps its channel.
+            Log.event(loop::LogLevel::Warn, "claim not answered").with("replica", call->replica);
+            this->stubs.clear();
+        }
         this->chooseNext(ok ? call->reply.leader_address() : std::string());
         this->loop.after(PauseBetweenTries, [self = this->weak_from_this(), call] {
             const std::shared_ptr<Parts> still = self.lock();
--- a/tests/ControlSessionTest.cpp
+++ b/tests/ControlSessionTest.cpp
@@ -223,6 +223,29 @@
     REQUIRE(follower.claims >= 2);
 }
 
+// Guards against keyed requests that are refused because the connection for claims stalled without a reset.
+TEST_CASE("a claim is granted over a new connection when the kept one has stalled")
+{
+    FakeReplica leader;
+    test::LoopbackProxy proxy(leader.address());
+    auto loop = loop::EventLoop::create().value();
+    rpc::ClaimClient client(*loop, {proxy.address()});
+    wire::ClaimVerdict first = wire::CLAIM_VERDICT_UNKNOWN;
+    wire::ClaimVerdict second = wire::CLAIM_VERDICT_UNKNOWN;
+    client.claim({}, 5000ms, [&](const wire::ClaimReply &reply) {
+        first = reply.verdict();
+        proxy.stallConnections();
+        client.claim({}, 2000ms, [&](const wire::ClaimReply &later) {
+            second = later.verdict();
+            loop->stop();
+        });
+    });
+    stopAfter(*loop, 10s);
+    loop->run();
+    CHECK(first == wire::CLAIM_VERDICT_GRANTED);
+    CHECK(second == wire::CLAIM_VERDICT_GRANTED);
+}
+
 // An operator resends a change after losing the answer and must know whether the first one may have counted.
 // Order: the request reaches a replica, the answer is lost, nobody else answers until the timeout.
 // Cause: a plain "failed" would make the operator send a second, different change.
