A restarted agent counts as in force only once it has the state again

Not the cause of the incident: an acknowledgement doesn't wait for the report. Cause: the leader's record of an agent kept the version of the process before it; a new session never lowered it. Fix: a new session sets the version to what the agent says that it has seen.

--- a/src/control/Coordinator.cpp
+++ b/src/control/Coordinator.cpp
@@ -86,6 +86,7 @@
     agent.failureDomain = hello.failure_domain();
     agent.peerAddress = hello.peer_address();
     agent.incarnation = hello.incarnation();
+    agent.inForce = hello.seen();
     agent.heardUntil = std::max(agent.heardUntil, now + this->settings.lease);
     agent.announceBy = now + this->settings.announceGrace;
     agent.started = now - std::chrono::milliseconds(hello.uptime_ms());
