A connection to control has 0.5 to 1 s to be set up, and a channel that failed is replaced (tried)

Agents whose connections were reset have no session for up to 11.5 s: connections are given up after 200 ms, and between tries the channel refuses streams within 3 ms. Ruled out: kept connections (all tries were set up anew by gRPC). Change: 500 ms, 1 s after failures. Test: 'an agent that needs 300 ms to set up a connection opens a session', red before (10 s, bound 3 s), green after.

--- a/src/rpc/ControlSession.cpp
+++ b/src/rpc/ControlSession.cpp
@@ -231,7 +231,8 @@
         .with("connection", stub ? "kept" : "new")
         .with("failures", this->failures);
     if (!stub) {
-        stub = wire::Control::NewStub(openChannel(address));
+        const ChannelSettings settings{.connectTimeout = grown(this->patience.connecting, this->failures)};
+        stub = wire::Control::NewStub(openChannel(address, settings));
     }
     this->stream = std::make_unique<Stream>(
         stub,
@@ -348,6 +349,10 @@
 {
     if (name == this->session && this->stream) {
         this->logLeft("stream ended");
+        if (!this->opened) {
+            // A channel whose connection failed refuses streams at once until its own pause is over.
+            this->stubs.erase(this->currentAddress);
+        }
     }
     this->ended(name);
 }
--- a/tests/ControlSessionTest.cpp
+++ b/tests/ControlSessionTest.cpp
@@ -355,6 +355,33 @@
     CHECK(without < ContactBound);
 }
 
+// Guards against an agent behind a congested link that never gets a connection to control.
+TEST_CASE("an agent that needs 300 ms to set up a connection opens a session")
+{
+    FakeReplica leader;
+    test::LoopbackProxy proxy(leader.address(), 300ms);
+    FakeReplica follower;
+    test::LoopbackProxy followerProxy(follower.address(), 300ms);
+    follower.leader = proxy.address();
+    auto loop = loop::EventLoop::create().value();
+    bool opened = false;
+    rpc::ControlSessionEvents events;
+    events.hello = someHello;
+    events.opened = [&](rpc::SessionId) {
+        opened = true;
+        loop->stop();
+    };
+    events.message = [](rpc::SessionId, const wire::ControlMessage &) {};
+    events.closed = [](rpc::SessionId) {};
+    const auto begun = std::chrono::steady_clock::now();
+    const rpc::ControlSession session(
+        *loop, {followerProxy.address(), proxy.address()}, events, {.silence = 1500ms, .seed = 7});
+    stopAfter(*loop, TestLimit);
+    loop->run();
+    CHECK(opened);
+    CHECK(std::chrono::steady_clock::now() - begun < ContactBound);
+}
+
 // Guards against an agent that stays without a session when the connections to all replicas stalled in a partition.
 TEST_CASE("an agent whose connections to all replicas have stalled opens a session over new ones")
 {
--- a/tests/LoopbackProxy.cpp
+++ b/tests/LoopbackProxy.cpp
@@ -29,8 +29,9 @@
 
 } // namespace
 
-LoopbackProxy::LoopbackProxy(const std::string &target)
+LoopbackProxy::LoopbackProxy(const std::string &target, std::chrono::milliseconds delay)
     : targetPort(static_cast<std::uint16_t>(std::stoul(target.substr(target.rfind(':') + 1))))
+    , delay(delay)
     , listener(openSocket())
 {
     sockaddr_in local = loopback(0);
@@ -90,11 +91,11 @@
             if (works) {
                 open.push_back(connection);
             } else {
-                close(connection.caller);
-                close(connection.target);
+                this->closeBoth(connection);
             }
         }
         this->connections = std::move(open);
+        this->sendDue();
         if (waits.front().revents != 0) {
             this->accept();
         }
@@ -119,7 +120,30 @@
 {
     std::array<char, 65536> bytes{};
     const ssize_t count = recv(from, bytes.data(), bytes.size(), 0);
-    return count > 0 && send(to, bytes.data(), static_cast<std::size_t>(count), MSG_NOSIGNAL) == count;
+    if (count <= 0) {
+        return false;
+    }
+    const auto due = std::chrono::steady_clock::now() + this->delay;
+    this->delayed.push_back({to, due, std::string(bytes.data(), static_cast<std::size_t>(count))});
+    return true;
+}
+
+void LoopbackProxy::sendDue()
+{
+    while (!this->delayed.empty() && this->delayed.front().due <= std::chrono::steady_clock::now()) {
+        const Delayed &first = this->delayed.front();
+        [[maybe_unused]] const auto sent = send(first.to, first.bytes.data(), first.bytes.size(), MSG_NOSIGNAL);
+        this->delayed.pop_front();
+    }
+}
+
+void LoopbackProxy::closeBoth(const Connection &connection)
+{
+    std::erase_if(this->delayed, [&](const Delayed &bytes) {
+        return bytes.to == connection.caller || bytes.to == connection.target;
+    });
+    close(connection.caller);
+    close(connection.target);
 }
 
 } // namespace bergamotweir::test
--- a/tests/LoopbackProxy.h
+++ b/tests/LoopbackProxy.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
+#include <deque>
 #include <string>
 #include <thread>
 #include <vector>
@@ -12,8 +14,11 @@
 class LoopbackProxy
 {
 public:
-    /** @param target IP:port on loopback that connections are forwarded to */
-    explicit LoopbackProxy(const std::string &target);
+    /**
+     * @param target IP:port on loopback that connections are forwarded to
+     * @param delay how long bytes are on their way in each direction
+     */
+    explicit LoopbackProxy(const std::string &target, std::chrono::milliseconds delay = std::chrono::milliseconds(0));
     ~LoopbackProxy();
     LoopbackProxy(const LoopbackProxy &) = delete;
     LoopbackProxy &operator=(const LoopbackProxy &) = delete;
@@ -28,6 +33,13 @@
     int accepted() const;
 
 private:
+    /** Bytes that are due at a socket at a time. */
+    struct Delayed {
+        int to = -1;
+        std::chrono::steady_clock::time_point due;
+        std::string bytes;
+    };
+
     struct Connection {
         int caller = -1;
         int target = -1;
@@ -38,15 +50,19 @@
     void run();
     void accept();
     /** @return false once either side has closed */
-    static bool forward(int from, int to);
+    bool forward(int from, int to);
+    void sendDue();
+    void closeBoth(const Connection &connection);
 
     std::uint16_t targetPort;
+    const std::chrono::milliseconds delay;
     int listener;
     std::uint16_t port = 0;
     std::atomic<unsigned> stalls{0};
     std::atomic<int> acceptedCount{0};
     std::atomic<bool> stopping{false};
     std::vector<Connection> connections;
+    std::deque<Delayed> delayed;
     std::thread thread;
 };
 
