--- a/include/rpc/ControlSession.h
+++ b/include/rpc/ControlSession.h
@@ -39,8 +39,6 @@
      * failure in a row: where all are that slow, leaving sooner would only add to their work.
      */
     BackoffSettings opening{std::chrono::milliseconds(500), std::chrono::milliseconds(4000)};
-    /** Time that a connection may take to be set up: round trips over a congested link take several hundred ms. */
-    BackoffSettings connecting{std::chrono::milliseconds(500), std::chrono::milliseconds(1000)};
     /**
      * Pause before the next replica is tried. At its longest, 80 agents ask each of 5 replicas about 100 times a second
      * while there is no leader.
--- a/src/rpc/ControlSession.cpp
+++ b/src/rpc/ControlSession.cpp
@@ -231,8 +231,7 @@
         .with("connection", stub ? "kept" : "new")
         .with("failures", this->failures);
     if (!stub) {
-        const ChannelSettings settings{.connectTimeout = grown(this->patience.connecting, this->failures)};
-        stub = wire::Control::NewStub(openChannel(address, settings));
+        stub = wire::Control::NewStub(openChannel(address));
     }
     this->stream = std::make_unique<Stream>(
         stub,
@@ -349,10 +348,6 @@
 {
     if (name == this->session && this->stream) {
         this->logLeft("stream ended");
-        if (!this->opened) {
-            // A channel whose connection failed refuses streams at once until its own pause is over.
-            this->stubs.erase(this->currentAddress);
-        }
     }
     this->ended(name);
 }
