Connections to all control replicas are set up at the same time; only ready ones are asked

Change: ReplicaConnection sets a connection up without a call on it: one attempt with 4 s, beside it after 250 ms one that is renewed every 200 ms, as a SYN lost in a partition is sent again only seconds later. A session is sought over a connection that is ready; a replica that isn't ready costs no time; an answer may take four times as long as set-up took. The same for claims. A try without an answer drops the connections that were ready before it, as before. Ruled out on the way: polling gRPC's queue from the loop (a connection then went on only every 5 s or so, its test failed in one run of two), and asking whichever replica is ready first (a silent one that connects fastest was asked for ever).

--- a/include/rpc/ControlSession.h
+++ b/include/rpc/ControlSession.h
@@ -15,6 +15,8 @@
 
 namespace bergamotweir::rpc {
 
+class ReplicaConnections;
+
 /** Counts the sessions of one agent process; a message of an older session means nothing. */
 using SessionId = std::uint64_t;
 
@@ -36,7 +38,8 @@
     std::chrono::milliseconds silence{200};
     /**
      * A replica that hasn't answered at all within so long is left: the next one may be the leader. Grows with each
-     * failure in a row: where all are that slow, leaving sooner would only add to their work.
+     * one in a row: where all are that slow, leaving sooner would only add to their work. Longer where setting up
+     * the connection took long, as an answer then takes as long.
      */
     BackoffSettings opening{std::chrono::milliseconds(500), std::chrono::milliseconds(4000)};
     /**
@@ -90,13 +93,15 @@
 
 private:
     class Stream;
-    void connect(const std::string &address);
-    void connectNext();
+    void seek();
+    void follow(const std::string &leader);
+    std::shared_ptr<wire::Control::Stub> chooseReady(BootTime now);
+    void connect(const std::string &address, std::shared_ptr<wire::Control::Stub> stub);
+    std::chrono::nanoseconds openingPatience() const;
     void received(SessionId session, wire::ControlMessage message);
     void streamEnded(SessionId session);
     void ended(SessionId session);
     void logLeft(const char *why) const;
-    void dropConnections();
     void freeEndedStreams();
     void leave();
     void checkSilence();
@@ -108,8 +113,8 @@
     std::vector<std::string> addresses;
     ControlSessionEvents events;
     ControlSessionPatience patience;
-    /** Kept connections by address; a stream holds on to its own. */
-    std::map<std::string, std::shared_ptr<wire::Control::Stub>> stubs;
+    /** Those of all replicas while a session is sought, then the session's own; a stream holds on to its own. */
+    std::unique_ptr<ReplicaConnections> connections;
     std::unique_ptr<Stream> stream;
     /** Cancelled streams that gRPC has not finished with. */
     std::vector<std::unique_ptr<Stream>> leaving;
@@ -119,16 +124,26 @@
     bool opened = false;
     /** Sessions in a row that never opened. */
     unsigned failures = 0;
+    /** Replicas asked in a row that did not answer at all. */
+    unsigned unanswered = 0;
     pcg32 random;
-    std::size_t nextAddress = 0;
+    /** Where the search begins: spreads agents over the replicas. */
+    std::size_t firstAddress = 0;
+    /** When each replica was asked for a session last. */
+    std::map<std::string, BootTime> askedAt;
+    /** When the last stream was left. */
+    BootTime leftAt{};
     std::string currentAddress;
+    /** The leader by the last redirect; empty once it was asked. */
+    std::string namedLeader;
     std::string avoidedAddress;
     BootTime avoidedUntil{};
     BootTime lastHeard{};
     /** When the present replica was asked for a session. */
     BootTime soughtAt{};
     loop::TimerId silenceTimer = 0;
-    loop::TimerId pauseTimer = 0;
+    /** Pause before the next replica is asked, or the next look for a connection that is ready. */
+    loop::TimerId seekTimer = 0;
     std::shared_ptr<bool> alive;
 };
 
--- a/src/rpc/ClaimClient.cpp
+++ b/src/rpc/ClaimClient.cpp
@@ -3,13 +3,12 @@
 #include "base/BootClock.h"
 #include "control.grpc.pb.h"
 #include "loop/Log.h"
-#include "rpc/Channel.h"
+#include "rpc/ReplicaConnections.h"
 
 #include <grpcpp/channel.h>
 
 #include <algorithm>
 #include <condition_variable>
-#include <map>
 #include <mutex>
 #include <set>
 
@@ -40,6 +39,7 @@
     Reply reply;
     std::string replica;
     std::unique_ptr<grpc::ClientContext> context;
+    BootTime begunAt;
     BootTime deadline;
     std::function<void(Reply)> done;
 };
@@ -78,13 +78,24 @@
     {
     }
 
-    wire::Control::Stub &stub(const std::string &address)
+    /** @return the stub of the target, or of the next replica whose connection is ready; nullptr while none is */
+    std::shared_ptr<wire::Control::Stub> chooseReady()
     {
-        std::unique_ptr<wire::Control::Stub> &known = this->stubs[address];
-        if (!known) {
-            known = wire::Control::NewStub(openChannel(address));
+        const BootTime now = BootClock::now();
+        this->connections.setUp(this->addresses, now);
+        for (std::size_t tries = 0; tries <= this->addresses.size(); ++tries) {
+            if (auto stub = this->connections.ready(this->target, now)) {
+                return stub;
+            }
+            this->chooseNext({});
         }
-        return *known;
+        return nullptr;
+    }
+
+    /** @return how long the target has to answer: longer where setting up the connection took long */
+    std::chrono::nanoseconds tryFor() const
+    {
+        return std::max<std::chrono::nanoseconds>(LongestTry, this->connections.answerTime(this->target));
     }
 
     void chooseNext(const std::string &leader)
@@ -105,17 +116,23 @@
             call->done(call->reply);
             return;
         }
+        const std::shared_ptr<wire::Control::Stub> stub = this->chooseReady();
+        if (!stub) {
+            this->attemptAfter(ReplicaConnections::PollInterval, call);
+            return;
+        }
+        call->begunAt = BootClock::now();
         call->context = std::make_unique<grpc::ClientContext>();
         call->context->set_deadline(std::chrono::system_clock::now()
                                     + std::chrono::duration_cast<std::chrono::microseconds>(
-                                        std::min<std::chrono::nanoseconds>(left, LongestTry)));
+                                        std::min<std::chrono::nanoseconds>(left, this->tryFor())));
         call->reply.Clear();
         call->replica = this->target;
         {
             const std::lock_guard guard(this->mutex);
             this->running.insert(call->context.get());
         }
-        start(this->stub(this->target), call, [this, last = call](const grpc::Status &status) mutable {
+        start(*stub, call, [this, last = call](const grpc::Status &status) mutable {
             this->finished(std::move(last), status.ok());
         });
     }
@@ -158,10 +175,16 @@
         if (!ok) {
             // The connection may have stalled while a new one works; a call in progress keeps its channel.
             Log.event(loop::LogLevel::Warn, "claim not answered").with("replica", call->replica);
-            this->stubs.clear();
+            this->connections.dropReadyBefore(call->begunAt);
         }
         this->chooseNext(ok ? call->reply.leader_address() : std::string());
-        this->loop.after(PauseBetweenTries, [self = this->weak_from_this(), call] {
+        this->attemptAfter(PauseBetweenTries, call);
+    }
+
+    template<typename Request, typename Reply>
+    void attemptAfter(std::chrono::milliseconds pause, const std::shared_ptr<Call<Request, Reply>> &call)
+    {
+        this->loop.after(pause, [self = this->weak_from_this(), call] {
             const std::shared_ptr<Parts> still = self.lock();
             if (still) {
                 still->attempt(call);
@@ -183,7 +206,7 @@
     std::vector<std::string> addresses;
     std::string target;
     std::size_t nextAddress = 1;
-    std::map<std::string, std::unique_ptr<wire::Control::Stub>> stubs;
+    ReplicaConnections connections;
     std::mutex mutex;
     std::condition_variable idle;
     std::set<grpc::ClientContext *> running;
--- a/src/rpc/ControlSession.cpp
+++ b/src/rpc/ControlSession.cpp
@@ -2,7 +2,7 @@
 
 #include "control.grpc.pb.h"
 #include "loop/Log.h"
-#include "rpc/Channel.h"
+#include "rpc/ReplicaConnections.h"
 
 #include <grpcpp/channel.h>
 
@@ -18,6 +18,9 @@
 // An agent that cannot get rid of its messages starts a new session rather than growing.
 constexpr std::size_t MaxQueuedMessages = 4096;
 
+/** How long a replica that is due is waited for before one that was asked since is asked again. */
+constexpr std::chrono::milliseconds RepeatAfter{300};
+
 constexpr loop::Log Log("session");
 
 } // namespace
@@ -155,7 +158,9 @@
     , addresses(std::move(addresses))
     , events(std::move(events))
     , patience(patience)
+    , connections(std::make_unique<ReplicaConnections>())
     , random(patience.seed)
+    , firstAddress(this->random(static_cast<std::uint32_t>(this->addresses.size())))
     , alive(std::make_shared<bool>(true))
 {
     this->silenceTimer = this->loop.every(this->patience.silence / 4, [this] {
@@ -163,7 +168,7 @@
     });
     this->loop.post([this, life = std::weak_ptr<bool>(this->alive)] {
         if (!life.expired()) {
-            this->connectNext();
+            this->seek();
         }
     });
 }
@@ -172,7 +177,7 @@
 {
     this->alive.reset();
     this->loop.cancel(this->silenceTimer);
-    this->loop.cancel(this->pauseTimer);
+    this->loop.cancel(this->seekTimer);
     if (this->stream) {
         this->stream->cancel();
         this->leaving.push_back(std::move(this->stream));
@@ -208,33 +213,74 @@
     return address == this->avoidedAddress && BootClock::now() < this->avoidedUntil;
 }
 
-void ControlSession::connectNext()
+/** Asks the next replica whose connection is ready; one whose connection isn't costs no time. */
+void ControlSession::seek()
+{
+    const BootTime now = BootClock::now();
+    this->connections->setUp(this->addresses, now);
+    if (auto stub = this->chooseReady(now)) {
+        this->connect(this->currentAddress, std::move(stub));
+        return;
+    }
+    this->seekTimer = this->loop.after(ReplicaConnections::PollInterval, [this] {
+        this->seek();
+    });
+}
+
+/** @return the stub of the replica to ask now, whose address is the current one; nullptr while none is ready */
+std::shared_ptr<wire::Control::Stub> ControlSession::chooseReady(BootTime now)
+{
+    if (!this->namedLeader.empty() && !this->isAvoided(this->namedLeader)) {
+        if (auto stub = this->connections->ready(this->namedLeader, now)) {
+            this->currentAddress = std::exchange(this->namedLeader, {});
+            return stub;
+        }
+    }
+    const std::string *chosen = nullptr;
+    std::shared_ptr<wire::Control::Stub> stub;
+    BootTime longestAgo = BootTime::max();
+    for (std::size_t place = 0; place < this->addresses.size(); ++place) {
+        const std::string &address = this->addresses[(this->firstAddress + place) % this->addresses.size()];
+        if (this->isAvoided(address) && this->addresses.size() > 1) {
+            continue;
+        }
+        longestAgo = std::min(longestAgo, this->askedAt[address]);
+        auto ready = this->connections->ready(address, now);
+        if (ready && (chosen == nullptr || this->askedAt[address] < this->askedAt[*chosen])) {
+            chosen = &address;
+            stub = std::move(ready);
+        }
+    }
+    // The connection of the one that is due may be ready in a moment.
+    const bool repeats = chosen != nullptr && this->askedAt[*chosen] > longestAgo;
+    if (chosen == nullptr || (repeats && now < this->leftAt + RepeatAfter)) {
+        return nullptr;
+    }
+    this->currentAddress = *chosen;
+    return stub;
+}
+
+std::chrono::nanoseconds ControlSession::openingPatience() const
 {
-    const std::size_t first = this->nextAddress++ % this->addresses.size();
-    const bool skip = this->isAvoided(this->addresses[first]) && this->addresses.size() > 1;
-    const std::size_t chosen = skip ? this->nextAddress++ % this->addresses.size() : first;
-    this->connect(this->addresses[chosen]);
+    const std::chrono::nanoseconds expected = this->connections->answerTime(this->currentAddress);
+    return std::max<std::chrono::nanoseconds>(grown(this->patience.opening, this->unanswered), expected);
 }
 
-void ControlSession::connect(const std::string &address)
+void ControlSession::connect(const std::string &address, std::shared_ptr<wire::Control::Stub> stub)
 {
     this->leave();
     const SessionId name = ++this->session;
     this->accepted = false;
-    this->currentAddress = address;
     this->lastHeard = BootClock::now();
     this->soughtAt = this->lastHeard;
+    this->askedAt[address] = this->soughtAt;
     const std::weak_ptr<bool> life = this->alive;
-    std::shared_ptr<wire::Control::Stub> &stub = this->stubs[address];
     Log.event(loop::LogLevel::Info, "session sought")
         .with("replica", address)
-        .with("connection", stub ? "kept" : "new")
+        .with("setup_ms", this->connections->setUpTime(address))
         .with("failures", this->failures);
-    if (!stub) {
-        stub = wire::Control::NewStub(openChannel(address));
-    }
     this->stream = std::make_unique<Stream>(
-        stub,
+        std::move(stub),
         [this, life, name, &target = this->loop](wire::ControlMessage message) {
             target.post([this, life, name, message = std::move(message)]() mutable {
                 if (!life.expired()) {
@@ -252,7 +298,7 @@
     wire::AgentMessage first;
     *first.mutable_hello() = this->events.hello();
     this->stream->start(first);
-    this->loop.after(grown(this->patience.opening, this->failures), [this, life, name] {
+    this->loop.after(this->openingPatience(), [this, life, name] {
         if (!life.expired()) {
             this->checkOpening(name);
         }
@@ -265,7 +311,8 @@
 {
     if (name == this->session && this->stream && !this->opened && !this->accepted) {
         this->logLeft("no answer");
-        this->dropConnections();
+        ++this->unanswered;
+        this->connections->dropReadyBefore(this->soughtAt);
         this->ended(name);
     }
 }
@@ -275,6 +322,7 @@
     if (!this->stream) {
         return;
     }
+    this->leftAt = BootClock::now();
     this->stream->cancel();
     this->freeEndedStreams();
     this->leaving.push_back(std::move(this->stream));
@@ -285,12 +333,26 @@
     }
 }
 
+/** Asks the leader that the present replica named; where its connection isn't ready, after a pause. */
+void ControlSession::follow(const std::string &leader)
+{
+    this->namedLeader = leader;
+    if (!this->connections->ready(leader, BootClock::now())) {
+        this->logLeft("names a leader without a connection");
+        this->ended(this->session);
+        return;
+    }
+    this->leave();
+    this->seek();
+}
+
 void ControlSession::received(SessionId name, wire::ControlMessage message)
 {
     if (name != this->session || !this->stream) {
         return;
     }
     this->lastHeard = BootClock::now();
+    this->unanswered = 0;
     if (message.has_redirect()) {
         const std::string leader = message.redirect().leader_address();
         if (leader.empty() || leader == this->currentAddress || this->isAvoided(leader)) {
@@ -298,7 +360,7 @@
             this->ended(name);
             return;
         }
-        this->connect(leader);
+        this->follow(leader);
         return;
     }
     if (message.has_accepted()) {
@@ -311,21 +373,13 @@
             .with("replica", this->currentAddress)
             .with("took_ms", this->lastHeard - this->soughtAt);
         this->failures = 0;
+        this->namedLeader.clear();
+        this->connections->keepOnly(this->currentAddress);
         this->events.opened(name);
     }
     this->events.message(name, std::move(message));
 }
 
-/**
- * Makes the next tries use new connections. After a partition, TCP retransmits what was sent during it only at
- * intervals that have grown to seconds, and new streams on the same connection wait behind that. One stalled connection
- * is taken as a sign for all of them.
- */
-void ControlSession::dropConnections()
-{
-    this->stubs.clear();
-}
-
 void ControlSession::freeEndedStreams()
 {
     std::erase_if(this->leaving, [](const std::unique_ptr<Stream> &left) {
@@ -360,10 +414,10 @@
     }
     this->failures += this->opened ? 0 : 1;
     this->leave();
-    this->loop.cancel(this->pauseTimer);
+    this->loop.cancel(this->seekTimer);
     const auto pause = nextPause(this->patience.pause, std::max(this->failures, 1U), this->random);
-    this->pauseTimer = this->loop.after(pause, [this] {
-        this->connectNext();
+    this->seekTimer = this->loop.after(pause, [this] {
+        this->seek();
     });
 }
 
@@ -387,7 +441,7 @@
         return;
     }
     this->logLeft("silent");
-    this->dropConnections();
+    this->connections->dropReadyBefore(std::max(this->soughtAt, this->lastHeard));
     this->avoidedAddress = this->currentAddress;
     this->avoidedUntil = BootClock::now() + this->patience.avoidance;
     this->ended(this->session);
--- a/tests/ControlSessionTest.cpp
+++ b/tests/ControlSessionTest.cpp
@@ -1,5 +1,6 @@
 #include "rpc/ControlSession.h"
 #include "LoopbackProxy.h"
+#include "SilentListener.h"
 #include "control.grpc.pb.h"
 #include "rpc/ClaimClient.h"
 #include "rpc/OperatorClient.h"
@@ -382,6 +383,53 @@
     CHECK(std::chrono::steady_clock::now() - begun < ContactBound);
 }
 
+// Guards against an agent that waits for each dead replica in turn before it asks the leader.
+TEST_CASE("an agent that knows three dead replicas of five opens a session at once")
+{
+    FakeReplica leader;
+    FakeReplica follower;
+    follower.leader = leader.address();
+    // They take connections and never say anything, as a frozen VM does.
+    std::array<test::SilentListener, 3> dead;
+    auto loop = loop::EventLoop::create().value();
+    bool opened = false;
+    rpc::ControlSessionEvents events;
+    events.hello = someHello;
+    events.opened = [&](rpc::SessionId) {
+        opened = true;
+        loop->stop();
+    };
+    events.message = [](rpc::SessionId, const wire::ControlMessage &) {};
+    events.closed = [](rpc::SessionId) {};
+    const auto begun = std::chrono::steady_clock::now();
+    const rpc::ControlSession session(
+        *loop,
+        {dead[0].address(), dead[1].address(), dead[2].address(), follower.address(), leader.address()},
+        events,
+        {.silence = 1500ms, .seed = 7});
+    stopAfter(*loop, TestLimit);
+    loop->run();
+    CHECK(opened);
+    CHECK(std::chrono::steady_clock::now() - begun < 500ms);
+}
+
+// Guards against keyed requests that are refused at an agent behind a congested link.
+TEST_CASE("a claim over connections that need 300 ms to set up is granted")
+{
+    FakeReplica leader;
+    test::LoopbackProxy proxy(leader.address(), 300ms);
+    auto loop = loop::EventLoop::create().value();
+    rpc::ClaimClient client(*loop, {proxy.address()});
+    wire::ClaimVerdict verdict = wire::CLAIM_VERDICT_UNKNOWN;
+    client.claim({}, 5000ms, [&](const wire::ClaimReply &reply) {
+        verdict = reply.verdict();
+        loop->stop();
+    });
+    stopAfter(*loop, TestLimit);
+    loop->run();
+    CHECK(verdict == wire::CLAIM_VERDICT_GRANTED);
+}
+
 // Guards against an agent that stays without a session when the connections to all replicas stalled in a partition.
 TEST_CASE("an agent whose connections to all replicas have stalled opens a session over new ones")
 {
