Large bodies are announced to the agent beside the upstream before they cross its link

Change: agents send bodies of 16 KB and more with 'Expect: 100-continue'. The agent beside the upstream lets two bodies at a time onto its link (BodyQueue, free functions, rate learnt from the bodies themselves), holds others as long as they can be received in time, and refuses the rest at their header fields, truthfully, as it does when its gate has no room.

--- a/include/agent/Gate.h
+++ b/include/agent/Gate.h
@@ -32,6 +32,9 @@
     NotServing
 };
 
+/** @return the admission's name, for logs */
+const char *toText(Admission admission);
+
 /** How an admitted request left the upstream. */
 enum class WorkEnd {
     Answered,
@@ -98,6 +101,9 @@
  */
 Admission arrive(Gate &gate, const Ticket &ticket, BootTime now);
 
+/** @return what arrive() would say, without taking the request in */
+Admission outlook(const Gate &gate, const Ticket &ticket, BootTime now);
+
 /** A waiting request is given up. @return false when it wasn't waiting */
 bool leave(Gate &gate, TicketId ticket);
 
--- a/include/net/HttpCall.h
+++ b/include/net/HttpCall.h
@@ -27,6 +27,8 @@
     Header echoed;
     /** Whether an answer without a stated length is whole when its connection ends in order. */
     bool untilClose = false;
+    /** Send the body only once the peer asks for it with "100 Continue"; an answer before that ends the call. */
+    bool awaitContinue = false;
     /** Never reuse an open connection. */
     bool freshConnection = false;
 };
--- a/include/net/HttpServer.h
+++ b/include/net/HttpServer.h
@@ -1,8 +1,13 @@
 #pragma once
 
 #include "net/Exchange.h"
+#include "net/ExpectedBody.h"
 #include "net/HttpServerSettings.h"
 
+#include <functional>
+#include <memory>
+#include <optional>
+
 namespace bergamotweir::loop {
 class EventLoop;
 }
@@ -18,6 +23,8 @@
 {
 public:
     using Handler = std::function<void(std::shared_ptr<Exchange>)>;
+    /** Returns the answer that refuses the body, or nothing: then the body waits for ExpectedBody::proceed(). */
+    using BodyAdmission = std::function<std::optional<HttpAnswer>(const std::shared_ptr<ExpectedBody> &)>;
 
     /**
      * Binds and starts to accept.
@@ -43,6 +50,12 @@
      */
     std::size_t inProgress() const;
 
+    /**
+     * Sets who decides on bodies that callers announce with "Expect: 100-continue"; without it all may come.
+     * @param admission called on the loop's thread once the header fields are read
+     */
+    void admitBodies(BodyAdmission admission);
+
     /** Closes the listening socket; open connections are closed after their next answer. */
     void stopAccepting();
 
--- /dev/null
+++ b/src/agent/BodyQueue.cpp
@@ -0,0 +1,128 @@
+#include "agent/BodyQueue.h"
+
+#include <algorithm>
+
+namespace bergamotweir::agent {
+
+namespace {
+
+using std::chrono::nanoseconds;
+
+/** Weight of a new sample in the smoothed rate: one in eight. */
+constexpr double SampleShare = 0.125;
+
+std::size_t bytesOnLink(const BodyQueue &queue)
+{
+    std::size_t bytes = 0;
+    for (const auto &[id, body] : queue.receiving) {
+        bytes += body.bytes;
+    }
+    return bytes;
+}
+
+std::size_t bytesWaiting(const BodyQueue &queue)
+{
+    std::size_t bytes = 0;
+    for (const AnnouncedBody &body : queue.waiting) {
+        bytes += body.bytes;
+    }
+    return bytes;
+}
+
+void learnRate(BodyQueue &queue, std::size_t bytes, nanoseconds interval)
+{
+    const bool first = queue.meanInterval.count() == 0;
+    const double share = first ? 1 : SampleShare;
+    queue.meanBytes += share * (static_cast<double>(bytes) - queue.meanBytes);
+    const double change = share * static_cast<double>((interval - queue.meanInterval).count());
+    queue.meanInterval += nanoseconds(static_cast<nanoseconds::rep>(change));
+}
+
+void begin(BodyQueue &queue, const AnnouncedBody &body, BootTime now)
+{
+    if (queue.receiving.empty()) {
+        queue.lastEnd = now;
+    }
+    queue.receiving.emplace(body.id, ReceivedBody{body.bytes, now});
+}
+
+bool isLate(const BodyQueue &queue, const AnnouncedBody &body, std::size_t ahead, BootTime now)
+{
+    return now + transferTime(queue, ahead + body.bytes) > body.receiveBy;
+}
+
+void forgetStalled(BodyQueue &queue, BootTime now)
+{
+    std::erase_if(queue.receiving, [now](const auto &entry) {
+        return now - entry.second.begunAt > LongestTransfer;
+    });
+}
+
+} // namespace
+
+std::chrono::nanoseconds transferTime(const BodyQueue &queue, std::size_t bytes)
+{
+    if (queue.meanBytes <= 0) {
+        return nanoseconds(0);
+    }
+    const double perByte = static_cast<double>(queue.meanInterval.count()) / queue.meanBytes;
+    return nanoseconds(static_cast<nanoseconds::rep>(perByte * static_cast<double>(bytes)));
+}
+
+Admission arrive(BodyQueue &queue, const AnnouncedBody &body, BootTime now)
+{
+    forgetStalled(queue, now);
+    // A free link takes a body whatever the rate that was learnt: only transfers can correct it.
+    if (queue.receiving.empty()) {
+        begin(queue, body, now);
+        return Admission::Admitted;
+    }
+    if (isLate(queue, body, bytesOnLink(queue) + bytesWaiting(queue), now)) {
+        return Admission::NoRoom;
+    }
+    if (queue.receiving.size() < MostBodiesReceiving) {
+        begin(queue, body, now);
+        return Admission::Admitted;
+    }
+    queue.waiting.push_back(body);
+    return Admission::Queued;
+}
+
+BodyMoves finish(BodyQueue &queue, BodyId id, bool whole, BootTime now)
+{
+    const auto found = queue.receiving.find(id);
+    if (found == queue.receiving.end()) {
+        std::erase_if(queue.waiting, [id](const AnnouncedBody &body) {
+            return body.id == id;
+        });
+        return {};
+    }
+    if (whole) {
+        learnRate(queue, found->second.bytes, now - queue.lastEnd);
+        queue.lastEnd = now;
+    }
+    queue.receiving.erase(found);
+    return move(queue, now);
+}
+
+BodyMoves move(BodyQueue &queue, BootTime now)
+{
+    BodyMoves moves;
+    forgetStalled(queue, now);
+    while (!queue.waiting.empty() && queue.receiving.size() < MostBodiesReceiving) {
+        const AnnouncedBody next = queue.waiting.front();
+        queue.waiting.pop_front();
+        // Bodies on the link share its rate, so that this one takes as long as if it waited for them.
+        const bool late =
+            queue.receiving.empty() ? now >= next.receiveBy : isLate(queue, next, bytesOnLink(queue), now);
+        if (late) {
+            moves.refused.push_back(next.id);
+            continue;
+        }
+        begin(queue, next, now);
+        moves.admitted.push_back(next.id);
+    }
+    return moves;
+}
+
+} // namespace bergamotweir::agent
--- a/src/agent/Gate.cpp
+++ b/src/agent/Gate.cpp
@@ -93,8 +93,40 @@
     return dispatchedAt + gate.serviceTime < deadline;
 }
 
+/** @return how many waiting requests go before it */
+std::size_t placeOf(const Gate &gate, const Ticket &ticket)
+{
+    const auto place =
+        std::upper_bound(gate.queue.begin(), gate.queue.end(), ticket, [](const Ticket &one, const Ticket &other) {
+            return goesBefore(one.urgency, other.urgency);
+        });
+    return static_cast<std::size_t>(place - gate.queue.begin());
+}
+
+bool isFull(const Gate &gate)
+{
+    return gate.queue.size() >= gate.settings.queueLength;
+}
+
 } // namespace
 
+const char *toText(Admission admission)
+{
+    switch (admission) {
+    case Admission::Admitted:
+        return "admitted";
+    case Admission::Queued:
+        return "queued";
+    case Admission::NoRoom:
+        return "no-room";
+    case Admission::OverLimit:
+        return "over-limit";
+    case Admission::NotServing:
+        break;
+    }
+    return "not-serving";
+}
+
 Gate makeGate(const GateSettings &settings, BootTime now)
 {
     Gate gate;
@@ -120,31 +152,37 @@
     gate.coldUntil = until;
 }
 
-Admission arrive(Gate &gate, const Ticket &ticket, BootTime now)
+Admission outlook(const Gate &gate, const Ticket &ticket, BootTime now)
 {
     if (gate.queue.empty() && mayDispatch(gate, now)) {
-        dispatch(gate, now);
         return Admission::Admitted;
     }
-    const auto place =
-        std::upper_bound(gate.queue.begin(), gate.queue.end(), ticket, [](const Ticket &one, const Ticket &other) {
-            return goesBefore(one.urgency, other.urgency);
-        });
-    const auto ahead = static_cast<std::size_t>(place - gate.queue.begin());
+    const std::size_t ahead = placeOf(gate, ticket);
     const nanoseconds wait = std::max(expectedWait(gate, ahead), expectedColdWait(gate, ahead, now));
-    const bool full = gate.queue.size() >= gate.settings.queueLength;
-    if ((full && place == gate.queue.end()) || wait > gate.settings.longestWait || now + wait > ticket.urgency.startBy
-        || !isInTime(gate, ticket.deadline, now + wait)) {
+    if ((isFull(gate) && ahead == gate.queue.size()) || wait > gate.settings.longestWait
+        || now + wait > ticket.urgency.startBy || !isInTime(gate, ticket.deadline, now + wait)) {
         return shedding(gate);
     }
-    gate.queue.insert(place, ticket);
-    if (full) {
-        gate.displaced.push_back(gate.queue.back().id);
-        gate.queue.pop_back();
-    }
     return Admission::Queued;
 }
 
+Admission arrive(Gate &gate, const Ticket &ticket, BootTime now)
+{
+    const Admission admission = outlook(gate, ticket, now);
+    if (admission == Admission::Admitted) {
+        dispatch(gate, now);
+    }
+    if (admission == Admission::Queued) {
+        const bool full = isFull(gate);
+        gate.queue.insert(gate.queue.begin() + static_cast<std::ptrdiff_t>(placeOf(gate, ticket)), ticket);
+        if (full) {
+            gate.displaced.push_back(gate.queue.back().id);
+            gate.queue.pop_back();
+        }
+    }
+    return admission;
+}
+
 bool leave(Gate &gate, TicketId ticket)
 {
     const auto found = std::find_if(gate.queue.begin(), gate.queue.end(), [&](const Ticket &waiting) {
--- a/src/net/ClientCall.cpp
+++ b/src/net/ClientCall.cpp
@@ -189,11 +189,12 @@
         }
     }
     // What libcurl would add by itself.
-    for (const char *name : {"Accept", "Content-Type", "Expect"}) {
+    for (const char *name : {"Accept", "Content-Type"}) {
         if (findHeader(http.headers, name) == nullptr) {
             list = curl_slist_append(list, (std::string(name) + ":").c_str());
         }
     }
+    list = curl_slist_append(list, http.awaitContinue ? "Expect: 100-continue" : "Expect:");
     return list;
 }
 
@@ -276,6 +277,9 @@
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, onBody);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &call);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &call);
+    if (http.awaitContinue) {
+        curl_easy_setopt(easy, CURLOPT_EXPECT_100_TIMEOUT_MS, toMilliseconds(http.timeout));
+    }
     if (http.freshConnection) {
         curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
         curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -14,6 +14,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <strings.h>
 #include <unordered_map>
 
 namespace bergamotweir::net {
@@ -29,6 +30,7 @@
 constexpr int RoundsPerTurn = 8;
 constexpr std::chrono::seconds IdleSweep{1};
 constexpr int HangUpBatch = 64;
+constexpr const char *Continue = "100-continue";
 constexpr int LowestFinalStatus = 200;
 constexpr int HighestStatus = 999;
 
@@ -103,6 +105,7 @@
     loop::EventLoop &loop;
     HttpServerSettings settings;
     Handler handler;
+    BodyAdmission bodyAdmission;
     ExchangeHost host;
     MHD_Daemon *daemon = nullptr;
     int daemonEvents = -1;
@@ -132,6 +135,7 @@
     MHD_Result onAccess(
         MHD_Connection *connection, RequestContext &context, const char *method, const char *data, std::size_t *size);
     MHD_Result begin(MHD_Connection *connection, ServerExchange &exchange, const char *method);
+    MHD_Result holdBody(MHD_Connection *connection, ServerExchange &exchange, std::size_t length);
     MHD_Result finish(MHD_Connection *connection, ServerExchange &exchange);
     MHD_Result refuse(MHD_Connection *connection, ServerExchange &exchange, HttpAnswer answer);
     MHD_Result queue(MHD_Connection *connection, ServerExchange &exchange);
@@ -328,6 +332,12 @@
         exchange.started = true;
         return this->begin(connection, exchange, method);
     }
+    if (exchange.awaitsBody && *size == 0) {
+        // Resumed after it was held: libmicrohttpd calls once more before it reads the body.
+        exchange.awaitsBody = false;
+        return exchange.state == ServerExchange::State::Answered ? this->queue(connection, exchange) : MHD_YES;
+    }
+    exchange.awaitsBody = false;
     if (*size == 0) {
         return this->finish(connection, exchange);
     }
@@ -363,10 +373,30 @@
         return this->refuse(
             connection, exchange, problem(413, "Body too large", "The body is too large.", RequestRan::No));
     }
+    const std::string *expected = findHeader(request.headers, "Expect");
+    if (this->bodyAdmission && length > 0 && expected != nullptr && strcasecmp(expected->c_str(), Continue) == 0) {
+        return this->holdBody(connection, exchange, length);
+    }
     request.body.reserve(std::min(length, this->settings.maxBodyBytes));
     return MHD_YES;
 }
 
+/** Asks whether the body may come, before the caller is told to send it. */
+MHD_Result HttpServer::Parts::holdBody(MHD_Connection *connection, ServerExchange &exchange, std::size_t length)
+{
+    const std::shared_ptr<ServerExchange> shared = exchange.self.lock();
+    exchange.awaitBody(this->host, length);
+    if (std::optional<HttpAnswer> refusal = this->bodyAdmission(shared)) {
+        return this->refuse(connection, exchange, std::move(*refusal));
+    }
+    if (exchange.bodyHeld) {
+        exchange.awaitsBody = true;
+        exchange.suspended = true;
+        MHD_suspend_connection(connection);
+    }
+    return MHD_YES;
+}
+
 MHD_Result HttpServer::Parts::finish(MHD_Connection *connection, ServerExchange &exchange)
 {
     if (exchange.state == ServerExchange::State::Discarding) {
@@ -376,6 +406,7 @@
     if (this->ended) {
         return MHD_NO;
     }
+    exchange.endBody(true);
     if (exchange.state == ServerExchange::State::Receiving) {
         const auto found = this->connections.find(exchange.connectionId);
         if (found != this->connections.end() && found->second.hungUp) {
@@ -465,6 +496,11 @@
     return this->parts->host.inProgress;
 }
 
+void HttpServer::admitBodies(BodyAdmission admission)
+{
+    this->parts->bodyAdmission = std::move(admission);
+}
+
 void HttpServer::stopAccepting()
 {
     if (this->parts->stopping) {
--- a/src/net/ServerExchange.cpp
+++ b/src/net/ServerExchange.cpp
@@ -3,6 +3,7 @@
 #include <microhttpd.h>
 
 #include <cassert>
+#include <utility>
 
 namespace bergamotweir::net {
 
@@ -28,12 +29,18 @@
     assert(this->state == State::Receiving);
     this->state = State::HandedOver;
     this->host = &to;
+    this->counted = true;
     ++to.inProgress;
     handler(this->self.lock());
 }
 
 void ServerExchange::abandon()
 {
+    if (this->state == State::Receiving) {
+        // libmicrohttpd finds the connection closed when it looks for the body.
+        this->wake();
+        return;
+    }
     if (this->state != State::HandedOver) {
         return;
     }
@@ -52,13 +59,56 @@
         this->abandonedTask = nullptr;
     }
     this->wake();
-    if (this->host != nullptr) {
+    this->endBody(false);
+    if (std::exchange(this->counted, false)) {
         --this->host->inProgress;
     }
     this->host = nullptr;
     this->connection = nullptr;
 }
 
+const HttpRequest &ServerExchange::head() const
+{
+    return this->received;
+}
+
+std::size_t ServerExchange::length() const
+{
+    return this->expectedBytes;
+}
+
+void ServerExchange::awaitBody(ExchangeHost &to, std::size_t length)
+{
+    this->host = &to;
+    this->expectedBytes = length;
+    this->bodyHeld = true;
+}
+
+void ServerExchange::proceed()
+{
+    this->bodyHeld = false;
+    this->wake();
+}
+
+void ServerExchange::refuse(HttpAnswer answer)
+{
+    if (this->state != State::Receiving) {
+        return;
+    }
+    this->bodyHeld = false;
+    this->state = State::Answered;
+    this->outgoing = std::move(answer);
+    this->wake();
+}
+
+void ServerExchange::endBody(bool whole)
+{
+    const std::function<void(bool)> task = std::exchange(this->endedTask, nullptr);
+    if (task) {
+        task(whole);
+    }
+}
+
 void ServerExchange::wake()
 {
     if (this->suspended && this->connection != nullptr) {
--- a/src/net/ServerExchange.h
+++ b/src/net/ServerExchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "net/Exchange.h"
+#include "net/ExpectedBody.h"
 
 #include <cstdint>
 
@@ -20,7 +21,7 @@
  * The server's side of an Exchange. Owned by libmicrohttpd's request context from the request line on, and shared
  * with the handler once the request is whole.
  */
-class ServerExchange : public Exchange
+class ServerExchange : public Exchange, public ExpectedBody
 {
 public:
     enum class State {
@@ -35,6 +36,17 @@
     void answer(HttpAnswer answer) override;
     bool isAbandoned() const override;
 
+    const HttpRequest &head() const override;
+    std::size_t length() const override;
+    void proceed() override;
+    void refuse(HttpAnswer answer) override;
+
+    /** The caller waits for "100 Continue": the connection is to be suspended until proceed() or refuse(). */
+    void awaitBody(ExchangeHost &to, std::size_t length);
+
+    /** Tells whoever admitted the body that it ended, once. */
+    void endBody(bool whole);
+
     /** Hands the whole request over; the connection is to be suspended afterwards if the state is HandedOver. */
     void handOver(ExchangeHost &to, const std::function<void(std::shared_ptr<Exchange>)> &handler);
 
@@ -48,6 +60,10 @@
     std::uint64_t connectionId = 0;
     State state = State::Receiving;
     bool suspended = false;
+    /** proceed() or refuse() is still to come. */
+    bool bodyHeld = false;
+    /** Suspended before its body; libmicrohttpd calls once more before it reads that. */
+    bool awaitsBody = false;
     bool started = false;
     std::size_t bodyBytes = 0;
     HttpAnswer outgoing;
@@ -61,6 +77,9 @@
 private:
     void wake();
     ExchangeHost *host = nullptr;
+    /** Counted in the host's requests in progress. */
+    bool counted = false;
+    std::size_t expectedBytes = 0;
 };
 
 } // namespace bergamotweir::net
--- a/src/process/AgentProcess.cpp
+++ b/src/process/AgentProcess.cpp
@@ -99,6 +99,9 @@
 AgentProcess::AgentProcess(loop::EventLoop &loop, const AgentSettings &settings)
     : loop(loop)
     , report(this->state)
+    , bodies(this->loop, this->state, [this](std::uint32_t id) {
+        return this->localUpstream(id);
+    })
 {
     this->state.settings = settings;
     this->state.protocol = settings.protocol == nullptr ? &ownProtocol() : settings.protocol;
@@ -169,6 +172,9 @@
 
 void AgentProcess::connect()
 {
+    this->peers->admitBodies([this](const std::shared_ptr<net::ExpectedBody> &body) {
+        return this->bodies.announced(body);
+    });
     const std::string address = this->state.settings.address + ":";
     this->state.peerAddress = address + std::to_string(this->peers->port());
     this->state.operatorAddress = address + std::to_string(this->operators->port());
--- a/src/process/AgentProcess.h
+++ b/src/process/AgentProcess.h
@@ -5,6 +5,7 @@
 #include "process/AgentMetrics.h"
 #include "process/AgentReport.h"
 #include "process/AgentState.h"
+#include "process/BodyIntake.h"
 #include "process/ControlLink.h"
 #include "process/LocalUpstream.h"
 #include "process/RequestRunner.h"
@@ -66,6 +67,8 @@
     AgentMetrics metrics;
     std::uint64_t knownRevision = 0;
     BootTime revisionSince;
+    /** Outlives the server for agents, which tells it when bodies end. */
+    BodyIntake bodies;
     std::unique_ptr<net::PipelineServer> callers;
     std::unique_ptr<net::HttpServer> peers;
     std::unique_ptr<net::HttpServer> announcements;
--- a/src/process/LocalUpstream.cpp
+++ b/src/process/LocalUpstream.cpp
@@ -174,7 +174,7 @@
 
 agent::Admission LocalUpstream::enter(const agent::Ticket &ticket)
 {
-    if (this->present != UpstreamStatus::Serving || this->isOutOfService(BootClock::now())) {
+    if (!this->isServing()) {
         return agent::Admission::NotServing;
     }
     const agent::Admission admission = agent::arrive(this->gate, ticket, BootClock::now());
@@ -184,6 +184,21 @@
     return admission;
 }
 
+bool LocalUpstream::isServing() const
+{
+    return this->present == UpstreamStatus::Serving && !this->isOutOfService(BootClock::now());
+}
+
+agent::Admission LocalUpstream::outlook(const agent::Ticket &ticket) const
+{
+    return this->isServing() ? agent::outlook(this->gate, ticket, BootClock::now()) : agent::Admission::NotServing;
+}
+
+std::chrono::nanoseconds LocalUpstream::meanServiceTime() const
+{
+    return this->gate.serviceTime;
+}
+
 void LocalUpstream::describe(loop::LogEvent &event) const
 {
     event.with("upstream", this->latest.name)
--- a/src/process/LocalUpstream.h
+++ b/src/process/LocalUpstream.h
@@ -106,6 +106,12 @@
 
     agent::Admission enter(const agent::Ticket &ticket);
 
+    /** @return what enter() would say now, without taking the request in */
+    agent::Admission outlook(const agent::Ticket &ticket) const;
+
+    /** @return how long a request takes at the upstream, smoothed; 0 when not known */
+    std::chrono::nanoseconds meanServiceTime() const;
+
     /** Adds to a line of the log what decides who is let through now. */
     void describe(loop::LogEvent &event) const;
 
@@ -153,6 +159,7 @@
     void endLingering();
     bool isSilent(BootTime now) const;
     bool isOutOfService(BootTime now) const;
+    bool isServing() const;
     void holdsReported(const Heartbeat &heartbeat);
     std::vector<KeyGrant> grantKeys();
     void noteHeld(const std::vector<KeyGrant> &grants, std::chrono::milliseconds holdFor);
--- a/src/process/RequestRunner.cpp
+++ b/src/process/RequestRunner.cpp
@@ -6,6 +6,7 @@
 #include "process/AgentMetrics.h"
 #include "process/AgentProtocol.h"
 #include "process/AgentState.h"
+#include "process/BodyIntake.h"
 #include "process/LocalUpstream.h"
 #include "process/RunningRequest.h"
 
@@ -404,6 +405,7 @@
         call.headers.push_back({SuspectHeader, "1"});
     }
     call.body = received.body;
+    call.awaitContinue = call.body.size() >= LargeBodyBytes;
     call.timeout = request.state.facts.deadline - now;
     attempt.call = this->peers.send(std::move(call), [this, number, id](net::CallResult result) {
         const AttemptOutcome outcome = readPeerOutcome(result);
--- /dev/null
+++ b/tests/BodyQueueTest.cpp
@@ -0,0 +1,147 @@
+#include "agent/BodyQueue.h"
+
+#include <catch2/catch.hpp>
+#include <pcg_random.hpp>
+
+#include <cmath>
+
+using namespace bergamotweir;
+using namespace bergamotweir::agent;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr BootTime Start{100s};
+constexpr double LinkBytesPerSecond = 825e3;
+constexpr std::size_t BodyBytes = 60000;
+constexpr auto Step = 1ms;
+
+/** Bodies that come over one link, which shares its rate among them. */
+struct Link {
+    struct Transfer {
+        AnnouncedBody body;
+        double left = 0;
+    };
+
+    void begin(const AnnouncedBody &body)
+    {
+        this->transfers.push_back({body, static_cast<double>(body.bytes)});
+    }
+
+    /** Carries the bytes of one step. @return the bodies that came whole */
+    std::vector<AnnouncedBody> advance()
+    {
+        const double each = LinkBytesPerSecond * std::chrono::duration<double>(Step).count()
+                            / static_cast<double>(std::max<std::size_t>(this->transfers.size(), 1));
+        std::vector<AnnouncedBody> whole;
+        for (Transfer &transfer : this->transfers) {
+            transfer.left -= each;
+            if (transfer.left <= 0) {
+                whole.push_back(transfer.body);
+            }
+        }
+        std::erase_if(this->transfers, [](const Transfer &transfer) {
+            return transfer.left <= 0;
+        });
+        return whole;
+    }
+
+    std::vector<Transfer> transfers;
+};
+
+struct Outcome {
+    unsigned arrived = 0;
+    unsigned inTime = 0;
+    unsigned late = 0;
+    std::size_t mostOnLink = 0;
+};
+
+/** Plays a minute of bodies that come at random, for @p load times the link's rate, each wanted within @p patience. */
+Outcome play(double load, std::chrono::milliseconds patience)
+{
+    pcg32 random(7);
+    const auto part = [&random] {
+        return (static_cast<double>(random()) + 1) / (static_cast<double>(pcg32::max()) + 2);
+    };
+    BodyQueue queue;
+    Link link;
+    Outcome outcome;
+    std::map<BodyId, AnnouncedBody> waiting;
+    BootTime next = Start;
+    for (BootTime now = Start; now < Start + 60s; now += Step) {
+        for (const AnnouncedBody &body : link.advance()) {
+            (now <= body.receiveBy ? outcome.inTime : outcome.late)++;
+            for (const BodyId id : finish(queue, body.id, true, now).admitted) {
+                link.begin(waiting.at(id));
+            }
+        }
+        while (next <= now) {
+            const AnnouncedBody body{++outcome.arrived, BodyBytes, now + patience};
+            const Admission admission = arrive(queue, body, now);
+            if (admission == Admission::Admitted) {
+                link.begin(body);
+            } else if (admission == Admission::Queued) {
+                waiting[body.id] = body;
+            }
+            const std::chrono::duration<double> gap(-std::log(part()) * BodyBytes / LinkBytesPerSecond / load);
+            next += std::chrono::duration_cast<std::chrono::nanoseconds>(gap);
+        }
+        outcome.mostOnLink = std::max(outcome.mostOnLink, link.transfers.size());
+    }
+    return outcome;
+}
+
+} // namespace
+
+// Guards against a link whose queue grows without bound when more bodies come than it carries.
+TEST_CASE("of more bodies than the link carries, those let in are in time and the link stays busy")
+{
+    const Outcome outcome = play(1.3, 800ms);
+    const double carried = outcome.inTime * static_cast<double>(BodyBytes) / LinkBytesPerSecond / 60;
+    CHECK(outcome.arrived > 900);
+    CHECK(carried > 0.9);
+    CHECK(outcome.late <= outcome.inTime / 50);
+    CHECK(outcome.mostOnLink <= MostBodiesReceiving);
+}
+
+TEST_CASE("a link with room refuses hardly any body")
+{
+    const Outcome outcome = play(0.5, 800ms);
+    CHECK(outcome.inTime > 0.99 * outcome.arrived);
+}
+
+// Guards against a rate that was learnt wrong and never corrected, as all bodies are refused by it.
+TEST_CASE("a free link takes a body whatever rate was learnt")
+{
+    BodyQueue queue;
+    REQUIRE(arrive(queue, {1, BodyBytes, Start + 1s}, Start) == Admission::Admitted);
+    finish(queue, 1, true, Start + 30s);
+    CHECK(transferTime(queue, BodyBytes) == 30s);
+    CHECK(arrive(queue, {2, BodyBytes, Start + 31s}, Start + 30s) == Admission::Admitted);
+    CHECK(arrive(queue, {3, BodyBytes, Start + 31s}, Start + 30s) == Admission::NoRoom);
+}
+
+// Guards against room that is lost with a sender that went away, on the link or waiting.
+TEST_CASE("a sender that goes away gives its room back")
+{
+    BodyQueue queue;
+    REQUIRE(arrive(queue, {1, BodyBytes, Start + 5s}, Start) == Admission::Admitted);
+    REQUIRE(arrive(queue, {2, BodyBytes, Start + 5s}, Start) == Admission::Admitted);
+    REQUIRE(arrive(queue, {3, BodyBytes, Start + 5s}, Start) == Admission::Queued);
+    REQUIRE(arrive(queue, {4, BodyBytes, Start + 5s}, Start) == Admission::Queued);
+    CHECK(finish(queue, 3, false, Start + 1ms).admitted.empty());
+    CHECK(finish(queue, 1, false, Start + 2ms).admitted == std::vector<BodyId>{4});
+    CHECK(queue.meanInterval == 0ns);
+}
+
+// Guards against senders that were granted room and stall: nobody else would ever be let in.
+TEST_CASE("senders that stall don't keep others out")
+{
+    BodyQueue queue;
+    REQUIRE(arrive(queue, {1, BodyBytes, Start + 9s}, Start) == Admission::Admitted);
+    REQUIRE(arrive(queue, {2, BodyBytes, Start + 9s}, Start) == Admission::Admitted);
+    REQUIRE(arrive(queue, {3, BodyBytes, Start + 9s}, Start) == Admission::Queued);
+    CHECK(move(queue, Start + LongestTransfer).admitted.empty());
+    CHECK(move(queue, Start + LongestTransfer + 1ms).admitted == std::vector<BodyId>{3});
+    CHECK(finish(queue, 1, true, Start + 3s).admitted.empty());
+}
