--- a/include/control/LoadBook.h
+++ b/include/control/LoadBook.h
@@ -2,7 +2,6 @@
 
 #include "base/BootClock.h"
 #include "control.pb.h"
-#include "control/RangeSplits.h"
 
 #include <cstdint>
 #include <map>
@@ -22,7 +21,8 @@
 class LoadBook
 {
 public:
-    /** Share of a new report in the smoothed rate, unless it differs by more than chance explains. */
+    /** Share of a new report in the smoothed rate: which keys are busy changes within seconds, and reports come each.
+     */
     static constexpr double Weight = 0.3;
     /** Hot keys remembered for a service; the coldest one makes room. */
     static constexpr std::size_t MostHotKeys = 1024;
@@ -36,16 +36,6 @@
      */
     void weigh(const std::string &service, const SliceMap &map, std::vector<LoadedSlice> &slices) const;
 
-    /** @return which slices to cut by their load, for so many upstreams that share it */
-    RangeLoads rangeLoads(const std::string &service, const SliceMap &map, std::size_t upstreams, BootTime now) const;
-
-    /**
-     * Shares the rates of slices that are about to be cut among their parts, so that these can be moved before anything
-     * was measured of them.
-     * @param map before the change
-     */
-    void split(const std::string &service, const SliceMap &map, const SliceSplits &splits, BootTime now);
-
     /** @return hashes of the keys which carry at least @p share of the service's rate, reported lately */
     std::vector<std::uint64_t> hotKeys(const std::string &service, double share, BootTime now) const;
 
@@ -75,14 +65,11 @@
 
     struct Service {
         std::map<std::uint64_t, double> rates;
-        /** When slices were cut; reports that began before tell of the whole. */
-        std::map<std::uint64_t, BootTime> cutAt;
         std::map<std::uint64_t, HotKey> hotKeys;
         std::unordered_map<std::uint32_t, WorkTime> workTimes;
     };
 
     double totalRate(const Service &service) const;
-    double hottestKey(const Service &service, std::uint64_t begin, std::uint64_t end, BootTime now) const;
 
     std::map<std::string, Service> services;
 };
--- a/src/control/CoordinatorMoves.cpp
+++ b/src/control/CoordinatorMoves.cpp
@@ -1,7 +1,6 @@
 #include "base/KeyHash.h"
 #include "control/Assignment.h"
 #include "control/Coordinator.h"
-#include "control/RangeSplits.h"
 #include "control/SliceSplits.h"
 #include "control/State.h"
 
@@ -14,7 +13,7 @@
 namespace {
 
 /** A key gets a slice of its own from this part of an upstream's rightful load on. */
-constexpr double HotKeyPart = 0.5;
+constexpr double HotKeyPart = 0.25;
 
 wire::SliceRef refTo(const SliceName &slice, std::uint64_t epoch)
 {
@@ -173,22 +172,14 @@
     }
     const double rightful = 1.0 / static_cast<double>(memberCount);
     const table::ServicePolicy policy = this->state.tables().table().service(service);
-    const std::size_t wantedSlices = memberCount * this->settings.slicesPerUpstream;
-    const std::uint64_t grain = policy.numberedKeys ? KeyGrain : 1;
-    const std::set<std::uint64_t> moving = this->moveBook.begins(service);
-    SliceSplits splits;
-    if (map.slices().size() >= wantedSlices) {
-        const RangeLoads ranges = this->loads.rangeLoads(service, map, memberCount, now);
-        splits = planRangeSplits(map, ranges, wantedSlices, moving, grain);
-    }
-    if (splits.empty()) {
-        const std::vector<std::uint64_t> hot = this->loads.hotKeys(service, HotKeyPart * rightful, now);
-        splits = planSplits(map, wantedSlices, hot, moving, grain);
-    }
+    const SliceSplits splits = planSplits(map,
+                                          memberCount * this->settings.slicesPerUpstream,
+                                          this->loads.hotKeys(service, HotKeyPart * rightful, now),
+                                          this->moveBook.begins(service),
+                                          policy.numberedKeys ? KeyGrain : 1);
     if (splits.empty()) {
         return false;
     }
-    this->loads.split(service, map, splits, now);
     wire::Command command;
     command.mutable_assign()->set_service(service);
     for (const std::uint64_t begin : splits.added) {
@@ -328,7 +319,6 @@
                              const std::vector<Member> &members,
                              BootTime now)
 {
-    const std::size_t wantedSlices = members.size() * this->settings.slicesPerUpstream;
     std::unordered_map<std::uint32_t, std::size_t> busy = this->moveBook.countByUpstream();
     std::vector<SliceName> revoked;
     for (const SliceMove &want : wanted) {
@@ -354,11 +344,8 @@
             continue;
         }
         if (contains(members, holding.owner)) {
-            // Both stay: nothing presses, and a cold upstream should get its load step by step. Parts of a hot range
-            // may all leave at once: they are more than their owner can serve.
-            const bool fragment = isFragment(map.width(map.at(want.begin)), wantedSlices);
-            const std::size_t limit = this->settings.movesPerUpstream;
-            if (busy[want.to] >= limit || (busy[holding.owner] >= limit && !fragment)) {
+            // Both stay: nothing presses, and a cold upstream should get its load step by step.
+            if (std::max(busy[holding.owner], busy[want.to]) >= this->settings.movesPerUpstream) {
                 continue;
             }
         }
--- a/src/control/LoadBook.cpp
+++ b/src/control/LoadBook.cpp
@@ -4,8 +4,6 @@
 #include "control/SliceMap.h"
 
 #include <algorithm>
-#include <cmath>
-#include <iterator>
 
 namespace bergamotweir::control {
 
@@ -26,40 +24,13 @@
 constexpr double SlowestShare = 0.3;
 constexpr double FastestShare = 3;
 
-/** Longest time that a report covers. */
-constexpr std::chrono::milliseconds ReportSpan{1500};
-/** Standard deviations beyond which a rate has changed and not merely varied. */
-constexpr double BeyondChance = 3;
-/** A slice is cut when it carries more than this part of an upstream's rightful load, ... */
-constexpr double HeavyPart = 0.6;
-/** ... into parts that carry so much of it. */
-constexpr double PiecePart = 0.3;
-/** Parts of one slice at most: what a few upstreams can't take in one round of moves needn't be cut finer. */
-constexpr double MostPieces = 32;
-/** One key with this share of its slice's rate is cut out by itself. */
-constexpr double SingleKeyShare = 0.5;
-/** A slice with less than this part of an upstream's rightful load is cold. */
-constexpr double WarmPart = 0.05;
-
-/** @return the share of a new rate: whole where the counts of about a second differ by more than chance explains */
-double weightOf(double reported, double smoothed)
-{
-    const double change = reported - smoothed;
-    return change * change > BeyondChance * BeyondChance * (reported + smoothed) ? 1 : LoadBook::Weight;
-}
-
 } // namespace
 
 void LoadBook::report(const wire::Renew &renew, BootTime now)
 {
     for (const wire::SliceLoad &load : renew.loads()) {
-        Service &service = this->services[load.service()];
-        const auto cut = service.cutAt.find(load.begin());
-        if (cut != service.cutAt.end() && now < cut->second + ReportSpan) {
-            continue;
-        }
-        double &rate = service.rates[load.begin()];
-        rate += weightOf(load.rate(), rate) * (load.rate() - rate);
+        double &rate = this->services[load.service()].rates[load.begin()];
+        rate += Weight * (load.rate() - rate);
     }
     for (const wire::UpstreamWork &work : renew.work()) {
         if (!(work.mean_seconds() > 0)) {
@@ -123,79 +94,6 @@
     }
 }
 
-double LoadBook::hottestKey(const Service &service, std::uint64_t begin, std::uint64_t end, BootTime now) const
-{
-    double most = 0;
-    for (auto key = service.hotKeys.lower_bound(begin); key != service.hotKeys.end(); ++key) {
-        if (end != 0 && key->first >= end) {
-            break;
-        }
-        if (key->second.reported + HotKeyAge > now) {
-            most = std::max(most, key->second.rate);
-        }
-    }
-    return most;
-}
-
-RangeLoads
-LoadBook::rangeLoads(const std::string &service, const SliceMap &map, std::size_t upstreams, BootTime now) const
-{
-    RangeLoads loads;
-    const auto found = this->services.find(service);
-    const double total = found == this->services.end() ? 0 : this->totalRate(found->second);
-    if (total < LeastMeasuredRate || upstreams == 0) {
-        return loads;
-    }
-    const double rightful = total / static_cast<double>(upstreams);
-    for (auto slice = map.slices().begin(); slice != map.slices().end(); ++slice) {
-        const auto known = found->second.rates.find(slice->first);
-        const double rate = known == found->second.rates.end() ? 0 : known->second;
-        if (rate > WarmPart * rightful) {
-            loads.warm.insert(slice->first);
-        }
-        const auto next = std::next(slice);
-        const std::uint64_t end = next == map.slices().end() ? 0 : next->first;
-        if (rate > HeavyPart * rightful
-            && this->hottestKey(found->second, slice->first, end, now) < SingleKeyShare * rate) {
-            const double pieces = std::min(std::ceil(rate / (PiecePart * rightful)), MostPieces);
-            loads.heavy.push_back({slice->first, static_cast<std::size_t>(pieces)});
-        }
-    }
-    return loads;
-}
-
-void LoadBook::split(const std::string &service, const SliceMap &map, const SliceSplits &splits, BootTime now)
-{
-    Service &known = this->services[service];
-    std::erase_if(known.cutAt, [now](const auto &entry) {
-        return entry.second + ReportSpan < now;
-    });
-    std::map<std::uint64_t, std::vector<std::uint64_t>> parts;
-    for (const std::uint64_t begin : splits.added) {
-        parts[map.at(begin)->first].push_back(begin);
-    }
-    for (const auto &[whole, added] : parts) {
-        const auto rate = known.rates.find(whole);
-        if (rate == known.rates.end()) {
-            continue;
-        }
-        const double each = rate->second / static_cast<double>(added.size() + 1);
-        rate->second = each;
-        known.cutAt[whole] = now;
-        for (const std::uint64_t begin : added) {
-            known.rates[begin] = each;
-            known.cutAt[begin] = now;
-        }
-    }
-    for (const std::uint64_t begin : splits.merged) {
-        const auto rate = known.rates.find(begin);
-        if (rate != known.rates.end()) {
-            known.rates[std::prev(map.at(begin))->first] += rate->second;
-            known.rates.erase(rate);
-        }
-    }
-}
-
 std::vector<std::uint64_t> LoadBook::hotKeys(const std::string &service, double share, BootTime now) const
 {
     std::vector<std::uint64_t> hot;
