--- a/include/agent/ComeBack.h
+++ b/include/agent/ComeBack.h
@@ -14,9 +14,8 @@
  *
  * The loads that it answers: where there was no room, room comes with the next finished work, and an early return may
  * still be in its target. Where nobody serves the key or the route now, an owner is granted it within a heartbeat or
- * two: who comes back sooner is surely refused again, and has no further try. On the users' standard days the two
- * together differ by less than their noise of 0.03 from 0.15 to 0.5 s for everybody.
- * Both are spread, so that callers who were refused together don't return together.
+ * two: who comes back sooner is surely refused again, and has no further try. Both are spread, so that callers who were
+ * refused together don't return together.
  * @param end why the last attempt ended
  * @return the time to wait
  */
--- a/include/agent/LoadSketch.h
+++ b/include/agent/LoadSketch.h
@@ -42,7 +42,7 @@
     static constexpr std::size_t MostKeys = 64;
     /** Keys told for a service. */
     static constexpr std::size_t MostTold = 16;
-    /** A key is told when it surely has this share of the service's requests here. */
+    /** Minimum share of the service's requests here for which a key is reported. */
     static constexpr double LeastShare = 0.02;
 
     std::map<std::string, ServiceLoad, std::less<>> services;
@@ -57,7 +57,7 @@
 
 /**
  * Tells the rates since the last report and begins anew.
- * Every slice owned here is told, also one without requests: control would go on counting with its last rate.
+ * Reports every slice owned here, also those without requests; otherwise control would keep their last rate.
  */
 void reportLoad(LoadSketch &sketch, const RouteMap &map, const Ownership &ownership, BootTime now, wire::Renew &renew);
 
--- a/include/agent/Ownership.h
+++ b/include/agent/Ownership.h
@@ -94,7 +94,7 @@
 /** @return whether one of the ranges that are surely held, under the slice's epoch, covers all of the slice */
 bool covers(const std::vector<HeldRange> &held, const RouteMap &map, std::string_view service, const Slice &slice);
 
-/** The upstream said that it doesn't hold a key that it was believed to hold: not believed until it is told again. */
+/** Handles a key that the upstream disowned: its range counts as not held until it is granted again. */
 void disowned(Ownership &ownership, std::string_view service, std::uint64_t hash);
 
 /** Counts work on a key from its dispatch until it has surely ended; endWork() is called with the same key. */
--- a/include/process/ControlSettings.h
+++ b/include/process/ControlSettings.h
@@ -42,7 +42,7 @@
     std::uint16_t controlPort = 0;
     /** /healthz, /metrics. */
     std::uint16_t operatorPort = 0;
-    /** Everything that must survive lies below it. */
+    /** Folder of all durable state. */
     std::string dataFolder;
     /** The first membership, the same on each replica of it; all voters. Empty when join is set. */
     wire::Membership initial;
--- a/include/rpc/ControlSession.h
+++ b/include/rpc/ControlSession.h
@@ -20,7 +20,7 @@
 /** Counts the sessions of one agent process; a message of an older session means nothing. */
 using SessionId = std::uint64_t;
 
-/** What the owner of a ControlSession is told; all on the loop's thread. */
+/** Callbacks of a ControlSession; all run on the loop's thread. */
 struct ControlSessionEvents {
     /** Makes the first message of a new session. */
     std::function<wire::Hello()> hello;
--- a/src/agent/ComeBack.cpp
+++ b/src/agent/ComeBack.cpp
@@ -6,10 +6,10 @@
 
 using std::chrono::milliseconds;
 
-/** Within the time of one request of the heavy services, a slot comes free many times. */
+/** Delay range when there was no room: a few service times. */
 constexpr milliseconds ShortestForRoom{150};
 constexpr milliseconds LongestForRoom{500};
-/** Half a heartbeat of 0.9 to 1.5 s; above 0.66 s callers with a deadline of 2 s don't wait for so long. */
+/** Delay range when there was no owner: about half a heartbeat interval, below a third of a short deadline. */
 constexpr milliseconds ShortestForOwner{400};
 constexpr milliseconds LongestForOwner{650};
 
--- a/src/agent/RequestStep.cpp
+++ b/src/agent/RequestStep.cpp
@@ -212,9 +212,9 @@
 }
 
 /**
- * Whether the end says that the owner is being changed or can't be reached, which mends itself within a second.
- * Guard against refusing what could be served. It shows as a burst of 503 after the loss of a VM: three quick tries at
- * an owner that is gone, while a new one has the key half a second later. Such an end isn't counted as a try.
+ * @return whether the owner is being replaced or is unreachable, which is temporary
+ * Such an end isn't counted as a try: otherwise three quick tries at a lost owner would exhaust them before the key has
+ * its next owner.
  */
 bool isRouteEnd(const RequestState &state)
 {
--- a/src/cli/TraceCommand.cpp
+++ b/src/cli/TraceCommand.cpp
@@ -38,7 +38,8 @@
     std::uint64_t leftOut = 0;
 };
 
-/** Calls back with each line of a file; one that is too long comes empty. @return false when it can't be read */
+/** Calls @p take for each line of a file, with an empty string for a line that is too long. @return false on a read
+ * error */
 bool eachLine(const std::string &path, const std::function<void(std::uint64_t, const std::string &)> &take)
 {
     std::ifstream file(path);
--- a/src/process/CallGrants.h
+++ b/src/process/CallGrants.h
@@ -13,7 +13,7 @@
 
 struct AgentState;
 
-/** What the owner of a CallGrants is told. */
+/** Callbacks of a CallGrants. */
 struct CallGrantsEvents {
     /** The upstream holds more or less than before: waiting requests may go on, revoked slices may be free. */
     std::function<void()> changed;
--- a/src/process/ControlLink.h
+++ b/src/process/ControlLink.h
@@ -7,12 +7,12 @@
 
 struct AgentState;
 
-/** What the owner of a ControlLink is told. */
+/** Callbacks of a ControlLink. */
 struct ControlLinkEvents {
     /** Routes, table, marks or quarantine changed. */
     std::function<void()> stateChanged;
     std::function<void(const wire::Revoke &)> revoked;
-    /** So many slices were given up. */
+    /** Slices were released; the argument is their number. */
     std::function<void(std::size_t)> released;
     /** The lease was extended. */
     std::function<void()> renewed;
@@ -35,7 +35,7 @@
     void tell(const wire::UpstreamInfo &upstream);
     void tell(const wire::ReportCrash &crash);
 
-    /** Tells of revoked slices on which no work is left. */
+    /** Reports revoked slices without work in progress as released. */
     void tellReleased();
 
     bool isOpen() const;
--- a/src/process/LocalUpstream.h
+++ b/src/process/LocalUpstream.h
@@ -47,18 +47,18 @@
     net::HttpAnswer answer;
 };
 
-/** What the owner of a LocalUpstream is told. */
+/** Callbacks of a LocalUpstream. */
 struct LocalUpstreamEvents {
-    /** Status, incarnation or announcement changed: control must know. */
+    /** Status, incarnation or announcement changed; control has to be informed. */
     std::function<void()> changed;
     std::function<void(const wire::ReportCrash &)> crashed;
-    /** Work ended: a revoked slice may be free. */
+    /** Work ended; a revoked slice may be releasable. */
     std::function<void()> workEnded;
-    /** It holds other keys than before: requests may go on, and a revoked slice may be free. */
+    /** The set of held keys changed; waiting requests may proceed, a revoked slice may be releasable. */
     std::function<void()> holdsChanged;
-    /** A heartbeat came behind a newer one. */
+    /** A heartbeat arrived out of order. */
     std::function<void()> heartbeatLate;
-    /** A waiting ticket was let through, or shed. */
+    /** A waiting ticket was admitted or shed. */
     std::function<void(agent::TicketId, bool admitted)> decided;
 };
 
@@ -89,19 +89,19 @@
     /** Takes the limits of a changed table. */
     void applyTable();
 
-    /** Starts from what the agent before this one had learned, once, as soon as control's state is known. */
+    /** Restores the limit that the previous agent process had learned, once, as soon as control's state is known. */
     void resumeLimit();
 
-    /** Sends the grants and releases that map and lease ask for now, by calls; to be called after each change. */
+    /** Issues the grants and releases that map and lease require, by calls; to be called after each change. */
     void lookAtGrants();
 
-    /** Sends the grants that map and lease allow now; to be called after each change. */
+    /** Issues the grants that map and lease allow; to be called after each change. */
     void sendGrants();
 
-    /** Sends them again when they would run out; to be called after each renewal of the lease. */
+    /** Renews grants that would expire; to be called after each renewal of the lease. */
     void renewGrants();
 
-    /** Tells the upstream what it no longer serves. */
+    /** Forwards a revocation to the upstream. */
     void sendRevoke(const wire::Revoke &order);
 
     agent::Admission enter(const agent::Ticket &ticket);
@@ -112,16 +112,16 @@
     /** @return how long a request takes at the upstream, smoothed; 0 when not known */
     std::chrono::nanoseconds meanServiceTime() const;
 
-    /** Adds to a line of the log what decides who is let through now. */
+    /** Adds the gate's state to a log line. */
     void describe(loop::LogEvent &event) const;
 
     /** Hands an admitted request on. @param done called once, unless cancelled */
     void dispatch(agent::TicketId ticket, Dispatch request, std::function<void(DispatchResult)> done);
 
-    /** An admitted ticket won't be dispatched after all. */
+    /** Returns an admitted ticket that will not be dispatched. */
     void giveBack(agent::TicketId ticket);
 
-    /** Gives a ticket up, waiting or dispatched; its work counts until it has surely ended. */
+    /** Cancels a ticket, waiting or dispatched; dispatched work counts until it is known to have ended. */
     void cancel(agent::TicketId ticket);
 
     /** @return how control knows this upstream */
@@ -191,12 +191,12 @@
     /** Heartbeats: the newest one's sequence, since when it is leaving, and when everything it may hold has run out. */
     std::optional<std::uint64_t> sequence;
     BootTime leavingSince;
-    /** How slow the upstream's VM says that it is, against its usual speed, and when it said so. */
+    /** Slowdown factor that the upstream's VM reported last, and when. */
     double slowness = 1;
     BootTime slownessAt;
     BootTime heldUntil;
     loop::TimerId holdTimer = 0;
-    /** Newest epoch that the upstream has taken; all its ranges were told again under it. */
+    /** Newest epoch that the upstream has accepted; all its ranges were granted again under it. */
     std::uint64_t grantedEpoch = 0;
     loop::TimerId healthTimer = 0;
     loop::TimerId queueTimer = 0;
--- a/src/process/LocalUpstreamHolds.cpp
+++ b/src/process/LocalUpstreamHolds.cpp
@@ -13,15 +13,14 @@
 
 using std::chrono::milliseconds;
 
-/** An upstream's clock may run so much slower than this one: what it holds must run out within the lease all the same.
- */
+/** Largest rate by which an upstream's clock lags; a hold is shortened by it to end within the lease. */
 constexpr double SlowClock = 0.02;
-/** Less left of the lease than this is no grant worth giving. */
+/** Minimum remaining lease for which a grant is issued. */
 constexpr milliseconds ShortestHold{200};
-/** Longest time that an upstream accepts. */
+/** Maximum hold time that an upstream accepts. */
 constexpr milliseconds LongestHold{10000};
 
-/** Rows in one answer: at 45 bytes each they stay within 4 KiB, more than which no upstream reads. */
+/** Maximum rows in one answer; upstreams read 4 KiB at most, a row takes about 45 bytes. */
 constexpr std::size_t MostRows = 80;
 
 constexpr loop::Log Log("upstream");
@@ -36,7 +35,7 @@
     return {static_cast<std::uint32_t>(first / KeyGrain), static_cast<std::uint32_t>(last / KeyGrain)};
 }
 
-/** Neighbours that have nothing of their own to say share a row: an answer to a heartbeat must stay small. */
+/** Appends a grant; merges adjacent ranges of the same epoch without handovers, to keep heartbeat answers small. */
 void addGrant(std::vector<KeyGrant> &grants, KeyGrant grant)
 {
     if (!grants.empty()) {
