Workspaces: callers are known by their keys, which agents hold as digests alone

Cause: the table had no callers.

Change: the table of routes holds workspaces (keys, priority, rate, burst) and routes may serve callers without a key. The replicas keep the operator's text; agents get BLAKE2b digests (libsodium), keyed by a secret that comes with the first change. Each request is judged by itself at the agent where it begins: 401 for none, several or an unknown key, 503 without a table. The key is taken out, the workspace's name is set on every send and travels between agents in a field that no caller can set. Limits are read and not applied yet.

--- a/include/control/RouteBook.h
+++ b/include/control/RouteBook.h
@@ -24,7 +24,8 @@
     static constexpr std::size_t MostAccepted = 16384;
 
     /**
-     * Puts a new table of routes in force, whole or as a change of named items.
+     * Puts a new table of routes in force, whole or as a change of named items. Keys of workspaces are kept in the
+     * operator's own text alone, and as digests; the first change brings the secret that they are made with.
      * @return done with the revision in table_version, a conflict, or all that is wrong with the table
      */
     wire::OperatorReply put(const wire::PutRoutes &change);
--- a/include/process/AgentProtocol.h
+++ b/include/process/AgentProtocol.h
@@ -42,8 +42,12 @@
     /** @return the caller's name for its request; empty when it gave none */
     std::string (*requestId)(const net::HttpRequest &request) = nullptr;
 
-    /** @return header fields to pass on with a request: none of a connection, none of the system's own */
-    std::vector<net::Header> (*headersToForward)(const net::HttpRequest &request) = nullptr;
+    /**
+     * @return header fields to pass on with a request: none of a connection, none of the system's own, no credentials
+     *         that were taken
+     */
+    std::vector<net::Header> (*headersToForward)(const net::HttpRequest &request,
+                                                 const ParsedRequest &parsed) = nullptr;
 
     /** @return the answer to pass to the caller: without the fields that agents use among themselves */
     net::HttpAnswer (*answerForCaller)(net::HttpAnswer answer) = nullptr;
--- a/include/process/ParsedRequest.h
+++ b/include/process/ParsedRequest.h
@@ -22,6 +22,10 @@
     std::uint64_t fingerprint = 0;
     /** Service of the VM at which the request began; empty at the agent where it begins. */
     std::string originService;
+    /** Whose key the caller sent; empty for requests without a key. */
+    std::string workspace;
+    /** The caller's credentials were for this system and are not passed on. */
+    bool credentialsTaken = false;
     /** Only from another agent: its name for the request, the upstream that it wants, and whether it is a suspect. */
     std::string requestId;
     std::uint32_t wantedUpstream = 0;
--- a/include/process/RequestOrder.h
+++ b/include/process/RequestOrder.h
@@ -16,6 +16,8 @@
     std::chrono::milliseconds timeout{0};
     /** Service of the VM at which the request began; empty when it isn't known. */
     std::string originService;
+    /** Whose key the caller sent; empty for requests without a key. */
+    std::string workspace = {};
     /** The one process of the upstream that may run it. */
     std::string instance;
 };
--- a/include/table/RouteTable.h
+++ b/include/table/RouteTable.h
@@ -2,6 +2,7 @@
 
 #include "base/Finding.h"
 #include "table/RouteKind.h"
+#include "table/Workspace.h"
 
 #include <control.pb.h>
 
@@ -38,6 +39,8 @@
     unsigned attempts = 1;
     /** At least one has a weight above 0. */
     std::vector<RoutePart> parts;
+    /** Serves callers without a key where the others need one. */
+    bool keylessCallers = false;
 };
 
 /** What the table of routes says of a service. */
@@ -83,6 +86,21 @@
     /** @return all services by name */
     const std::map<std::string, RoutedService, std::less<>> &services() const;
 
+    /** @return whether a caller must name its workspace by a key, except on routes that allow otherwise */
+    bool callersNeedKeys() const;
+
+    /**
+     * @param key as the caller sends it
+     * @return the workspace that holds the key, or nullptr; valid as long as this
+     */
+    const Workspace *workspaceOf(std::string_view key) const;
+
+    /** @return the workspace of that name, or nullptr; valid as long as this */
+    const Workspace *workspace(std::string_view name) const;
+
+    /** @return all workspaces by name */
+    const std::map<std::string, Workspace, std::less<>> &workspaces() const;
+
 private:
     struct Content;
     std::shared_ptr<const Content> content;
@@ -91,10 +109,17 @@
 /**
  * Checks a whole table of routes.
  * @return every finding with its place: unknown services, parts without weight, no timeout, no attempts, bad prefixes,
- *         names used twice
+ *         names used twice, limits below 0, keys of two workspaces; none shows a key
  */
 Findings findingsIn(const wire::RouteTable &routes);
 
+/**
+ * Replaces the keys of workspaces by their digests.
+ * @param digestKey DigestKeyBytes long
+ * @return a finding for each empty key and for a secret of another length, with the workspace's name
+ */
+Findings digestKeys(wire::RouteTable &routes, const std::string &digestKey);
+
 /**
  * Applies a change of named items.
  * @param base what is in force
--- a/src/control/RouteBook.cpp
+++ b/src/control/RouteBook.cpp
@@ -1,5 +1,6 @@
 #include "control/RouteBook.h"
 
+#include "table/KeyDigest.h"
 #include "table/RouteTable.h"
 
 namespace bergamotweir::control {
@@ -34,8 +35,16 @@
         addFinding(conflict, {"base revision", "another one is in force", "the one in force"});
         return conflict;
     }
-    wire::RouteTable wanted = change.partial() ? table::merged(this->current, change) : change.table();
-    Findings findings = table::findingsIn(wanted);
+    wire::PutRoutes digested = change;
+    wire::RouteTable &changed = *digested.mutable_table();
+    if (this->current.digest_key().size() == table::DigestKeyBytes) {
+        changed.set_digest_key(this->current.digest_key());
+    }
+    Findings findings = table::digestKeys(changed, changed.digest_key());
+    wire::RouteTable wanted = change.partial() ? table::merged(this->current, digested) : changed;
+    for (Finding &finding : table::findingsIn(wanted)) {
+        findings.push_back(std::move(finding));
+    }
     if (wanted.revision() <= this->current.revision()) {
         findings.push_back({"revision", "is not above the one in force", "a higher one"});
     }
--- a/src/process/ControlProcessOrders.cpp
+++ b/src/process/ControlProcessOrders.cpp
@@ -4,6 +4,9 @@
 #include "process/CommandTimes.h"
 #include "process/ControlProcess.h"
 #include "process/OperatorProtocol.h"
+#include "table/KeyDigest.h"
+
+#include <sodium.h>
 
 #include <variant>
 
@@ -16,6 +19,14 @@
 
 constexpr loop::Log Log("control");
 
+/** @return a secret to make digests of callers' keys with; only that of the first accepted change is used */
+std::string newDigestKey()
+{
+    std::string key(table::DigestKeyBytes, '\0');
+    randombytes_buf(key.data(), key.size());
+    return key;
+}
+
 /** Logs how an order ended, so that its acknowledgement can be compared with what each agent has in force. */
 void logOrder(const net::HttpRequest &request,
               const wire::OperatorRequest &order,
@@ -113,6 +124,7 @@
     switch (request.body_case()) {
     case wire::OperatorRequest::kPutRoutes:
         *command.mutable_put_routes() = request.put_routes();
+        command.mutable_put_routes()->mutable_table()->set_digest_key(newDigestKey());
         this->change(std::move(command), answer);
         break;
     case wire::OperatorRequest::kPutTable:
--- a/src/process/LocalUpstream.cpp
+++ b/src/process/LocalUpstream.cpp
@@ -228,6 +228,7 @@
                                     entry.request.requestId,
                                     std::chrono::duration_cast<milliseconds>(entry.request.deadline - now),
                                     entry.request.originService,
+                                    entry.request.workspace,
                                     this->latest.instance});
     entry.address = upstreamAddress(this->latest);
     call.address = entry.address;
--- a/src/process/LocalUpstream.h
+++ b/src/process/LocalUpstream.h
@@ -39,6 +39,7 @@
     BootTime deadline;
     /** Service of the VM at which the request began. */
     std::string originService;
+    std::string workspace;
 };
 
 /** What came of it. */
--- a/src/process/OwnProtocol.cpp
+++ b/src/process/OwnProtocol.cpp
@@ -19,6 +19,11 @@
     return id == nullptr ? std::string() : *id;
 }
 
+std::vector<net::Header> headersOf(const net::HttpRequest &request, const ParsedRequest &)
+{
+    return headersToForward(request);
+}
+
 net::HttpAnswer refuseOwn(const Refusal &refusal)
 {
     return refusalAnswer(refusal.facts, *refusal.random);
@@ -41,7 +46,7 @@
     static const AgentProtocol protocol{
         .readRequest = readOwnRequest,
         .requestId = requestIdOf,
-        .headersToForward = headersToForward,
+        .headersToForward = headersOf,
         .answerForCaller = answerForCaller,
         .refuse = refuseOwn,
         .addOrder = addOrder,
--- a/src/process/RequestRunner.cpp
+++ b/src/process/RequestRunner.cpp
@@ -358,7 +358,7 @@
     const net::HttpRequest &received = request.exchange->request();
     order.call.method = received.method;
     order.call.target = received.target;
-    order.call.headers = this->state.protocol->headersToForward(received);
+    order.call.headers = this->state.protocol->headersToForward(received, request.parsed);
     order.call.body = received.body;
     order.requestId = request.parsed.requestId + "." + std::to_string(action.attempt);
     order.service = request.state.facts.service;
@@ -367,6 +367,7 @@
     order.fingerprint = request.parsed.fingerprint;
     order.deadline = request.state.facts.deadline;
     order.originService = request.parsed.originService;
+    order.workspace = request.parsed.workspace;
     const Number number = request.number;
     const unsigned id = action.attempt;
     upstream->dispatch(attempt.ticket, std::move(order), [this, number, id](DispatchResult result) {
@@ -395,7 +396,7 @@
     call.address = upstream->peer_address();
     call.method = received.method;
     call.target = received.target;
-    call.headers = this->state.protocol->headersToForward(received);
+    call.headers = this->state.protocol->headersToForward(received, request.parsed);
     addForwarding(call.headers, request.parsed, now);
     call.headers.push_back({HopHeader, "1"});
     call.headers.push_back({UpstreamHeader, std::to_string(action.upstream)});
--- a/src/process/RequestText.cpp
+++ b/src/process/RequestText.cpp
@@ -242,6 +242,9 @@
     headers.push_back({FingerprintHeader, std::to_string(parsed.fingerprint)});
     headers.push_back({RepeatableHeader, agent::mayRepeat(parsed.facts) ? "1" : "0"});
     headers.push_back({OriginHeader, parsed.originService});
+    if (!parsed.workspace.empty()) {
+        headers.push_back({WorkspaceHeader, parsed.workspace});
+    }
 }
 
 std::variant<ParsedRequest, net::HttpAnswer> readForwarded(const net::HttpRequest &request, BootTime now)
@@ -251,6 +254,7 @@
     parsed.facts.service = headerText(request, ServiceHeader);
     parsed.route = parsed.facts.service;
     parsed.originService = headerText(request, OriginHeader);
+    parsed.workspace = headerText(request, WorkspaceHeader);
     parsed.facts.repeatable = headerText(request, RepeatableHeader) == "1";
     const std::optional<BootTime> deadline = readDeadline(request, milliseconds(0), now);
     if (parsed.facts.service.empty() || !deadline || *deadline <= now) {
--- a/src/process/RequestText.h
+++ b/src/process/RequestText.h
@@ -31,6 +31,7 @@
 constexpr const char *UrgencyHeader = "Bergamotweir-Urgency";
 constexpr const char *RepeatableHeader = "Bergamotweir-Repeatable";
 constexpr const char *OriginHeader = "Bergamotweir-Origin-Service";
+constexpr const char *WorkspaceHeader = "Bergamotweir-Workspace";
 
 /**
  * Reads a request, METHOD /s/SERVICE/PATH and its header fields.
--- a/src/table/RouteTable.cpp
+++ b/src/table/RouteTable.cpp
@@ -1,7 +1,10 @@
 #include "table/RouteTable.h"
 
+#include "table/KeyDigest.h"
+
 #include <algorithm>
 #include <cctype>
+#include <cstring>
 #include <set>
 #include <unordered_map>
 
@@ -46,6 +49,7 @@
     for (const wire::RoutePart &part : from.parts()) {
         route.parts.push_back({part.service(), part.weight()});
     }
+    route.keylessCallers = from.keyless_callers();
     return route;
 }
 
@@ -61,6 +65,35 @@
     };
 }
 
+Workspace fromWire(const wire::Workspace &from)
+{
+    Workspace workspace;
+    workspace.name = from.name();
+    if (from.has_priority()) {
+        workspace.priority = from.priority();
+    }
+    workspace.ratePerSecond = from.rate_per_second();
+    workspace.burst = from.burst();
+    return workspace;
+}
+
+/** Digests are evenly distributed: a part of one serves as its hash. */
+struct DigestHash {
+    std::size_t operator()(const std::string &digest) const
+    {
+        std::size_t hash = 0;
+        std::memcpy(&hash, digest.data(), std::min(sizeof hash, digest.size()));
+        return hash;
+    }
+};
+
+struct DigestEqual {
+    bool operator()(const std::string &left, const std::string &right) const
+    {
+        return equalDigests(left, right);
+    }
+};
+
 bool isPrefix(const std::string &text)
 {
     return text.starts_with('/') && text.ends_with('/');
@@ -102,6 +135,27 @@
     checkParts(route, services, findings);
 }
 
+void checkWorkspaces(const wire::RouteTable &routes, Findings &findings)
+{
+    std::set<std::string> names;
+    std::unordered_map<std::string, std::string> holders;
+    for (const wire::Workspace &workspace : routes.workspaces()) {
+        const std::string place = "workspace " + workspace.name();
+        if (workspace.name().empty() || !names.insert(workspace.name()).second) {
+            findings.push_back({place, "has no name of its own", {}});
+        }
+        if (!(workspace.rate_per_second() >= 0) || !(workspace.burst() >= 0)) {
+            findings.push_back({place, "its rate or burst is below 0", "0 or more"});
+        }
+        for (const std::string &digest : workspace.key_digests()) {
+            const auto [holder, added] = holders.emplace(digest, workspace.name());
+            if (!added && holder->second != workspace.name()) {
+                findings.push_back({place, "shares a key with workspace " + holder->second, "a key of its own"});
+            }
+        }
+    }
+}
+
 /** Replaces the items of @p to that have the name of one of @p from, and adds the others. */
 template<typename Items>
 void upsert(Items &to, const Items &from)
@@ -174,6 +228,10 @@
     /** By host, longest prefix first. */
     std::unordered_map<std::string, std::vector<Route>> byHost;
     std::map<std::string, RoutedService, std::less<>> services;
+    bool callersNeedKeys = false;
+    std::string digestKey;
+    std::map<std::string, Workspace, std::less<>> workspaces;
+    std::unordered_map<std::string, const Workspace *, DigestHash, DigestEqual> byKeyDigest;
 };
 
 RouteTable::RouteTable()
@@ -197,6 +255,15 @@
     for (const wire::RoutedService &service : routes.services()) {
         made->services[service.name()] = fromWire(service);
     }
+    made->callersNeedKeys = routes.callers_need_keys();
+    made->digestKey = routes.digest_key();
+    for (const wire::Workspace &workspace : routes.workspaces()) {
+        Workspace &read = made->workspaces[workspace.name()];
+        read = fromWire(workspace);
+        for (const std::string &digest : workspace.key_digests()) {
+            made->byKeyDigest[digest] = &read;
+        }
+    }
     this->content = std::move(made);
 }
 
@@ -228,6 +295,51 @@
     return this->content->services;
 }
 
+bool RouteTable::callersNeedKeys() const
+{
+    return this->content->callersNeedKeys;
+}
+
+const Workspace *RouteTable::workspaceOf(std::string_view key) const
+{
+    if (this->content->byKeyDigest.empty()) {
+        return nullptr;
+    }
+    const auto found = this->content->byKeyDigest.find(keyDigest(key, this->content->digestKey));
+    return found == this->content->byKeyDigest.end() ? nullptr : found->second;
+}
+
+const Workspace *RouteTable::workspace(std::string_view name) const
+{
+    const auto found = this->content->workspaces.find(name);
+    return found == this->content->workspaces.end() ? nullptr : &found->second;
+}
+
+const std::map<std::string, Workspace, std::less<>> &RouteTable::workspaces() const
+{
+    return this->content->workspaces;
+}
+
+Findings digestKeys(wire::RouteTable &routes, const std::string &digestKey)
+{
+    Findings findings;
+    for (wire::Workspace &workspace : *routes.mutable_workspaces()) {
+        for (const std::string &key : workspace.keys()) {
+            if (key.empty()) {
+                findings.push_back({"workspace " + workspace.name(), "has an empty key", "a key of 1 byte or more"});
+                continue;
+            }
+            if (digestKey.size() != DigestKeyBytes) {
+                findings.push_back({"workspace " + workspace.name(), "no secret to make digests with", {}});
+                break;
+            }
+            workspace.add_key_digests(keyDigest(key, digestKey));
+        }
+        workspace.clear_keys();
+    }
+    return findings;
+}
+
 Findings findingsIn(const wire::RouteTable &routes)
 {
     Findings findings;
@@ -244,6 +356,7 @@
         }
         checkRoute(route, services, findings);
     }
+    checkWorkspaces(routes, findings);
     return findings;
 }
 
@@ -256,6 +369,9 @@
     for (wire::RoutedService &service : *bare.mutable_services()) {
         service.clear_source();
     }
+    for (wire::Workspace &workspace : *bare.mutable_workspaces()) {
+        workspace.clear_source();
+    }
     if (bare.has_limits()) {
         bare.mutable_limits()->clear_source();
     }
@@ -271,9 +387,13 @@
     table.set_revision(to.revision());
     addDifference(from.routes(), to.routes(), *table.mutable_routes(), *change.mutable_removed_routes());
     addDifference(from.services(), to.services(), *table.mutable_services(), *change.mutable_removed_services());
+    addDifference(
+        from.workspaces(), to.workspaces(), *table.mutable_workspaces(), *change.mutable_removed_workspaces());
     if (to.has_limits()) {
         *table.mutable_limits() = to.limits();
     }
+    table.set_callers_need_keys(to.callers_need_keys());
+    table.set_digest_key(to.digest_key());
     table = withoutSources(table);
     return change;
 }
@@ -287,6 +407,8 @@
     both.mutable_removed_routes()->MergeFrom(second.removed_routes());
     *both.mutable_removed_services() = withoutItems(first.removed_services(), second.table().services());
     both.mutable_removed_services()->MergeFrom(second.removed_services());
+    *both.mutable_removed_workspaces() = withoutItems(first.removed_workspaces(), second.table().workspaces());
+    both.mutable_removed_workspaces()->MergeFrom(second.removed_workspaces());
     return both;
 }
 
@@ -296,8 +418,16 @@
     result.set_revision(change.table().revision());
     removeNamed(*result.mutable_routes(), change.removed_routes());
     removeNamed(*result.mutable_services(), change.removed_services());
+    removeNamed(*result.mutable_workspaces(), change.removed_workspaces());
     upsert(*result.mutable_routes(), change.table().routes());
     upsert(*result.mutable_services(), change.table().services());
+    upsert(*result.mutable_workspaces(), change.table().workspaces());
+    if (change.table().has_callers_need_keys()) {
+        result.set_callers_need_keys(change.table().callers_need_keys());
+    }
+    if (!change.table().digest_key().empty()) {
+        result.set_digest_key(change.table().digest_key());
+    }
     if (change.table().has_limits()) {
         *result.mutable_limits() = change.table().limits();
     }
--- a/tests/PlatformProcessTest.cpp
+++ b/tests/PlatformProcessTest.cpp
@@ -271,3 +271,81 @@
                || machines.order(2, "PUT", "/api/config", manifest("00000005", "00000003")).status == 200;
     }));
 }
+
+namespace {
+
+/** Two workspaces on top of manifest(). */
+std::string workspaceManifest(const std::string &version, const std::string &base, const json &northKeys)
+{
+    json whole = json::parse(manifest(version, base));
+    whole["tenants"]["columns"] = json::array({"name", "api_keys"});
+    whole["tenants"]["rows"] =
+        json::array({json::array({"north", northKeys}), json::array({"south", json::array({"secret-south-1"})})});
+    return whole.dump();
+}
+
+int statusFor(const Machines &machines, int number, const std::string &key)
+{
+    static int asked = 0;
+    return Deployment::askAt(machines.ip(number) + ":8629",
+                             {.path = "/book/x",
+                              .headers = {"Host: shop.example",
+                                          "X-Request-Id: k" + std::to_string(++asked),
+                                          "X-Deadline-Ms: 1500",
+                                          "X-Shard-Key: 7",
+                                          "Authorization: Token " + key}})
+        .status;
+}
+
+} // namespace
+
+// Guards against callers' keys that show in logs, metrics, reports or in what upstreams and agents are told.
+TEST_CASE("platform process: keys are taken away everywhere, and no key shows in any output", "[process]")
+{
+    Machines machines;
+    REQUIRE(Deployment::eventually(10s, [&] {
+        return machines
+                   .order(1,
+                          "PUT",
+                          "/api/config",
+                          workspaceManifest("3", "0", json::array({"secret-north-1", "secret-north-2"})))
+                   .status
+               == 200;
+    }));
+    for (const int number : {11, 12}) {
+        REQUIRE(Deployment::eventually(10s, [&] {
+            return statusFor(machines, number, "secret-north-1") == 200;
+        }));
+        REQUIRE(statusFor(machines, number, "secret-south-1") == 200);
+        REQUIRE(statusFor(machines, number, "secret-none") == 401);
+    }
+    REQUIRE(machines.order(1, "PUT", "/api/config", workspaceManifest("4", "3", json::array({"secret-south-1"}))).status
+            == 400);
+    REQUIRE(machines.order(1, "PUT", "/api/config", workspaceManifest("4", "3", json::array({"secret-north-2"}))).status
+            == 200);
+    for (const int number : {11, 12}) {
+        REQUIRE(Deployment::eventually(2s, [&] {
+            return statusFor(machines, number, "secret-north-1") == 401;
+        }));
+        REQUIRE(statusFor(machines, number, "secret-north-2") == 200);
+    }
+    const json read = json::parse(machines.order(2, "GET", "/api/config").body);
+    REQUIRE(read["tenants"]["rows"][0] == json::array({"north", json::array({"secret-north-2"})}));
+    std::string output;
+    for (const int number : {11, 12}) {
+        for (const char *path : {"/metrics", "/healthz", "/burn", "/burn?json"}) {
+            output += Deployment::askAt(machines.ip(number) + ":7603", {.path = path}).body;
+        }
+    }
+    for (const int number : {1, 2, 3}) {
+        output += Deployment::askAt(machines.ip(number) + ":7602", {.path = "/metrics"}).body;
+    }
+    REQUIRE(output.size() > 1000);
+    for (const auto &entry : std::filesystem::directory_iterator(machines.folder)) {
+        if (entry.path().extension() == ".log") {
+            std::ifstream log(entry.path());
+            output.append(std::istreambuf_iterator<char>(log), {});
+        }
+    }
+    REQUIRE(output.find("secret-") == std::string::npos);
+}
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -279,7 +279,10 @@
                                                                              {"X-Deadline-Ms", "1"},
                                                                              {"X-Shard-Key", "3"},
                                                                              {"Connection", "close"},
-                                                                             {"Bergamotweir-Service", "forged"}}));
+                                                                             {"X-Tenant-Id", "forged"},
+                                                                             {"Bergamotweir-Workspace", "forged"},
+                                                                             {"Bergamotweir-Service", "forged"}}),
+                                                                    {});
     REQUIRE(headers == std::vector<net::Header>{{"X-Request-Id", "id"}, {"X-Shard-Key", "3"}, {"Host", "a.example"}});
     net::HttpCall call;
     call.headers = headers;
@@ -371,3 +374,148 @@
     REQUIRE(result.error().front().place == "line 14");
     REQUIRE_FALSE(platform::readControlSettings("bootstrap=perhaps\n"));
 }
+
+namespace {
+
+/** Two workspaces, one of them with a priority and a limit; r2 also serves callers without a key. */
+std::string workspaceManifest()
+{
+    json manifest = json::parse(ManifestText);
+    manifest["routes"]["columns"].push_back("allow_anonymous");
+    manifest["routes"]["rows"][0].push_back(false);
+    manifest["routes"]["rows"][1].push_back(true);
+    manifest["tenants"] =
+        json::parse(R"({"columns":["name","api_keys","priority","rate_per_s","burst"],)"
+                    R"("rows":[["north",["key-n1","key-n2"],0,40,80],["south",["key-s"],null,null,null]]})");
+    return manifest.dump();
+}
+
+table::Table workspaceTable()
+{
+    wire::PutRoutes change = platform::readManifest(workspaceManifest(), false).value();
+    change.mutable_table()->set_digest_key(std::string(32, 'd'));
+    REQUIRE(table::digestKeys(*change.mutable_table(), change.table().digest_key()).empty());
+    return table::Table().withRoutes(table::RouteTable(change.table()));
+}
+
+net::HttpRequest callOf(const std::string &host, const std::string &path, std::vector<net::Header> headers)
+{
+    headers.push_back({"Host", host});
+    headers.push_back({"X-Request-Id", "id"});
+    headers.push_back({"X-Shard-Key", "3"});
+    return request("GET", path, std::move(headers));
+}
+
+process::ParsedRequest identified(const std::string &credentials)
+{
+    return std::get<process::ParsedRequest>(
+        readCaller(callOf("a.example", "/p/x", {{"authorization", credentials}}), workspaceTable()));
+}
+
+} // namespace
+
+TEST_CASE("platform: workspaces are read with all their fields and read back as they were written")
+{
+    const std::string text = workspaceManifest();
+    const wire::PutRoutes change = platform::readManifest(text, false).value();
+    REQUIRE(change.table().callers_need_keys());
+    REQUIRE_FALSE(change.table().routes(0).keyless_callers());
+    REQUIRE(change.table().routes(1).keyless_callers());
+    const wire::Workspace &north = change.table().workspaces(0);
+    REQUIRE(north.keys_size() == 2);
+    REQUIRE(north.priority() == 0);
+    REQUIRE(north.rate_per_second() == 40);
+    REQUIRE(north.burst() == 80);
+    REQUIRE_FALSE(change.table().workspaces(1).has_priority());
+    const json written = json::parse(platform::writeManifest(change.table()));
+    REQUIRE(written["tenants"] == json::parse(text)["tenants"]);
+    REQUIRE(written["routes"]["rows"].size() == 2);
+    REQUIRE_FALSE(platform::readManifest(ManifestText, false).value().table().has_callers_need_keys());
+}
+
+TEST_CASE("platform: unreadable workspaces are refused with their name and without their keys")
+{
+    const auto findingOf = [](const std::string &row) {
+        json manifest = json::parse(workspaceManifest());
+        manifest["tenants"]["rows"][0] = json::parse(row);
+        return toText(platform::readManifest(manifest.dump(), false).error());
+    };
+    for (const char *row : {R"(["north",["key-n1"],0,-1,80])",
+                            R"(["north",["key-n1"],0,40,-80])",
+                            R"(["north",["key-n1"],"high",40,80])",
+                            R"(["north",["key-n1",7],0,40,80])",
+                            R"(["north","key-n1",0,40,80])"}) {
+        const std::string finding = findingOf(row);
+        REQUIRE(finding.find("workspace north") != std::string::npos);
+        REQUIRE(finding.find("key-n1") == std::string::npos);
+    }
+    json shortRow = json::parse(workspaceManifest());
+    shortRow["tenants"]["rows"][0].erase(1);
+    REQUIRE_FALSE(platform::readManifest(shortRow.dump(), false));
+}
+
+TEST_CASE("platform: a caller is known by its key, whatever the letter case of field and scheme")
+{
+    for (const char *credentials : {"Token key-n1", "token key-n2", "TOKEN  key-n1"}) {
+        const process::ParsedRequest parsed = identified(credentials);
+        REQUIRE(parsed.workspace == "north");
+        REQUIRE(parsed.credentialsTaken);
+        REQUIRE(parsed.targets.priority == 0);
+    }
+    const process::ParsedRequest south = identified("Token key-s");
+    REQUIRE(south.workspace == "south");
+    REQUIRE(south.targets.priority == 2);
+}
+
+TEST_CASE("platform: a request without a known key is refused with 401, except on routes that serve such callers")
+{
+    const table::Table table = workspaceTable();
+    const auto statusWith = [&](std::vector<net::Header> headers, const std::string &host = "a.example") {
+        const auto read = readCaller(callOf(host, host == "a.example" ? "/p/x" : "/q/r/x", std::move(headers)), table);
+        const auto *refusal = std::get_if<net::HttpAnswer>(&read);
+        return refusal == nullptr ? 200 : refusal->status;
+    };
+    REQUIRE(statusWith({}) == 401);
+    REQUIRE(statusWith({{"Authorization", "Token"}}) == 401);
+    REQUIRE(statusWith({{"Authorization", "Token "}}) == 401);
+    REQUIRE(statusWith({{"Authorization", ""}}) == 401);
+    REQUIRE(statusWith({{"Authorization", "Basic key-n1"}}) == 401);
+    REQUIRE(statusWith({{"Authorization", "Tokens key-n1"}}) == 401);
+    REQUIRE(statusWith({{"Authorization", "Token key-x"}}) == 401);
+    REQUIRE(statusWith({{"Authorization", "Token " + std::string(8192, 'k')}}) == 401);
+    REQUIRE(statusWith({{"Authorization", "Token key-\xff\x01"}}) == 401);
+    REQUIRE(statusWith({{"Authorization", "Token key-n1"}, {"authorization", "Token key-s"}}) == 401);
+    REQUIRE(statusWith({{"Authorization", "Token key-n1"}}) == 200);
+    REQUIRE(statusWith({}, "b.example") == 200);
+    REQUIRE(statusWith({{"Authorization", "Basic other"}}, "b.example") == 200);
+    REQUIRE(statusWith({{"Authorization", "Token key-x"}}, "b.example") == 401);
+    REQUIRE(refusedWith(callOf("a.example", "/p/x", {}), table::Table()) == 503);
+}
+
+TEST_CASE("platform: upstreams are shown the workspace and not the key")
+{
+    const process::AgentProtocol &protocol = platform::agentProtocol();
+    const net::HttpRequest received =
+        callOf("a.example", "/p/x", {{"AUTHORIZATION", "Token key-s"}, {"x-tenant-id", "north"}});
+    const auto parsed = std::get<process::ParsedRequest>(readCaller(received, workspaceTable()));
+    net::HttpCall call;
+    call.headers = protocol.headersToForward(received, parsed);
+    REQUIRE(net::findHeader(call.headers, "Authorization") == nullptr);
+    REQUIRE(net::findHeader(call.headers, "X-Tenant-Id") == nullptr);
+    process::RequestOrder order;
+    order.workspace = parsed.workspace;
+    protocol.addOrder(call, order);
+    REQUIRE(*net::findHeader(call.headers, "X-Tenant-Id") == "south");
+    net::HttpCall without;
+    protocol.addOrder(without, process::RequestOrder());
+    REQUIRE(net::findHeader(without.headers, "X-Tenant-Id") == nullptr);
+}
+
+TEST_CASE("platform: where no keys are needed, callers' credentials are passed on")
+{
+    const net::HttpRequest received = callOf("a.example", "/p/x", {{"Authorization", "Token key-s"}});
+    const auto parsed = std::get<process::ParsedRequest>(readCaller(received));
+    REQUIRE(parsed.workspace.empty());
+    const auto headers = platform::agentProtocol().headersToForward(received, parsed);
+    REQUIRE(*net::findHeader(headers, "Authorization") == "Token key-s");
+}
--- a/tests/RouteBookTest.cpp
+++ b/tests/RouteBookTest.cpp
@@ -1,5 +1,7 @@
 #include "control/RouteBook.h"
 #include "control/State.h"
+#include "table/KeyDigest.h"
+#include "table/RouteTable.h"
 
 #include <catch2/catch.hpp>
 
@@ -99,3 +101,148 @@
     REQUIRE(restored.tables().table().service("orders").numberedKeys);
     REQUIRE(restored.fullUpdate().table().routes().revision() == 5);
 }
+
+namespace {
+
+const std::string Secret(table::DigestKeyBytes, 's');
+
+void addWorkspace(wire::PutRoutes &change, const std::string &name, const std::vector<std::string> &keys)
+{
+    change.mutable_table()->set_digest_key(Secret);
+    change.mutable_table()->set_callers_need_keys(true);
+    wire::Workspace &workspace = *change.mutable_table()->add_workspaces();
+    workspace.set_name(name);
+    workspace.set_source("{}");
+    for (const std::string &key : keys) {
+        workspace.add_keys(key);
+    }
+}
+
+/** A change of workspaces alone. */
+wire::PutRoutes workspaceChange(std::uint64_t hash, std::uint64_t base, std::uint64_t revision)
+{
+    wire::PutRoutes made;
+    made.set_content_hash(hash);
+    made.set_base_revision(base);
+    made.set_partial(true);
+    made.mutable_table()->set_revision(revision);
+    return made;
+}
+
+std::string holderOf(const control::RouteBook &book, const std::string &key)
+{
+    const table::RouteTable routes(book.routes());
+    const table::Workspace *workspace = routes.workspaceOf(key);
+    return workspace == nullptr ? "" : workspace->name;
+}
+
+} // namespace
+
+TEST_CASE("workspaces: keys are added, moved, exchanged and removed by changes of named items")
+{
+    control::RouteBook book;
+    wire::PutRoutes first = change(1, 0, 5);
+    addWorkspace(first, "north", {"n1", "n2"});
+    addWorkspace(first, "south", {"s1"});
+    addWorkspace(first, "empty", {});
+    REQUIRE(book.put(first).status() == wire::OPERATOR_STATUS_DONE);
+    REQUIRE(holderOf(book, "n2") == "north");
+    REQUIRE(holderOf(book, "x").empty());
+    wire::PutRoutes exchanged = workspaceChange(2, 5, 6);
+    addWorkspace(exchanged, "north", {"s1"});
+    addWorkspace(exchanged, "south", {"n1"});
+    exchanged.mutable_table()->set_digest_key(std::string(table::DigestKeyBytes, 't'));
+    REQUIRE(book.put(exchanged).status() == wire::OPERATOR_STATUS_DONE);
+    REQUIRE(holderOf(book, "s1") == "north");
+    REQUIRE(holderOf(book, "n1") == "south");
+    REQUIRE(holderOf(book, "n2").empty());
+    wire::PutRoutes removed = workspaceChange(3, 6, 7);
+    removed.add_removed_workspaces("north");
+    REQUIRE(book.put(removed).status() == wire::OPERATOR_STATUS_DONE);
+    REQUIRE(holderOf(book, "s1").empty());
+    REQUIRE(holderOf(book, "n1") == "south");
+    REQUIRE(table::RouteTable(book.routes()).callersNeedKeys());
+}
+
+TEST_CASE("workspaces: invalid ones are refused, also where a change of one item makes them so")
+{
+    control::RouteBook book;
+    wire::PutRoutes first = change(1, 0, 5);
+    addWorkspace(first, "north", {"n1"});
+    REQUIRE(book.put(first).status() == wire::OPERATOR_STATUS_DONE);
+    wire::PutRoutes shared = workspaceChange(2, 5, 6);
+    addWorkspace(shared, "south", {"n1"});
+    const wire::OperatorReply refused = book.put(shared);
+    REQUIRE(refused.status() == wire::OPERATOR_STATUS_BAD_INPUT);
+    REQUIRE(refused.findings(0).place() == "workspace south");
+    REQUIRE(refused.ShortDebugString().find("n1") == std::string::npos);
+    wire::PutRoutes empty = workspaceChange(3, 5, 6);
+    addWorkspace(empty, "south", {""});
+    REQUIRE(book.put(empty).status() == wire::OPERATOR_STATUS_BAD_INPUT);
+    wire::PutRoutes negative = workspaceChange(4, 5, 6);
+    addWorkspace(negative, "south", {"s1"});
+    negative.mutable_table()->mutable_workspaces(0)->set_rate_per_second(-1);
+    REQUIRE(book.put(negative).status() == wire::OPERATOR_STATUS_BAD_INPUT);
+    wire::PutRoutes withoutSecret = workspaceChange(5, 0, 6);
+    addWorkspace(withoutSecret, "south", {"s1"});
+    withoutSecret.mutable_table()->clear_digest_key();
+    control::RouteBook fresh;
+    REQUIRE(fresh.put(withoutSecret).status() == wire::OPERATOR_STATUS_BAD_INPUT);
+    REQUIRE(holderOf(book, "n1") == "north");
+    REQUIRE(book.routes().revision() == 5);
+}
+
+TEST_CASE("workspaces: agents get digests alone, and the same holders by changes as by the whole table")
+{
+    control::State state;
+    const auto putAt = [&](std::uint64_t index, const wire::PutRoutes &routes) {
+        wire::Version version;
+        version.set_index(index);
+        wire::Command command;
+        *command.mutable_put_routes() = routes;
+        return state.apply(version, command).update;
+    };
+    wire::PutRoutes first = change(1, 0, 5);
+    addWorkspace(first, "north", {"key-north"});
+    addWorkspace(first, "south", {"key-south"});
+    putAt(1, first);
+    wire::RouteTable known = state.fullUpdate().table().routes();
+    REQUIRE(state.fullUpdate().SerializeAsString().find("key-north") == std::string::npos);
+    wire::PutRoutes moved = workspaceChange(2, 5, 6);
+    addWorkspace(moved, "south", {"key-south", "key-late"});
+    moved.add_removed_workspaces("north");
+    const wire::StateUpdate update = putAt(2, moved);
+    REQUIRE(update.SerializeAsString().find("key-late") == std::string::npos);
+    known = table::merged(known, update.table().routes_change());
+    const table::RouteTable changed(known);
+    const table::RouteTable whole(state.fullUpdate().table().routes());
+    for (const table::RouteTable &routes : {changed, whole}) {
+        REQUIRE(routes.callersNeedKeys());
+        REQUIRE(routes.workspaceOf("key-north") == nullptr);
+        REQUIRE(routes.workspaceOf("key-late")->name == "south");
+    }
+    wire::PutRoutes without = change(3, 6, 7);
+    known = table::merged(known, putAt(3, without).table().routes_change());
+    REQUIRE_FALSE(table::RouteTable(known).callersNeedKeys());
+    REQUIRE(known.workspaces().empty());
+}
+
+TEST_CASE("workspaces: a snapshot keeps them, and one from before there were any is read as without")
+{
+    control::RouteBook book;
+    REQUIRE(book.put(change(1, 0, 5)).status() == wire::OPERATOR_STATUS_DONE);
+    wire::StateSnapshot before;
+    book.save(before);
+    control::RouteBook upgraded;
+    upgraded.restore(before);
+    REQUIRE_FALSE(table::RouteTable(upgraded.routes()).callersNeedKeys());
+    wire::PutRoutes first = workspaceChange(2, 5, 6);
+    addWorkspace(first, "north", {"n1"});
+    REQUIRE(upgraded.put(first).status() == wire::OPERATOR_STATUS_DONE);
+    wire::StateSnapshot saved;
+    upgraded.save(saved);
+    control::RouteBook restored;
+    restored.restore(saved);
+    REQUIRE(holderOf(restored, "n1") == "north");
+    REQUIRE(restored.routes().workspaces(0).keys_size() == 0);
+}
--- a/tests/TableChangeExplorerTest.cpp
+++ b/tests/TableChangeExplorerTest.cpp
@@ -50,9 +50,29 @@
     for (const wire::RoutedService &service : routes.services()) {
         content["service " + service.name()] = service.SerializeAsString();
     }
+    for (const wire::Workspace &workspace : routes.workspaces()) {
+        content["workspace " + workspace.name()] = workspace.SerializeAsString();
+    }
     return content;
 }
 
+/** Adds two workspaces that exchange their keys at each change, or one that takes over the key of the other. */
+void addWorkspaces(wire::PutRoutes &change)
+{
+    wire::RouteTable &table = *change.mutable_table();
+    table.set_digest_key(std::string(32, 'd'));
+    table.set_callers_need_keys(true);
+    const bool removes = change.partial() && table.revision() % 4 == 2;
+    for (std::uint64_t number = 0; number < (removes ? 1 : 2); ++number) {
+        wire::Workspace &workspace = *table.add_workspaces();
+        workspace.set_name("w" + std::to_string(number));
+        workspace.add_keys("key" + std::to_string((number + table.revision()) % 2));
+    }
+    if (removes) {
+        change.add_removed_workspaces("w1");
+    }
+}
+
 /** One replicated state, the leader's coordinator and one agent that applies what it is sent; runs the real core. */
 class World
 {
@@ -203,6 +223,7 @@
         if (partial && table.revision() % 2 == 0) {
             change.add_removed_routes("r0");
         }
+        addWorkspaces(change);
         this->commit(command);
         this->known[table.revision()] = contentOf(this->state->tables().routes());
     }
@@ -262,6 +283,7 @@
         }
         if (this->without == Without::Removals) {
             update.mutable_table()->mutable_routes_change()->clear_removed_routes();
+            update.mutable_table()->mutable_routes_change()->clear_removed_workspaces();
         }
         const std::uint64_t before = this->map.routes.revision();
         agent::apply(this->map, update);
