Limits of workspaces over all agents: shares leased by demand

Cause: rate and burst of a workspace were read and not applied.

Change: control grants each agent a share of each limit by what its callers ask for, on the renewals of the session that it has. Refused are requests beyond the share (429, with the time until the next token) and those at an agent without a share (503), which asks for one at once. Tokens of requests that did not run are returned.

Ruled out: equal parts for all agents (a workspace of 16 requests a second has a part of 0.24 a second at each of 67 agents, whose callers sit at four or five of them).

--- a/include/agent/Lease.h
+++ b/include/agent/Lease.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 
 namespace bergamotweir::wire {
 class Renewed;
@@ -67,6 +68,9 @@
  */
 bool confirmRenewal(Lease &lease, std::uint64_t session, const wire::Renewed &renewed);
 
+/** @return when a renewal of the session that may yet be confirmed was sent */
+std::optional<BootTime> sentAt(const Lease &lease, std::uint64_t session, std::uint64_t sequence);
+
 /** @return whether the lease covers a dispatch at @p now */
 bool holds(const Lease &lease, BootTime now);
 
--- a/include/agent/RequestAction.h
+++ b/include/agent/RequestAction.h
@@ -3,6 +3,7 @@
 #include "agent/RequestState.h"
 
 #include <chrono>
+#include <optional>
 
 namespace bergamotweir::agent {
 
@@ -54,7 +55,9 @@
     ClaimBodyDropped,
     ClaimUnknown,
     ClaimsFull,
-    ClaimUnavailable
+    ClaimUnavailable,
+    /** The workspace's limit. */
+    Limit
 };
 
 /** The problem to answer with. */
@@ -65,6 +68,8 @@
     Ran ran = Ran::Unknown;
     /** Whether coming back later helps. */
     bool retryAfter = false;
+    /** When the caller may come back, where that is known. */
+    std::optional<std::chrono::milliseconds> comeBackAfter = std::nullopt;
 };
 
 /** One action; only the fields of its kind are set. */
--- a/include/control/AgentBook.h
+++ b/include/control/AgentBook.h
@@ -36,12 +36,20 @@
     unsigned takes = 0;
     /** Upstreams that don't check grants may until then be running what the agent's process before this one sent. */
     BootTime started;
+    /** A process before this one under this name may still use shares of limits that this leader doesn't know. */
+    bool unknownPredecessor = false;
     /** What the agent acts on. */
     wire::Version inForce;
     /** The upstreams announced on the session, by service and name. */
     std::map<std::pair<std::string, std::string>, wire::UpstreamInfo> announced;
 };
 
+/** @return the name of the agent's process */
+inline std::string lifeOf(const AgentRecord &agent)
+{
+    return agent.name + " " + agent.incarnation;
+}
+
 /** @return true while the agent may hold a lease */
 inline bool mayHoldLease(const AgentRecord &agent, BootTime now)
 {
--- a/include/control/Coordinator.h
+++ b/include/control/Coordinator.h
@@ -5,6 +5,7 @@
 #include "control/Action.h"
 #include "control/AgentBook.h"
 #include "control/CoordinatorSettings.h"
+#include "control/LimitBook.h"
 #include "control/LoadBook.h"
 #include "control/MoveBook.h"
 #include "control/UpdateBatch.h"
@@ -77,6 +78,7 @@
     bool isLeading() const;
     const AgentBook &agents() const;
     const MoveBook &moves() const;
+    const LimitBook &limits() const;
 
     /** @return agents that act on @p version or a newer one, and agents with a serving upstream that don't */
     wire::InForceReport inForce(const wire::Version &version) const;
@@ -133,6 +135,8 @@
     void inform(const std::vector<SessionId> &sessions);
     void renew(AgentRecord &agent, const Heartbeat &heartbeat, BootTime now);
     bool mayRenew(const AgentRecord &agent, BootTime now) const;
+    /** @return whether every agent that may use shares of limits has told them to this leader */
+    bool allLimitsReported() const;
     bool mattersForLease(const wire::UpstreamInfo &upstream) const;
     void sendRevokes(const std::vector<SliceName> &slices);
     void resendRevokes(const AgentRecord &agent);
@@ -180,6 +184,7 @@
     AgentBook book;
     MoveBook moveBook;
     LoadBook loads;
+    LimitBook limitBook;
     Round waiting;
     Round inRound;
     std::map<std::uint64_t, Proposal> proposals;
--- a/include/control/CoordinatorSettings.h
+++ b/include/control/CoordinatorSettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Result.h"
+#include "control/LimitBook.h"
 
 #include <chrono>
 #include <cstddef>
@@ -36,6 +37,8 @@
     std::size_t slicesPerUpstream = 16;
     /** Share of the rightful load by which an upstream may be above or below it. */
     double tolerance = 0.05;
+    /** How limits of workspaces are shared out. */
+    LimitBookSettings limits;
 };
 
 /** Collects the settings and checks them together. */
--- a/include/process/AgentSettings.h
+++ b/include/process/AgentSettings.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "table/LimitBounds.h"
+
 #include <chrono>
 #include <cstdint>
 #include <string>
@@ -54,6 +56,8 @@
     /** Second sends that a service's budget earns with each first one, and the most that it saves up. */
     double retryRatio = 0.05;
     double mostRetries = 10;
+    /** How far workspaces may exceed their limits; the same for all agents and replicas. */
+    table::LimitBounds limitBounds = {};
 };
 
 } // namespace bergamotweir::process
--- /dev/null
+++ b/include/table/LimitBounds.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "table/Workspace.h"
+
+#include <chrono>
+
+namespace bergamotweir::table {
+
+/** How far a workspace's requests may exceed its limit; the same for all agents and replicas of a deployment. */
+struct LimitBounds {
+    /** In every window of this length, (rate x window + burst) x (1 + overage) + slack requests may run. */
+    std::chrono::milliseconds window{std::chrono::seconds(5)};
+    double overage = 0;
+    double slack = 0;
+};
+
+/** @return whether the workspace has a limit */
+bool isLimited(const Workspace &workspace);
+
+/**
+ * @return requests beyond the rate that all agents together may let through in a window; never below 1, so that a limit
+ *         without a burst lets its rate through
+ */
+double mostTokens(const Workspace &workspace, const LimitBounds &bounds);
+
+} // namespace bergamotweir::table
--- a/src/agent/Lease.cpp
+++ b/src/agent/Lease.cpp
@@ -56,6 +56,14 @@
     return true;
 }
 
+std::optional<BootTime> sentAt(const Lease &lease, std::uint64_t session, std::uint64_t sequence)
+{
+    const auto found = std::find_if(lease.sent.begin(), lease.sent.end(), [&](const SentRenewal &renewal) {
+        return renewal.sequence == sequence;
+    });
+    return session != lease.session || found == lease.sent.end() ? std::nullopt : std::optional(found->sentAt);
+}
+
 bool holds(const Lease &lease, BootTime now)
 {
     return now < lease.validUntil;
--- a/src/control/Coordinator.cpp
+++ b/src/control/Coordinator.cpp
@@ -23,12 +23,14 @@
     : settings(settings)
     , state(state)
 {
+    this->limitBook.settings = settings.limits;
 }
 
 void Coordinator::lead(BootTime now)
 {
     this->follow();
     this->leading = true;
+    beginLeading(this->limitBook, now);
     // The leader before may have renewed any lease up to the moment a quorum elected this one, and a grant made by
     // this one must not overlap with it: every known agent counts as renewed now.
     for (const auto &[id, upstream] : this->state.upstreams().all()) {
@@ -76,6 +78,11 @@
         // Two processes under one name: a VM was replaced while its predecessor is frozen and may return.
         const bool movedVm = agent.peerAddress != hello.peer_address();
         const bool ended = this->settings.addressProvesEnd && !movedVm;
+        if (ended) {
+            endLife(this->limitBook, lifeOf(agent));
+        } else if (!agent.incarnation.empty() && !isKnown(this->limitBook, lifeOf(agent))) {
+            agent.unknownPredecessor = true;
+        }
         agent.heldUntil = ended ? now : agent.leaseEnd;
         for (const std::uint32_t id : this->state.upstreams().ofAgent(agent.name)) {
             const auto work = movedVm ? this->longestWork(*this->state.upstreams().find(id)) : BootClock::duration(0);
@@ -115,6 +122,7 @@
     switch (message.body_case()) {
     case wire::AgentMessage::kRenew:
         this->loads.report(message.renew(), now);
+        noteDemand(this->limitBook, lifeOf(*agent), message.renew(), now);
         if (isBefore(agent->inForce, message.renew().in_force())) {
             agent->inForce = message.renew().in_force();
         }
@@ -252,6 +260,10 @@
     if (this->batch.quiet) {
         this->sendBatch();
     }
+    expireLimits(this->limitBook, now);
+    if (!this->limitBook.complete) {
+        noteComplete(this->limitBook, this->allLimitsReported(), now);
+    }
     this->startRound();
     this->retireLost(now);
     for (auto &[name, agent] : this->book.agents) {
@@ -285,6 +297,11 @@
     return this->moveBook;
 }
 
+const LimitBook &Coordinator::limits() const
+{
+    return this->limitBook;
+}
+
 wire::InForceReport Coordinator::inForce(const wire::Version &version) const
 {
     std::set<std::string> expected;
--- a/src/control/CoordinatorAgents.cpp
+++ b/src/control/CoordinatorAgents.cpp
@@ -29,9 +29,27 @@
         }
         agent.leaseEnd = std::max(agent.leaseEnd, end);
     }
+    // Shares go to registered agents alone: a later leader must know who may use some.
+    if (!this->state.upstreams().ofAgent(agent.name).empty()) {
+        grantShares(this->limitBook,
+                    lifeOf(agent),
+                    this->state.tables().table().routes(),
+                    heartbeat.arrival,
+                    now,
+                    *message.mutable_renewed());
+    }
     this->send(agent.session, std::move(message));
 }
 
+bool Coordinator::allLimitsReported() const
+{
+    const auto &upstreams = this->state.upstreams().all();
+    return std::all_of(upstreams.begin(), upstreams.end(), [&](const auto &entry) {
+        const AgentRecord *const agent = this->book.find(entry.second.agent());
+        return agent != nullptr && !agent->unknownPredecessor && isKnown(this->limitBook, lifeOf(*agent));
+    });
+}
+
 bool Coordinator::mayRenew(const AgentRecord &agent, BootTime now) const
 {
     // Slices are being taken from it: it would go on serving them until it hears of the commit.
--- a/src/process/AgentProcess.cpp
+++ b/src/process/AgentProcess.cpp
@@ -108,6 +108,7 @@
     this->state.ownership.upstreamsHold = this->state.protocol->byHeartbeat;
     this->state.random.seed(chooseSeed(settings));
     this->state.startedAt = BootClock::now();
+    this->state.limits.bounds = settings.limitBounds;
     const std::uint64_t start = (static_cast<std::uint64_t>(this->state.random()) << 32U) | this->state.random();
     this->state.incarnation = std::to_string(start);
 }
@@ -217,6 +218,9 @@
     };
     needs.claims = &this->control->claims();
     needs.metrics = &this->metrics;
+    needs.demandRose = [this] {
+        this->control->reportDemand();
+    };
     needs.ended = [this](const RequestEndNote &note) {
         this->report.ended(note);
     };
--- a/src/process/AgentState.h
+++ b/src/process/AgentState.h
@@ -2,6 +2,7 @@
 
 #include "agent/CrashWatch.h"
 #include "agent/Lease.h"
+#include "agent/LimitShares.h"
 #include "agent/LoadSketch.h"
 #include "agent/Ownership.h"
 #include "agent/RetryBudget.h"
@@ -32,6 +33,7 @@
     agent::Ownership ownership;
     agent::CrashWatch crashes;
     agent::LoadSketch load;
+    agent::LimitShares limits;
     std::map<std::string, ServiceState, std::less<>> services;
     pcg32 random;
     /** Bound after the servers listen: where other agents and operators reach this one. */
--- a/src/process/ControlLink.cpp
+++ b/src/process/ControlLink.cpp
@@ -108,6 +108,7 @@
 void ControlLink::opened(rpc::SessionId id)
 {
     agent::beginSession(this->state.lease, id);
+    agent::beginLimitSession(this->state.limits);
     for (const wire::UpstreamInfo &upstream : this->events.upstreams()) {
         this->tell(upstream);
     }
@@ -117,9 +118,7 @@
 void ControlLink::received(rpc::SessionId id, const wire::ControlMessage &message)
 {
     if (message.has_renewed()) {
-        if (agent::confirmRenewal(this->state.lease, id, message.renewed())) {
-            this->events.renewed();
-        }
+        this->renewed(id, message.renewed());
     } else if (message.has_update()) {
         this->update(id, message.update());
     } else if (message.has_revoke()) {
@@ -132,6 +131,18 @@
     }
 }
 
+void ControlLink::renewed(rpc::SessionId id, const wire::Renewed &renewed)
+{
+    const std::optional<BootTime> sentAt = agent::sentAt(this->state.lease, id, renewed.sequence());
+    if (!sentAt || !agent::confirmRenewal(this->state.lease, id, renewed)) {
+        // Control counts the shares as given: it has to hear what is in use instead.
+        this->state.limits.reportAll = this->state.limits.reportAll || renewed.shares_size() > 0;
+        return;
+    }
+    agent::applyShares(this->state.limits, this->state.table.routes(), renewed, *sentAt, BootClock::now());
+    this->events.renewed();
+}
+
 void ControlLink::update(rpc::SessionId id, const wire::StateUpdate &update)
 {
     if (agent::apply(this->state.map, update) == agent::UpdateEnd::Older) {
@@ -157,7 +168,12 @@
     this->events.stateChanged();
 }
 
-void ControlLink::renew()
+void ControlLink::reportDemand()
+{
+    this->renew(true);
+}
+
+void ControlLink::renew(bool demandAtOnce)
 {
     if (this->state.lease.session == 0) {
         return;
@@ -169,6 +185,7 @@
     if (now - this->state.load.since >= LoadInterval) {
         agent::reportLoad(this->state.load, this->state.map, this->state.ownership, now, *message.mutable_renew());
     }
+    agent::reportDemand(this->state.limits, *message.mutable_renew(), demandAtOnce, now);
     this->session->send(message);
 }
 
--- a/src/process/ControlLink.h
+++ b/src/process/ControlLink.h
@@ -38,6 +38,9 @@
     /** Reports revoked slices without work in progress as released. */
     void tellReleased();
 
+    /** Tells control of the demand of workspaces at once, with a renewal ahead of time. */
+    void reportDemand();
+
     bool isOpen() const;
     rpc::ClaimClient &claims();
 
@@ -46,7 +49,8 @@
     void opened(rpc::SessionId session);
     void received(rpc::SessionId session, const wire::ControlMessage &message);
     void update(rpc::SessionId session, const wire::StateUpdate &update);
-    void renew();
+    void renewed(rpc::SessionId session, const wire::Renewed &renewed);
+    void renew(bool demandAtOnce = false);
 
     loop::EventLoop &loop;
     AgentState &state;
--- a/src/process/RequestRunner.cpp
+++ b/src/process/RequestRunner.cpp
@@ -79,6 +79,12 @@
         exchange->answer(std::move(*refusal));
         return;
     }
+    if (origin == Origin::Caller) {
+        if (auto beyondLimit = this->refuseBeyondLimit(std::get<ParsedRequest>(parsed))) {
+            exchange->answer(std::move(*beyondLimit));
+            return;
+        }
+    }
     auto request = std::make_unique<Running>();
     request->number = ++this->lastNumber;
     request->origin = origin;
--- a/src/process/RequestRunner.h
+++ b/src/process/RequestRunner.h
@@ -43,6 +43,8 @@
     /** May be nullptr. */
     AgentMetrics *metrics = nullptr;
     std::function<void(const RequestEndNote &)> ended;
+    /** Control should hear of the demand of workspaces at once; may be empty. */
+    std::function<void()> demandRose;
 };
 
 /**
@@ -92,6 +94,10 @@
     void cancel(Running &request, unsigned attempt);
     void relay(Running &request, unsigned attempt);
     void relayRecorded(Running &request);
+    /** @return the refusal when the limit of the caller's workspace lets no request through now */
+    std::optional<net::HttpAnswer> refuseBeyondLimit(const ParsedRequest &parsed);
+    /** Returns what a refused request took of its workspace's limit, unless it may have run. */
+    void returnToken(const Running &request, const agent::RefusalFacts &refusal);
     void countEnd(const Running &request, std::string_view outcome, int status);
     void refuse(Running &request, const agent::RefusalFacts &refusal);
     void record(Running &request, const agent::RequestAction &action);
--- /dev/null
+++ b/src/process/RequestRunnerLimits.cpp
@@ -0,0 +1,71 @@
+#include "loop/Log.h"
+#include "process/AgentMetrics.h"
+#include "process/AgentProtocol.h"
+#include "process/AgentState.h"
+#include "process/RequestRunner.h"
+#include "process/RunningRequest.h"
+
+namespace bergamotweir::process {
+
+namespace {
+
+constexpr loop::Log Log("limit");
+
+constexpr int TooManyRequests = 429;
+constexpr int Unavailable = 503;
+
+agent::RefusalFacts refusalFor(const agent::LimitDecision &decision)
+{
+    agent::RefusalFacts refusal;
+    refusal.cause = agent::RefusalCause::Limit;
+    refusal.end = agent::AttemptEnd::OverLimit;
+    refusal.status = decision.verdict == agent::LimitVerdict::NoShare ? Unavailable : TooManyRequests;
+    refusal.ran = agent::Ran::No;
+    refusal.retryAfter = true;
+    refusal.comeBackAfter = decision.retryAfter;
+    return refusal;
+}
+
+} // namespace
+
+std::optional<net::HttpAnswer> RequestRunner::refuseBeyondLimit(const ParsedRequest &parsed)
+{
+    const table::Workspace *workspace = this->state.table.routes().workspace(parsed.workspace);
+    if (workspace == nullptr) {
+        return std::nullopt;
+    }
+    const agent::LimitDecision decision = agent::takeToken(this->state.limits, *workspace, BootClock::now());
+    if (decision.ask && this->needs.demandRose) {
+        this->needs.demandRose();
+    }
+    if (decision.verdict == agent::LimitVerdict::Admitted) {
+        return std::nullopt;
+    }
+    const agent::LimitShare &share = this->state.limits.workspaces[workspace->name];
+    const char *reason = decision.verdict == agent::LimitVerdict::NoShare ? "no share of the limit" : "over the limit";
+    Log.event(loop::LogLevel::Info, "request refused", loop::FailureBound)
+        .with("request", parsed.requestId)
+        .with("reason", reason)
+        .with("workspace", workspace->name)
+        .with("share", share.share)
+        .with("demand", share.demand)
+        .with("limit_per_s", workspace->ratePerSecond)
+        .with("revision", this->state.table.routes().revision())
+        .with("share_left_ms", this->state.limits.validUntil - BootClock::now());
+    if (this->needs.metrics != nullptr) {
+        this->needs.metrics->refused(reason);
+    }
+    return this->state.protocol->refuse({refusalFor(decision), &this->state.random});
+}
+
+void RequestRunner::returnToken(const Running &request, const agent::RefusalFacts &refusal)
+{
+    if (request.origin == Origin::Peer || refusal.ran != agent::Ran::No) {
+        return;
+    }
+    if (const table::Workspace *workspace = this->state.table.routes().workspace(request.parsed.workspace)) {
+        agent::giveBackToken(this->state.limits, *workspace);
+    }
+}
+
+} // namespace bergamotweir::process
--- a/src/process/RequestText.cpp
+++ b/src/process/RequestText.cpp
@@ -147,6 +147,8 @@
         return {"no room for claims", "control holds as many Idempotency-Keys as it can"};
     case agent::RefusalCause::ClaimUnavailable:
         return {"claims not available", "the Idempotency-Key could not be claimed"};
+    case agent::RefusalCause::Limit:
+        return {"limit", "the workspace's limit lets no more requests through now"};
     }
     return {"upstream failed", ""};
 }
--- a/tests/PlatformProcessTest.cpp
+++ b/tests/PlatformProcessTest.cpp
@@ -8,6 +8,7 @@
 #include <filesystem>
 #include <fstream>
 #include <set>
+#include <thread>
 #include <unistd.h>
 
 using namespace bergamotweir::test;
@@ -349,3 +350,38 @@
     }
     REQUIRE(output.find("secret-") == std::string::npos);
 }
+
+// Guards against a limit that each agent applies by itself, so that a workspace gets it once for each agent.
+TEST_CASE("platform process: two agents together let through a workspace's limit and refuse the rest", "[process]")
+{
+    constexpr double Rate = 20;
+    constexpr double Burst = 10;
+    Machines machines;
+    json limited = json::parse(workspaceManifest("3", "0", json::array({"secret-north-1"})));
+    limited["tenants"]["columns"] = json::array({"name", "api_keys", "rate_per_s", "burst"});
+    limited["tenants"]["rows"][0].insert(limited["tenants"]["rows"][0].end(), {Rate, Burst});
+    limited["tenants"]["rows"][1].insert(limited["tenants"]["rows"][1].end(), {nullptr, nullptr});
+    REQUIRE(Deployment::eventually(10s, [&] {
+        return machines.order(1, "PUT", "/api/config", limited.dump()).status == 200;
+    }));
+    for (const int number : {11, 12}) {
+        REQUIRE(Deployment::eventually(10s, [&] {
+            return statusFor(machines, number, "secret-north-1") == 200;
+        }));
+    }
+    const auto begun = std::chrono::steady_clock::now();
+    unsigned served = 0;
+    unsigned refused = 0;
+    while (std::chrono::steady_clock::now() - begun < 4s) {
+        const int status = statusFor(machines, 11 + static_cast<int>((served + refused) % 2), "secret-north-1");
+        served += status == 200 ? 1 : 0;
+        refused += status == 429 ? 1 : 0;
+        std::this_thread::sleep_for(5ms);
+    }
+    const double seconds = std::chrono::duration<double>(std::chrono::steady_clock::now() - begun).count();
+    CAPTURE(served, refused, seconds);
+    REQUIRE(served <= Rate * seconds + Burst);
+    REQUIRE(served >= Rate * seconds / 2);
+    REQUIRE(refused > 0);
+    REQUIRE(statusFor(machines, 11, "secret-south-1") == 200);
+}
