Limits of workspaces by windows: shares granted by demand, and permits for what exceeds them

Callers of a workspace come to all 67 agents: a workspace of 16 requests a second has a bucket of less than one token at most of them.

Change: a share is a number of requests in every window, so that the whole window can be used at once; what exceeds a share is covered by permits that control hands out one by one. Strict: a smaller share is free for others one window after it was confirmed, permits count for their time and a window, a process that starts uses no share in its first window, and a new leader grants no more until all shares are known and a window has passed.

--- a/include/agent/LimitShares.h
+++ b/include/agent/LimitShares.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 
@@ -13,19 +14,20 @@
 class Renewed;
 } // namespace bergamotweir::wire
 
-namespace bergamotweir::table {
-class RouteTable;
-} // namespace bergamotweir::table
-
 namespace bergamotweir::agent {
 
 /** What an agent may let through of one workspace's limit, and what its callers ask for. */
 struct LimitShare {
-    /** Part of the workspace's limit, from 0 to 1. */
+    /** Part of table::mostInWindow() that the agent lets through in every window, from 0 to 1. */
     double share = 0;
-    /** Requests that may be let through now; at most the share of table::mostTokens(). */
-    double tokens = 0;
-    BootTime refilledAt;
+    /** When requests of the last window were let through by the share, oldest first. */
+    std::deque<BootTime> used;
+    /** Until when each single permit that control has handed out may be used, oldest first. */
+    std::deque<BootTime> permits;
+    /** Requests that were refused since control was last asked for permits. */
+    unsigned wanted = 0;
+    /** The share is used up: a permit is wanted ahead of the next request. */
+    bool wantsAhead = false;
     /** Requests since the last sample, let through or not. */
     double offered = 0;
     /** Requests a second, smoothed over samples. */
@@ -35,16 +37,18 @@
 };
 
 /**
- * This agent's shares of the limits of workspaces. Control grants them by demand, so that they add up to 1 over all
- * agents, and tokens come from the rate and from control's reserve alone: whatever moves between agents, all of them
- * together let through no more than the limit. A limit that changes applies to the shares at once.
+ * This agent's shares of the limits of workspaces. A share is a number of requests in every window, granted by control
+ * by demand so that all shares add up to a part of the limit. Once it is used up control is asked for permits: one
+ * ahead of the next request, and one for each request that is refused, whose caller finds it when it comes back.
  *
- * Guards against a limit that is overrun by agents that don't hear of one another: a share ends with its lease, and a
- * process that starts has none.
+ * Guards against a limit that is overrun by agents that don't hear of one another: shares and permits end by
+ * themselves, and a process that starts has none.
  * Owned by the agent process.
  */
 struct LimitShares {
     table::LimitBounds bounds;
+    /** Of this process. In its first window it uses no share: the one before it may have used it up. */
+    BootTime startedAt;
     std::map<std::string, LimitShare, std::less<>> workspaces;
     /** Shares hold before this point. */
     BootTime validUntil;
@@ -58,6 +62,8 @@
 
 enum class LimitVerdict {
     Admitted,
+    /** Admitted by a single permit. */
+    Permitted,
     /** The agent's share of the limit is used up. */
     OverLimit,
     /** The agent holds no share: it hasn't got one yet, or has lost contact with control. */
@@ -66,36 +72,37 @@
 
 struct LimitDecision {
     LimitVerdict verdict = LimitVerdict::Admitted;
-    /** Until the next request can be let through, as far as it's known. */
+    /** When a permit may be there, or the share lets the next request through. */
     std::chrono::milliseconds retryAfter{0};
-    /** Control should hear of the demand at once. */
+    /** Control should be asked at once. */
     bool ask = false;
 };
 
+/** @return whether the request may be sent on */
+bool isAdmitted(const LimitDecision &decision);
+
 /**
- * Judges a request of a workspace, and takes a token for it when it is let through.
+ * Judges a request of a workspace, and counts it when it is let through.
  * @param workspace as the table in force has it; one without a limit is always let through
  */
-LimitDecision takeToken(LimitShares &shares, const table::Workspace &workspace, BootTime now);
+LimitDecision admit(LimitShares &shares, const table::Workspace &workspace, BootTime now);
 
-/** Returns the token of a request that surely did not run. */
-void giveBackToken(LimitShares &shares, const table::Workspace &workspace);
+/** Takes back the count of a request that was admitted by the share and surely did not run. */
+void returnAdmission(LimitShares &shares, const std::string &workspace);
 
 /** Starts reporting anew on a new session; shares held stay until they end. */
 void beginLimitSession(LimitShares &shares);
 
 /**
- * Adds to a renewal which shares were applied and, once in a while or when @p atOnce, the demand that changed.
- * @param atOnce whether control should hear of the demand with this renewal
+ * Adds to a renewal which shares were applied, how many permits are wanted and, once in a while or when @p atOnce, the
+ * demand that changed.
  */
 void reportDemand(LimitShares &shares, wire::Renew &renew, bool atOnce, BootTime now);
 
 /**
- * Applies what control granted with a renewal. Tokens beyond a smaller share are lost.
- * @param routes table with the limits in force
- * @param sentAt when the renewal was sent; the lease of shares counts from there
+ * Applies what control granted with a renewal.
+ * @param sentAt when the renewal was sent; shares and permits count from there
  */
-void applyShares(
-    LimitShares &shares, const table::RouteTable &routes, const wire::Renewed &renewed, BootTime sentAt, BootTime now);
+void applyShares(LimitShares &shares, const wire::Renewed &renewed, BootTime sentAt, BootTime now);
 
 } // namespace bergamotweir::agent
--- a/include/control/AgentBook.h
+++ b/include/control/AgentBook.h
@@ -44,10 +44,15 @@
     std::map<std::pair<std::string, std::string>, wire::UpstreamInfo> announced;
 };
 
-/** @return the name of the agent's process */
+/** @return the name of one process of an agent */
+inline std::string lifeOf(const std::string &agent, const std::string &incarnation)
+{
+    return agent + " " + incarnation;
+}
+
 inline std::string lifeOf(const AgentRecord &agent)
 {
-    return agent.name + " " + agent.incarnation;
+    return lifeOf(agent.name, agent.incarnation);
 }
 
 /** @return true while the agent may hold a lease */
--- a/include/control/LimitBook.h
+++ b/include/control/LimitBook.h
@@ -5,8 +5,8 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <map>
-#include <set>
 #include <string>
 
 namespace bergamotweir::wire {
@@ -26,10 +26,16 @@
     double held = 0;
     /** Share granted last; the agent may act on either of the two until it confirms. */
     double sent = 0;
+    /** Share of the process before, kept for this one while the window in which it may have been used runs. */
+    double inherited = 0;
     /** Renewal that carried the grant. */
     std::uint64_t sentSequence = 0;
     /** Requests a second that the agent's callers ask for. */
     double demand = 0;
+    /** Single permits that the agent asked for. */
+    unsigned wanted = 0;
+    /** Whether one more is useful for its next request. */
+    bool wantsAhead = false;
 };
 
 /** Shares of one life of an agent. */
@@ -37,35 +43,51 @@
     std::map<std::string, HeldLimit, std::less<>> workspaces;
     /** The agent uses no share of these after this moment. */
     BootTime end;
+    BootTime inheritedUntil;
 };
 
-/** What is not granted of one workspace's limit. */
+/** A share that was returned, and may have been used up in the window that still runs. */
+struct ReturnedShare {
+    BootTime freeAt;
+    double share = 0;
+};
+
+struct HandedPermits {
+    BootTime countsUntil;
+    unsigned permits = 0;
+};
+
+/** What is out of one workspace's limit. */
 struct LimitReserve {
-    /** Requests that nobody may let through yet. */
-    double tokens = 0;
-    BootTime refilledAt;
-    /** Sum over agents of the larger of held and sent. */
+    /** Sum over agents of the largest of held, sent and inherited, and of what was returned within the last window. */
     double outstanding = 0;
+    std::deque<ReturnedShare> returned;
     /** Sum over agents of the weight of their demand. */
     double weight = 0;
     std::size_t agents = 0;
+    std::deque<HandedPermits> handed;
+    /** Sum over handed. */
+    unsigned permits = 0;
 };
 
 struct LimitBookSettings {
     table::LimitBounds bounds;
-    /** How long an agent may use its shares without hearing of control; 0 grants none. */
+    /** How long an agent may use its shares without hearing of control. */
     std::chrono::milliseconds lease{std::chrono::seconds(12)};
-    /** Added to the lease on the leader's side, for clocks that run at different rates. */
+    /** How long an agent may use a permit. */
+    std::chrono::milliseconds permit{std::chrono::seconds(2)};
+    /** Added on the leader's side, for clocks that run at different rates. */
     std::chrono::milliseconds drift{200};
 };
 
 /**
- * The leader's record of who may use which part of the limits of workspaces. For deployments with many more requests
- * than renewals, whose callers stay with an agent for seconds or longer.
+ * The leader's record of who may use which part of the limits of workspaces. For deployments whose agents renew about
+ * once a second and whose callers spread over many agents: shares by demand cover what is usual at each agent, permits
+ * what exceeds it here or there.
  *
- * Guards against a limit that is overrun while shares move: the parts that agents may use never add up to more than
- * the whole. A smaller share counts as returned once the agent has confirmed it or its lease has ended. A new leader
- * learns the shares from the agents, and grants more only when all have told or all leases of before have ended.
+ * Guards against a limit that is overrun while shares move: in no window do shares and permits add up to more than the
+ * whole. A smaller share is free for others one window after the agent has confirmed it or its lease has ended. A new
+ * leader learns the shares from the agents, and grants more only when all have told or all leases of before have ended.
  * Volatile; owned by the coordinator.
  */
 struct LimitBook {
@@ -76,29 +98,31 @@
     /** Whether the shares of all agents are known. */
     bool complete = false;
     BootTime leadsSince;
-    BootTime completeSince;
 };
 
 /** Starts without any knowledge, as a new leader does. */
 void beginLeading(LimitBook &book, BootTime now);
 
-/** Notes that the shares of all agents are known, at the latest once all leases of before have ended. */
+/**
+ * Looks at whether the shares of all agents are known, at the latest once all leases of before have ended.
+ * @param allReported whether every agent that may hold shares has told them
+ */
 void noteComplete(LimitBook &book, bool allReported, BootTime now);
 
 /** Takes in what an agent told of its shares and demand. */
 void noteDemand(LimitBook &book, const std::string &life, const wire::Renew &renew, BootTime now);
 
-/** Frees the shares of an agent's process that has surely ended. */
-void endLife(LimitBook &book, const std::string &life);
+/** Keeps the shares of an agent's process that has surely ended for the process after it. */
+void succeedLife(LimitBook &book, const std::string &ended, const std::string &successor, BootTime now);
 
-/** Frees the shares whose lease has ended. */
+/** Takes back the shares whose lease has ended. */
 void expireLimits(LimitBook &book, BootTime now);
 
 /** @return whether this life of an agent has told its shares since this leader leads */
 bool isKnown(const LimitBook &book, const std::string &life);
 
 /**
- * Renews an agent's shares, and changes them where its demand calls for it.
+ * Renews an agent's shares, changes them where its demand calls for it, and hands out the permits that it wants.
  * @param routes table with the limits in force
  * @param arrival of the renewal that is answered
  * @param renewed answer to it; left without shares for an agent that has not told its own
--- a/include/process/ParsedRequest.h
+++ b/include/process/ParsedRequest.h
@@ -24,6 +24,8 @@
     std::string originService;
     /** Whose key the caller sent; empty for requests without a key. */
     std::string workspace;
+    /** Its workspace's share of the limit counts it. */
+    bool countedByShare = false;
     /** The caller's credentials were for this system and are not passed on. */
     bool credentialsTaken = false;
     /** Only from another agent: its name for the request, the upstream that it wants, and whether it is a suspect. */
--- a/include/table/LimitBounds.h
+++ b/include/table/LimitBounds.h
@@ -17,10 +17,7 @@
 /** @return whether the workspace has a limit */
 bool isLimited(const Workspace &workspace);
 
-/**
- * @return requests beyond the rate that all agents together may let through in a window; never below 1, so that a limit
- *         without a burst lets its rate through
- */
-double mostTokens(const Workspace &workspace, const LimitBounds &bounds);
+/** @return requests that all agents together may let through in every window; 1 at least */
+double mostInWindow(const Workspace &workspace, const LimitBounds &bounds);
 
 } // namespace bergamotweir::table
--- a/src/agent/LimitShares.cpp
+++ b/src/agent/LimitShares.cpp
@@ -1,7 +1,5 @@
 #include "agent/LimitShares.h"
 
-#include "table/RouteTable.h"
-
 #include <control.pb.h>
 
 #include <algorithm>
@@ -15,8 +13,8 @@
 using Seconds = std::chrono::duration<double>;
 
 constexpr milliseconds ReportInterval{1000};
-/** Minimum time between two renewals that are sent ahead of time for demand. */
-constexpr milliseconds AskInterval{200};
+/** Minimum time between two renewals that are sent ahead of time for permits. */
+constexpr milliseconds AskInterval{50};
 /** Share of the last sample in the smoothed demand. */
 constexpr double SampleWeight = 0.4;
 /** Requests a second below which a workspace counts as unused here. */
@@ -24,13 +22,15 @@
 /** A demand is reported again when it differs from the report by this part, and by LeastChange at least. */
 constexpr double ReportedChange = 0.2;
 constexpr double LeastChange = 0.3;
-/** Demand of so many times the reported one is told at once. */
-constexpr double DemandJump = 1.5;
 /** Clocks of agents may run so much too fast. */
-constexpr double ClockMargin = 0.98;
-constexpr milliseconds ShortestRetryAfter{50};
+constexpr double ClockMargin = 1.02;
+/** Fractions that are whole numbers but for rounding. */
+constexpr double Rounding = 1e-6;
+/** Time in which a permit arrives, the interval of asking included. */
+constexpr milliseconds PermitTime{120};
 constexpr milliseconds LongestRetryAfter{2000};
-constexpr milliseconds ShareRoundTrip{150};
+/** Permits asked for at once for one workspace. */
+constexpr unsigned MostWanted = 64;
 
 /** Drops the shares once their lease has ended; control is told with the next report. */
 void dropEndedShares(LimitShares &shares, BootTime now)
@@ -41,48 +41,34 @@
     for (auto &[name, share] : shares.workspaces) {
         shares.reportAll = shares.reportAll || share.share > 0;
         share.share = 0;
-        share.tokens = 0;
     }
 }
 
+/** @return seconds since the last sample, 1 at least */
 double secondsSinceSample(const LimitShares &shares, BootTime now)
 {
     return shares.sampledAt == BootTime() ? 1 : std::max(1.0, Seconds(now - shares.sampledAt).count());
 }
 
-bool isUnknown(const LimitShare &share)
-{
-    return share.share <= 0 || share.reported < 0;
-}
-
-bool hasJumped(const LimitShare &share, double seconds)
+void dropOld(LimitShare &share, const table::LimitBounds &bounds, BootTime now)
 {
-    return share.offered / seconds > DemandJump * share.reported + 1;
-}
-
-void refill(LimitShare &share, const table::Workspace &workspace, const table::LimitBounds &bounds, BootTime now)
-{
-    const double elapsed = std::max(0.0, Seconds(now - share.refilledAt).count());
-    share.tokens += ClockMargin * share.share * workspace.ratePerSecond * elapsed;
-    share.tokens = std::min(share.tokens, share.share * table::mostTokens(workspace, bounds));
-    share.refilledAt = now;
-}
-
-bool wantsToAsk(LimitShares &shares, const LimitShare &share, BootTime now)
-{
-    const bool tells = isUnknown(share) || hasJumped(share, secondsSinceSample(shares, now));
-    if (!tells || now - shares.askedAt < AskInterval) {
-        return false;
+    const auto window = std::chrono::duration_cast<BootClock::duration>(ClockMargin * Seconds(bounds.window));
+    while (!share.used.empty() && share.used.front() + window <= now) {
+        share.used.pop_front();
+    }
+    while (!share.permits.empty() && share.permits.front() <= now) {
+        share.permits.pop_front();
     }
-    shares.askedAt = now;
-    return true;
 }
 
-milliseconds untilNextToken(const LimitShare &share, const table::Workspace &workspace)
+/** @return how long callers that are refused now should wait */
+milliseconds retryAfter(const LimitShare &share, const table::LimitBounds &bounds, BootTime now)
 {
-    const double perSecond = share.share * workspace.ratePerSecond;
-    const auto wait = std::chrono::duration_cast<milliseconds>(Seconds((1 - share.tokens) / perSecond));
-    return std::clamp(wait, ShortestRetryAfter, LongestRetryAfter);
+    if (share.wanted <= MostWanted || share.used.empty()) {
+        return PermitTime;
+    }
+    const auto wait = std::chrono::duration_cast<milliseconds>(share.used.front() + bounds.window - now);
+    return std::clamp(wait, PermitTime, LongestRetryAfter);
 }
 
 /** Ends a sample. */
@@ -103,9 +89,20 @@
            || change > std::max(LeastChange, ReportedChange * share.reported);
 }
 
+bool isForgotten(const LimitShare &share)
+{
+    return share.share <= 0 && share.demand <= 0 && share.offered <= 0 && share.reported <= 0 && share.used.empty()
+           && share.permits.empty();
+}
+
 } // namespace
 
-LimitDecision takeToken(LimitShares &shares, const table::Workspace &workspace, BootTime now)
+bool isAdmitted(const LimitDecision &decision)
+{
+    return decision.verdict == LimitVerdict::Admitted || decision.verdict == LimitVerdict::Permitted;
+}
+
+LimitDecision admit(LimitShares &shares, const table::Workspace &workspace, BootTime now)
 {
     if (!table::isLimited(workspace)) {
         return {};
@@ -113,29 +110,36 @@
     LimitShare &share = shares.workspaces[workspace.name];
     share.offered += 1;
     dropEndedShares(shares, now);
-    refill(share, workspace, shares.bounds, now);
+    dropOld(share, shares.bounds, now);
+    const bool maySpend = now >= shares.startedAt + shares.bounds.window;
+    const double most =
+        maySpend ? std::floor(share.share * table::mostInWindow(workspace, shares.bounds) + Rounding) : 0;
     LimitDecision decision;
-    decision.ask = wantsToAsk(shares, share, now);
-    if (share.tokens >= 1) {
-        share.tokens -= 1;
-    } else if (share.share <= 0) {
-        decision.verdict = LimitVerdict::NoShare;
-        decision.retryAfter = ShareRoundTrip;
+    if (static_cast<double>(share.used.size()) < most) {
+        share.used.push_back(now);
+        share.wantsAhead = static_cast<double>(share.used.size()) >= most && share.permits.empty();
+    } else if (!share.permits.empty()) {
+        share.permits.pop_front();
+        share.wantsAhead = share.permits.empty();
+        decision.verdict = LimitVerdict::Permitted;
     } else {
-        decision.verdict = LimitVerdict::OverLimit;
-        decision.retryAfter = untilNextToken(share, workspace);
+        ++share.wanted;
+        decision.verdict = share.share <= 0 ? LimitVerdict::NoShare : LimitVerdict::OverLimit;
+        decision.retryAfter = retryAfter(share, shares.bounds, now);
+    }
+    decision.ask = (share.wanted > 0 || share.wantsAhead) && now - shares.askedAt >= AskInterval;
+    if (decision.ask) {
+        shares.askedAt = now;
     }
     return decision;
 }
 
-void giveBackToken(LimitShares &shares, const table::Workspace &workspace)
+void returnAdmission(LimitShares &shares, const std::string &workspace)
 {
-    const auto found = shares.workspaces.find(workspace.name);
-    if (!table::isLimited(workspace) || found == shares.workspaces.end()) {
-        return;
+    const auto found = shares.workspaces.find(workspace);
+    if (found != shares.workspaces.end() && !found->second.used.empty()) {
+        found->second.used.pop_back();
     }
-    LimitShare &share = found->second;
-    share.tokens = std::min(share.tokens + 1, share.share * table::mostTokens(workspace, shares.bounds));
 }
 
 void beginLimitSession(LimitShares &shares)
@@ -155,22 +159,25 @@
     renew.set_all_shares(shares.reportAll);
     const double seconds = secondsSinceSample(shares, now);
     for (auto &[name, share] : shares.workspaces) {
+        dropOld(share, shares.bounds, now);
         if (due) {
             noteDemand(share, seconds);
         }
-        const double provisional = std::max(share.demand, share.offered / seconds);
-        if (!shares.reportAll && !isWorthReporting(share) && !hasJumped(share, seconds)) {
+        if (!shares.reportAll && share.wanted == 0 && !share.wantsAhead && !(due && isWorthReporting(share))) {
             continue;
         }
-        share.reported = provisional;
+        share.reported = std::max(share.demand, share.offered / seconds);
         wire::WorkspaceDemand &demand = *renew.add_demands();
         demand.set_workspace(name);
-        demand.set_per_second(provisional);
+        demand.set_per_second(static_cast<float>(share.reported));
         demand.set_share(share.share);
+        demand.set_permits_wanted(std::min(share.wanted, MostWanted));
+        demand.set_permit_ahead(share.wantsAhead);
+        share.wanted = 0;
+        share.wantsAhead = false;
     }
     std::erase_if(shares.workspaces, [](const auto &entry) {
-        const LimitShare &share = entry.second;
-        return share.share <= 0 && share.demand <= 0 && share.offered <= 0 && share.reported <= 0;
+        return isForgotten(entry.second);
     });
     shares.reportAll = false;
     if (due) {
@@ -178,8 +185,7 @@
     }
 }
 
-void applyShares(
-    LimitShares &shares, const table::RouteTable &routes, const wire::Renewed &renewed, BootTime sentAt, BootTime now)
+void applyShares(LimitShares &shares, const wire::Renewed &renewed, BootTime sentAt, BootTime now)
 {
     if (renewed.share_lease_ms() == 0) {
         return;
@@ -189,16 +195,11 @@
     shares.appliedSequence = renewed.sequence();
     for (const wire::WorkspaceShare &granted : renewed.shares()) {
         LimitShare &share = shares.workspaces[granted.workspace()];
-        const table::Workspace *workspace = routes.workspace(granted.workspace());
-        if (workspace != nullptr) {
-            refill(share, *workspace, shares.bounds, now);
-        }
-        share.share = granted.share();
-        share.tokens = workspace == nullptr ? 0 : share.tokens + granted.tokens();
-        if (workspace != nullptr) {
-            refill(share, *workspace, shares.bounds, now);
+        if (granted.has_share()) {
+            share.share = granted.share();
         }
-        share.refilledAt = now;
+        const BootTime until = sentAt + milliseconds(renewed.permit_ms());
+        share.permits.insert(share.permits.end(), granted.permits(), until);
     }
 }
 
--- a/src/control/Coordinator.cpp
+++ b/src/control/Coordinator.cpp
@@ -79,7 +79,7 @@
         const bool movedVm = agent.peerAddress != hello.peer_address();
         const bool ended = this->settings.addressProvesEnd && !movedVm;
         if (ended) {
-            endLife(this->limitBook, lifeOf(agent));
+            succeedLife(this->limitBook, lifeOf(agent), lifeOf(agent.name, hello.incarnation()), now);
         } else if (!agent.incarnation.empty() && !isKnown(this->limitBook, lifeOf(agent))) {
             agent.unknownPredecessor = true;
         }
--- a/src/control/LimitBook.cpp
+++ b/src/control/LimitBook.cpp
@@ -3,6 +3,7 @@
 #include "table/RouteTable.h"
 
 #include <control.pb.h>
+#include <xxhash.h>
 
 #include <algorithm>
 #include <cmath>
@@ -11,17 +12,19 @@
 
 namespace {
 
-using Seconds = std::chrono::duration<double>;
-
-/** Part of a limit that is shared out by demand; the rest is for agents whose demand is new. */
-constexpr double GrantedPart = 0.95;
-/** An agent gets no more than the rate of so many times its weight, while others may yet come. */
-constexpr double Headroom = 2.5;
-/** Tokens of the smallest useful share. */
-constexpr double LeastTokens = 1.2;
+/** Part of a limit that all shares together take at most; the rest is for permits. */
+constexpr double SharedPart = 0.75;
+/** Part of that which is granted as long as no agent comes anew. */
+constexpr double GrantedPart = 0.97;
+/** Part of the permits that must be free for one to be handed out ahead of a request. */
+constexpr double AheadPart = 0.5;
+/** Workspaces beyond which no even parts are granted. */
+constexpr std::size_t MostEvenWorkspaces = 1024;
 /** Shares change when they would grow or shrink by more than this. */
-constexpr double WorthGrowing = 1.03;
-constexpr double WorthShrinking = 0.9;
+constexpr double WorthGrowing = 1.05;
+constexpr double WorthShrinking = 0.85;
+/** Fractions that are whole numbers but for rounding. */
+constexpr double Rounding = 1e-6;
 
 /** Small demands vary more in proportion: they get more than their part. */
 double weightOf(double demand)
@@ -31,7 +34,7 @@
 
 double outstanding(const HeldLimit &limit)
 {
-    return std::max(limit.held, limit.sent);
+    return std::max({limit.held, limit.sent, limit.inherited});
 }
 
 void leave(LimitReserve &reserve, const HeldLimit &limit)
@@ -48,49 +51,156 @@
     ++reserve.agents;
 }
 
-LimitReserve &reserveOf(LimitBook &book, const std::string &workspace)
+/** Keeps a returned share from others while the window in which it may have been used runs. */
+void coolDown(const LimitBook &book, LimitReserve &reserve, double share, BootTime now)
+{
+    if (share > 0) {
+        reserve.outstanding += share;
+        reserve.returned.push_back({now + book.settings.bounds.window + book.settings.drift, share});
+    }
+}
+
+void dropOld(LimitReserve &reserve, BootTime now)
 {
-    const auto [found, added] = book.reserves.try_emplace(workspace);
-    if (added) {
-        found->second.refilledAt = book.completeSince;
+    while (!reserve.returned.empty() && reserve.returned.front().freeAt <= now) {
+        reserve.outstanding = std::max(0.0, reserve.outstanding - reserve.returned.front().share);
+        reserve.returned.pop_front();
+    }
+    while (!reserve.handed.empty() && reserve.handed.front().countsUntil <= now) {
+        reserve.permits -= reserve.handed.front().permits;
+        reserve.handed.pop_front();
     }
-    return found->second;
 }
 
-void dropAll(LimitBook &book, AgentLimits &agent)
+void takeBackAll(LimitBook &book, AgentLimits &agent, BootTime now)
 {
     for (const auto &[name, limit] : agent.workspaces) {
-        leave(reserveOf(book, name), limit);
+        LimitReserve &reserve = book.reserves[name];
+        leave(reserve, limit);
+        coolDown(book, reserve, outstanding(limit), now);
     }
     agent.workspaces.clear();
 }
 
-void refill(LimitBook &book, LimitReserve &reserve, const table::Workspace &workspace, BootTime now)
+void dropInherited(LimitBook &book, AgentLimits &agent)
 {
-    const double part = std::max(0.0, 1 - reserve.outstanding);
-    const double elapsed = std::max(0.0, Seconds(now - reserve.refilledAt).count());
-    reserve.refilledAt = now;
-    if (!book.complete) {
-        return;
+    agent.inheritedUntil = {};
+    for (auto &[name, limit] : agent.workspaces) {
+        LimitReserve &reserve = book.reserves[name];
+        leave(reserve, limit);
+        limit.inherited = 0;
+        enter(reserve, limit);
+    }
+}
+
+/** Goes on counting what an agent held of a workspace when it tells its shares anew. */
+void keepReported(LimitBook &book, AgentLimits &agent, const std::string &name, const HeldLimit &before, BootTime now)
+{
+    const auto [entry, added] = agent.workspaces.try_emplace(name);
+    HeldLimit &limit = entry->second;
+    LimitReserve &reserve = book.reserves[name];
+    if (!added) {
+        leave(reserve, limit);
     }
-    reserve.tokens = std::min(reserve.tokens + part * workspace.ratePerSecond * elapsed,
-                              part * table::mostTokens(workspace, book.settings.bounds));
+    limit.inherited = before.inherited;
+    limit.demand = std::max(limit.demand, added ? before.demand : 0.0);
+    enter(reserve, limit);
+    coolDown(book, reserve, outstanding(before) - outstanding(limit), now);
 }
 
-/** @return the share that suits the agent's demand beside that of all others */
-double wantedShare(const LimitBook &book,
-                   const LimitReserve &reserve,
-                   const table::Workspace *workspace,
-                   const HeldLimit &limit)
+/** Makes a whole number of requests, rounded up for as many agents as the fraction says. */
+double wholeRequests(double requests, const std::string &life, const std::string &workspace)
 {
+    const std::uint64_t hash = XXH3_64bits_withSeed(life.data(), life.size(), std::hash<std::string>()(workspace));
+    const double draw = static_cast<double>(hash >> 11U) / static_cast<double>(1ULL << 53U);
+    return std::floor(requests + draw);
+}
+
+/** @return requests in a window that suit the agent's demand beside that of all others */
+double wantedRequests(const LimitBook &book,
+                      const LimitReserve &reserve,
+                      const table::Workspace &workspace,
+                      const HeldLimit &limit)
+{
+    const double all = GrantedPart * SharedPart * table::mostInWindow(workspace, book.settings.bounds);
+    // One for each agent, so that the first request of a workspace there finds it.
+    const double agents = static_cast<double>(book.agents.size());
+    const bool oneEach = agents <= all && book.reserves.size() <= MostEvenWorkspaces;
+    const double byDemand = oneEach ? all - agents : all;
     const double weight = weightOf(limit.demand);
-    if (workspace == nullptr || !table::isLimited(*workspace) || weight <= 0) {
+    return (oneEach ? 1 : 0) + (weight > 0 ? byDemand * weight / reserve.weight : 0);
+}
+
+unsigned
+handOut(LimitBook &book, LimitReserve &reserve, const table::Workspace &workspace, HeldLimit &limit, BootTime now)
+{
+    const LimitBookSettings &settings = book.settings;
+    const auto counts = settings.permit + settings.bounds.window + settings.drift;
+    const unsigned wanted = std::exchange(limit.wanted, 0);
+    // What the leader before handed out still counts.
+    if (now < book.leadsSince + counts) {
         return 0;
     }
-    const double least = std::min(LeastTokens / table::mostTokens(*workspace, book.settings.bounds),
-                                  GrantedPart / static_cast<double>(std::max<std::size_t>(reserve.agents, 1)));
-    const double useful = Headroom * weight / workspace->ratePerSecond;
-    return std::max(least, std::min(GrantedPart * weight / reserve.weight, useful));
+    const double most = (1 - SharedPart) * table::mostInWindow(workspace, settings.bounds);
+    const double room = std::max(0.0, most - reserve.permits);
+    const bool ahead = std::exchange(limit.wantsAhead, false) && room - wanted > AheadPart * most;
+    const unsigned permits = std::min(wanted + (ahead ? 1 : 0), static_cast<unsigned>(room));
+    if (permits > 0) {
+        reserve.handed.push_back({now + counts, permits});
+        reserve.permits += permits;
+    }
+    return permits;
+}
+
+/** Grants one workspace's share and permits. */
+void grantOne(LimitBook &book,
+              const std::string &life,
+              const std::string &name,
+              const table::Workspace *workspace,
+              HeldLimit &limit,
+              BootTime now,
+              wire::Renewed &renewed)
+{
+    LimitReserve &reserve = book.reserves[name];
+    dropOld(reserve, now);
+    const bool limited = workspace != nullptr && table::isLimited(*workspace);
+    const double whole = limited ? table::mostInWindow(*workspace, book.settings.bounds) : 1;
+    const double requests = limited ? wholeRequests(wantedRequests(book, reserve, *workspace, limit), life, name) : 0;
+    const double before = outstanding(limit);
+    const double room = book.complete ? std::max(0.0, SharedPart - reserve.outstanding) : 0;
+    const double share = std::floor(std::min(requests / whole, before + room) * whole + Rounding) / whole;
+    const bool changes = share > WorthGrowing * limit.sent || share < WorthShrinking * limit.sent;
+    if (changes) {
+        leave(reserve, limit);
+        // The grant before may still be on its way.
+        limit.held = std::max(limit.held, limit.sent);
+        limit.sent = share;
+        limit.sentSequence = renewed.sequence();
+        enter(reserve, limit);
+    }
+    const unsigned permits = limited ? handOut(book, reserve, *workspace, limit, now) : 0;
+    if (!changes && permits == 0) {
+        return;
+    }
+    wire::WorkspaceShare &granted = *renewed.add_shares();
+    granted.set_workspace(name);
+    granted.set_permits(permits);
+    if (changes) {
+        granted.set_share(share);
+    }
+}
+
+/** Makes an entry for every workspace of which each agent gets an even part. */
+void addEvenParts(LimitBook &book, AgentLimits &agent, const table::RouteTable &routes)
+{
+    if (routes.workspaces().size() > MostEvenWorkspaces || agent.workspaces.size() >= routes.workspaces().size()) {
+        return;
+    }
+    for (const auto &[name, workspace] : routes.workspaces()) {
+        if (table::isLimited(workspace) && agent.workspaces.try_emplace(name).second) {
+            ++book.reserves[name].agents;
+        }
+    }
 }
 
 } // namespace
@@ -105,21 +215,22 @@
 
 void noteComplete(LimitBook &book, bool allReported, BootTime now)
 {
-    if (book.complete || (!allReported && now < book.leadsSince + book.settings.lease + book.settings.drift)) {
-        return;
-    }
-    book.complete = true;
-    book.completeSince = now;
-    for (auto &[name, reserve] : book.reserves) {
-        reserve.refilledAt = now;
-    }
+    // Shares that were returned to the leader before may have been used within the window that still runs.
+    const bool windowPassed = now >= book.leadsSince + book.settings.bounds.window + book.settings.drift;
+    const bool leasesEnded =
+        now >= book.leadsSince + book.settings.lease + book.settings.bounds.window + book.settings.drift;
+    book.complete = book.complete || (allReported && windowPassed) || leasesEnded;
 }
 
 void noteDemand(LimitBook &book, const std::string &life, const wire::Renew &renew, BootTime now)
 {
+    std::map<std::string, HeldLimit, std::less<>> before;
     if (renew.all_shares()) {
         AgentLimits &agent = book.agents[life];
-        dropAll(book, agent);
+        before.swap(agent.workspaces);
+        for (const auto &[name, limit] : before) {
+            leave(book.reserves[name], limit);
+        }
         agent.end = std::max(agent.end, now + book.settings.lease + book.settings.drift);
     }
     const auto found = book.agents.find(life);
@@ -130,41 +241,60 @@
     for (const wire::WorkspaceDemand &demand : renew.demands()) {
         const auto [entry, added] = agent.workspaces.try_emplace(demand.workspace());
         HeldLimit &limit = entry->second;
-        LimitReserve &reserve = reserveOf(book, demand.workspace());
+        LimitReserve &reserve = book.reserves[demand.workspace()];
         if (!added) {
             leave(reserve, limit);
         }
         limit.demand = std::max(0.0F, demand.per_second());
+        limit.wanted = demand.permits_wanted();
+        limit.wantsAhead = demand.permit_ahead();
         if (renew.all_shares()) {
             limit.held = std::clamp(demand.share(), 0.0, 1.0);
             limit.sent = limit.held;
         }
         enter(reserve, limit);
     }
+    for (const auto &[name, limit] : before) {
+        keepReported(book, agent, name, limit, now);
+    }
     for (auto &[name, limit] : agent.workspaces) {
         if (limit.held != limit.sent && limit.sentSequence <= renew.shares_applied()) {
-            LimitReserve &reserve = reserveOf(book, name);
+            LimitReserve &reserve = book.reserves[name];
             leave(reserve, limit);
+            coolDown(book, reserve, limit.held - limit.sent, now);
             limit.held = limit.sent;
             enter(reserve, limit);
         }
     }
 }
 
-void endLife(LimitBook &book, const std::string &life)
+void succeedLife(LimitBook &book, const std::string &ended, const std::string &successor, BootTime now)
 {
-    const auto found = book.agents.find(life);
-    if (found != book.agents.end()) {
-        dropAll(book, found->second);
-        book.agents.erase(found);
+    const auto found = book.agents.find(ended);
+    if (found == book.agents.end()) {
+        return;
+    }
+    AgentLimits agent = std::move(found->second);
+    book.agents.erase(found);
+    agent.inheritedUntil = now + book.settings.bounds.window + book.settings.drift;
+    for (auto &[name, limit] : agent.workspaces) {
+        LimitReserve &reserve = book.reserves[name];
+        leave(reserve, limit);
+        limit.inherited = outstanding(limit);
+        limit.held = 0;
+        limit.sent = 0;
+        enter(reserve, limit);
     }
+    book.agents[successor] = std::move(agent);
 }
 
 void expireLimits(LimitBook &book, BootTime now)
 {
     for (auto &[life, agent] : book.agents) {
         if (now >= agent.end) {
-            dropAll(book, agent);
+            takeBackAll(book, agent, now);
+        } else if (agent.inheritedUntil != BootTime() && now >= agent.inheritedUntil) {
+            dropInherited(book, agent);
         }
     }
 }
@@ -188,39 +318,17 @@
     AgentLimits &agent = found->second;
     agent.end = std::max(agent.end, arrival + book.settings.lease + book.settings.drift);
     renewed.set_share_lease_ms(static_cast<std::uint32_t>(book.settings.lease.count()));
+    renewed.set_permit_ms(static_cast<std::uint32_t>(book.settings.permit.count()));
+    addEvenParts(book, agent, routes);
     for (auto entry = agent.workspaces.begin(); entry != agent.workspaces.end();) {
         HeldLimit &limit = entry->second;
-        LimitReserve &reserve = reserveOf(book, entry->first);
         const table::Workspace *workspace = routes.workspace(entry->first);
-        if (workspace != nullptr) {
-            refill(book, reserve, *workspace, now);
-        }
-        const double wanted = wantedShare(book, reserve, workspace, limit);
-        const double before = outstanding(limit);
-        const double most = book.complete ? before + std::max(0.0, 1 - reserve.outstanding) : before;
-        const double share = std::min(wanted, most);
-        const bool changes = share > WorthGrowing * limit.sent || share < WorthShrinking * limit.sent;
-        if (!changes) {
-            const bool unused = limit.demand <= 0 && before <= 0;
-            if (unused) {
-                leave(reserve, limit);
-            }
-            entry = unused ? agent.workspaces.erase(entry) : std::next(entry);
-            continue;
-        }
-        leave(reserve, limit);
-        limit.sent = share;
-        limit.sentSequence = renewed.sequence();
-        enter(reserve, limit);
-        wire::WorkspaceShare &granted = *renewed.add_shares();
-        granted.set_workspace(entry->first);
-        granted.set_share(share);
-        if (share > before && workspace != nullptr) {
-            const double fits = (share - before) * table::mostTokens(*workspace, book.settings.bounds);
-            granted.set_tokens(std::min(reserve.tokens, fits));
-            reserve.tokens -= granted.tokens();
+        grantOne(book, life, entry->first, workspace, limit, now, renewed);
+        const bool ended = workspace == nullptr && outstanding(limit) <= 0;
+        if (ended) {
+            leave(book.reserves[entry->first], limit);
         }
-        ++entry;
+        entry = ended ? agent.workspaces.erase(entry) : std::next(entry);
     }
 }
 
--- a/src/process/AgentProcess.cpp
+++ b/src/process/AgentProcess.cpp
@@ -109,6 +109,7 @@
     this->state.random.seed(chooseSeed(settings));
     this->state.startedAt = BootClock::now();
     this->state.limits.bounds = settings.limitBounds;
+    this->state.limits.startedAt = this->state.startedAt;
     const std::uint64_t start = (static_cast<std::uint64_t>(this->state.random()) << 32U) | this->state.random();
     this->state.incarnation = std::to_string(start);
 }
--- a/src/process/ControlLink.cpp
+++ b/src/process/ControlLink.cpp
@@ -139,7 +139,7 @@
         this->state.limits.reportAll = this->state.limits.reportAll || renewed.shares_size() > 0;
         return;
     }
-    agent::applyShares(this->state.limits, this->state.table.routes(), renewed, *sentAt, BootClock::now());
+    agent::applyShares(this->state.limits, renewed, *sentAt, BootClock::now());
     this->events.renewed();
 }
 
--- a/src/process/RequestRunner.h
+++ b/src/process/RequestRunner.h
@@ -95,9 +95,9 @@
     void relay(Running &request, unsigned attempt);
     void relayRecorded(Running &request);
     /** @return the refusal when the limit of the caller's workspace lets no request through now */
-    std::optional<net::HttpAnswer> refuseBeyondLimit(const ParsedRequest &parsed);
-    /** Returns what a refused request took of its workspace's limit, unless it may have run. */
-    void returnToken(const Running &request, const agent::RefusalFacts &refusal);
+    std::optional<net::HttpAnswer> refuseBeyondLimit(ParsedRequest &parsed);
+    /** Takes back the count of a refused request against its workspace's limit, unless it may have run. */
+    void returnAdmission(const Running &request, const agent::RefusalFacts &refusal);
     void countEnd(const Running &request, std::string_view outcome, int status);
     void refuse(Running &request, const agent::RefusalFacts &refusal);
     void record(Running &request, const agent::RequestAction &action);
--- a/src/process/RequestRunnerAnswers.cpp
+++ b/src/process/RequestRunnerAnswers.cpp
@@ -127,7 +127,7 @@
         .with("took_ms", BootClock::now() - request.acceptedAt)
         .with("deadline_left_ms", request.state.facts.deadline - BootClock::now());
     this->countEnd(request, "refused", refusal.status);
-    this->returnToken(request, refusal);
+    this->returnAdmission(request, refusal);
     if (this->needs.metrics != nullptr) {
         this->needs.metrics->refused(agent::toText(endOf(refusal)));
     }
--- a/src/process/RequestRunnerLimits.cpp
+++ b/src/process/RequestRunnerLimits.cpp
@@ -28,17 +28,18 @@
 
 } // namespace
 
-std::optional<net::HttpAnswer> RequestRunner::refuseBeyondLimit(const ParsedRequest &parsed)
+std::optional<net::HttpAnswer> RequestRunner::refuseBeyondLimit(ParsedRequest &parsed)
 {
     const table::Workspace *workspace = this->state.table.routes().workspace(parsed.workspace);
     if (workspace == nullptr) {
         return std::nullopt;
     }
-    const agent::LimitDecision decision = agent::takeToken(this->state.limits, *workspace, BootClock::now());
+    const agent::LimitDecision decision = agent::admit(this->state.limits, *workspace, BootClock::now());
     if (decision.ask && this->needs.demandRose) {
         this->needs.demandRose();
     }
-    if (decision.verdict == agent::LimitVerdict::Admitted) {
+    if (agent::isAdmitted(decision)) {
+        parsed.countedByShare = decision.verdict == agent::LimitVerdict::Admitted && table::isLimited(*workspace);
         return std::nullopt;
     }
     const agent::LimitShare &share = this->state.limits.workspaces[workspace->name];
@@ -58,13 +59,10 @@
     return this->state.protocol->refuse({refusalFor(decision), &this->state.random});
 }
 
-void RequestRunner::returnToken(const Running &request, const agent::RefusalFacts &refusal)
+void RequestRunner::returnAdmission(const Running &request, const agent::RefusalFacts &refusal)
 {
-    if (request.origin == Origin::Peer || refusal.ran != agent::Ran::No) {
-        return;
-    }
-    if (const table::Workspace *workspace = this->state.table.routes().workspace(request.parsed.workspace)) {
-        agent::giveBackToken(this->state.limits, *workspace);
+    if (request.parsed.countedByShare && refusal.ran == agent::Ran::No) {
+        agent::returnAdmission(this->state.limits, request.parsed.workspace);
     }
 }
 
--- a/src/table/LimitBounds.cpp
+++ b/src/table/LimitBounds.cpp
@@ -1,6 +1,7 @@
 #include "table/LimitBounds.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace bergamotweir::table {
 
@@ -9,10 +10,11 @@
     return workspace.ratePerSecond > 0;
 }
 
-double mostTokens(const Workspace &workspace, const LimitBounds &bounds)
+double mostInWindow(const Workspace &workspace, const LimitBounds &bounds)
 {
-    const double perWindow = workspace.ratePerSecond * std::chrono::duration<double>(bounds.window).count();
-    return std::max(1.0, workspace.burst + (perWindow + workspace.burst) * bounds.overage + bounds.slack);
+    const double seconds = std::chrono::duration<double>(bounds.window).count();
+    const double most = workspace.ratePerSecond * seconds + workspace.burst;
+    return std::max(1.0, std::floor(most * (1 + bounds.overage) + bounds.slack));
 }
 
 } // namespace bergamotweir::table
