--- a/include/rpc/ClaimClient.h
+++ b/include/rpc/ClaimClient.h
@@ -51,7 +51,7 @@
 
 private:
     struct Parts;
-    std::shared_ptr<Parts> parts;
+    std::unique_ptr<Parts> parts;
 };
 
 } // namespace bergamotweir::rpc
--- a/include/rpc/ControlService.h
+++ b/include/rpc/ControlService.h
@@ -28,10 +28,10 @@
 };
 
 /**
- * The gRPC endpoint of a control replica, for agents and operators.
- * Owned by the control process. gRPC's own threads only post to the loop. Memory is bounded: a session's next message
- * is read only after the previous one has been handled, and the session of an agent that does not read its messages is
- * closed.
+ * The endpoint of a control replica: one port for the sessions and claims of agents, which are frames, and for
+ * operators, who use gRPC. Owned by the control process; used on the loop's thread. Memory is bounded: a session's next
+ * message is read only after the previous one has been handled, and the session of an agent that does not read its
+ * messages is closed.
  */
 class ControlService
 {
@@ -57,13 +57,13 @@
     /** Queues a message on a session, in order; does nothing if the session has ended. */
     void send(std::uint64_t session, const std::shared_ptr<const wire::ControlMessage> &message);
 
-    /** Ends a session once all queued messages have been written; does nothing if the session has ended. */
+    /** Ends a session; the agent may begin another on the same connection. Does nothing if the session has ended. */
     void close(std::uint64_t session);
 
 private:
     struct Parts;
-    explicit ControlService(std::shared_ptr<Parts> parts);
-    std::shared_ptr<Parts> parts;
+    explicit ControlService(std::unique_ptr<Parts> parts);
+    std::unique_ptr<Parts> parts;
 };
 
 } // namespace bergamotweir::rpc
--- a/include/rpc/ControlSession.h
+++ b/include/rpc/ControlSession.h
@@ -2,7 +2,7 @@
 
 #include "base/Backoff.h"
 #include "base/BootClock.h"
-#include "control.grpc.pb.h"
+#include "control.pb.h"
 #include "loop/EventLoop.h"
 
 #include <chrono>
@@ -11,10 +11,12 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace bergamotweir::rpc {
 
+class FrameSocket;
 class ReplicaConnections;
 
 /** Number of a session of one agent process, in ascending order; messages of older sessions are ignored. */
@@ -57,8 +59,8 @@
 };
 
 /**
- * Maintains an agent's stream to the leader of the control group: finds the leader, opens the stream, and searches
- * again when the stream ends. Owned by the agent process; used on the loop's thread.
+ * Maintains an agent's session with the leader of the control group: finds the leader, opens the session, and searches
+ * again when it ends. Owned by the agent process; used on the loop's thread.
  */
 class ControlSession
 {
@@ -75,13 +77,13 @@
                    ControlSessionEvents events,
                    ControlSessionTimeouts timeouts = {});
 
-    /** Ends the stream without calling closed(). */
+    /** Ends the session without calling closed(). */
     ~ControlSession();
     ControlSession(const ControlSession &) = delete;
     ControlSession &operator=(const ControlSession &) = delete;
 
     /**
-     * Sends on the current stream, in order. Without a stream the message is dropped, so state must be sent again on
+     * Sends on the current session, in order. Without a session the message is dropped, so state must be sent again on
      * opened().
      * @param message anything but a Hello
      */
@@ -90,22 +92,21 @@
     /** Adds addresses to search for the leader, as the initial replicas may have been replaced. */
     void addAddresses(const std::vector<std::string> &replicas);
 
-    /** @return whether the session is open, that is, the leader has answered on the current stream */
+    /** @return whether the session is open, that is, the leader has answered on the current one */
     bool isOpen() const;
 
 private:
-    class Stream;
     void askNextReplica();
     void followRedirect(const std::string &leader);
-    std::shared_ptr<wire::Control::Stub> chooseReady(BootTime now);
-    void connect(const std::string &address, std::shared_ptr<wire::Control::Stub> stub);
+    std::vector<std::string> searchedAddresses(BootTime now) const;
+    std::shared_ptr<FrameSocket> chooseReady(BootTime now);
+    void connect(std::shared_ptr<FrameSocket> replica);
     std::chrono::nanoseconds currentOpenTimeout() const;
-    void handleMessage(SessionId session, wire::ControlMessage message);
-    void streamEnded(SessionId session);
-    void handleEnd(SessionId session);
+    void handleFrame(SessionId session, std::string_view payload);
+    void handleMessage(wire::ControlMessage message);
+    void handleEnd(bool keepsConnection);
     void logDisconnect(const char *why) const;
-    void freeEndedStreams();
-    void disconnect();
+    void disconnect(bool keepsConnection);
     void checkSilence();
     std::chrono::milliseconds maxSilence() const;
     void checkOpenTimeout(SessionId session);
@@ -115,12 +116,10 @@
     std::vector<std::string> addresses;
     ControlSessionEvents events;
     ControlSessionTimeouts timeouts;
-    /** Connections to all replicas during the search, then only that of the session. A stream keeps its own connection.
-     */
+    /** Connections to all replicas during the search, then only that of the session. */
     std::unique_ptr<ReplicaConnections> connections;
-    std::unique_ptr<Stream> stream;
-    /** Cancelled streams whose OnDone() has not run yet. */
-    std::vector<std::unique_ptr<Stream>> cancelledStreams;
+    /** The connection of the current session; nullptr between sessions. */
+    std::shared_ptr<FrameSocket> socket;
     SessionId session = 0;
     /** The leader has accepted the session; the session opens with the leader's next message. */
     bool accepted = false;
@@ -134,7 +133,7 @@
     std::size_t firstAddress = 0;
     /** When each replica was last asked for a session. */
     std::map<std::string, BootTime> askedAt;
-    /** When the last stream was cancelled. */
+    /** When the last session ended. */
     BootTime disconnectedAt{};
     std::string currentAddress;
     /** Address of the leader according to the last redirect; empty once that replica has been asked. */
@@ -147,6 +146,8 @@
     loop::TimerId silenceTimer = 0;
     /** Backoff before the next replica is asked, or interval until the next check for a connection that is ready. */
     loop::TimerId askTimer = 0;
+    /** When the search for the leader began. */
+    BootTime searchBegunAt;
     std::shared_ptr<bool> alive;
 };
 
--- a/src/control/Coordinator.cpp
+++ b/src/control/Coordinator.cpp
@@ -148,6 +148,7 @@
         this->propose(std::move(command), {});
         break;
     }
+    case wire::AgentMessage::kClaimCall:
     case wire::AgentMessage::kHello:
     case wire::AgentMessage::BODY_NOT_SET:
         break;
--- a/src/loop/EventLoop.cpp
+++ b/src/loop/EventLoop.cpp
@@ -145,8 +145,8 @@
 
 /** Tasks posted by tasks run in the same iteration of the loop; the bound prevents starvation of sockets and timers. */
 constexpr int MaxTaskRoundsPerIteration = 8;
-/** Maximum number of descriptors that the loop watches; the reactor keeps a table entry for each. */
-constexpr rlim_t MaxDescriptors = 8192;
+/** Maximum number of descriptors that the loop watches; the reactor keeps a table entry of a few bytes for each. */
+constexpr rlim_t MaxDescriptors = 65536;
 
 /**
  * Returns the size of the reactor's descriptor table.
--- a/src/loop/Log.cpp
+++ b/src/loop/Log.cpp
@@ -133,6 +133,8 @@
     }
     writer().process = process;
     log4cplus::initialize();
+    // Its threads serve asynchronous appenders, which are not used here; one is the minimum.
+    log4cplus::setThreadPoolSize(1);
     log4cplus::Logger root = log4cplus::Logger::getRoot();
     root.addAppender(log4cplus::SharedAppenderPtr(new PipeAppender(STDOUT_FILENO)));
     root.setLogLevel(levelFromText(level));
--- a/src/rpc/ClaimClient.cpp
+++ b/src/rpc/ClaimClient.cpp
@@ -1,16 +1,12 @@
 #include "rpc/ClaimClient.h"
 
 #include "base/BootClock.h"
-#include "control.grpc.pb.h"
 #include "loop/Log.h"
 #include "rpc/ReplicaConnections.h"
 
-#include <grpcpp/channel.h>
-
 #include <algorithm>
-#include <condition_variable>
-#include <mutex>
-#include <set>
+#include <map>
+#include <utility>
 
 namespace bergamotweir::rpc {
 
@@ -22,70 +18,56 @@
 
 constexpr loop::Log Log("claim");
 
-bool isFinalReply(const wire::ClaimReply &reply)
+bool isFinalAnswer(const wire::ClaimAnswer &answer)
 {
-    return reply.verdict() != wire::CLAIM_VERDICT_UNAVAILABLE;
+    return answer.has_claim() ? answer.claim().verdict() != wire::CLAIM_VERDICT_UNAVAILABLE
+                              : answer.outcome().recorded();
 }
 
-bool isFinalReply(const wire::OutcomeReply &reply)
+/** @return the leader that an answer names; empty if it names none */
+std::string leaderIn(const wire::ClaimAnswer &answer)
 {
-    return reply.recorded();
+    return answer.has_claim() ? answer.claim().leader_address() : answer.outcome().leader_address();
 }
 
-/** One call in progress, kept alive by its own callback. */
-template<typename Request, typename Reply>
+/** One call in progress. */
 struct Call {
-    Request request;
-    Reply reply;
-    std::string replica;
-    std::unique_ptr<grpc::ClientContext> context;
-    BootTime begunAt;
+    wire::ClaimCall request;
     BootTime deadline;
-    std::function<void(Reply)> done;
+    /** Called with the answer; with nullptr if none came in time. */
+    std::function<void(const wire::ClaimAnswer *)> done;
+    /** The replica asked last, and when. */
+    std::string replica;
+    BootTime askedAt;
+    loop::TimerId timer = 0;
 };
 
-void start(wire::Control::Stub &stub,
-           const std::shared_ptr<Call<wire::ClaimRequest, wire::ClaimReply>> &call,
-           std::function<void(grpc::Status)> ended)
-{
-    stub.async()->Claim(call->context.get(), &call->request, &call->reply, std::move(ended));
-}
-
-void start(wire::Control::Stub &stub,
-           const std::shared_ptr<Call<wire::ClaimOutcome, wire::OutcomeReply>> &call,
-           std::function<void(grpc::Status)> ended)
-{
-    stub.async()->RecordOutcome(call->context.get(), &call->request, &call->reply, std::move(ended));
-}
-
-void setUnavailable(wire::ClaimReply &reply)
-{
-    reply.set_verdict(wire::CLAIM_VERDICT_UNAVAILABLE);
-}
-
-void setUnavailable(wire::OutcomeReply &reply)
-{
-    reply.set_recorded(false);
-}
-
 } // namespace
 
-struct ClaimClient::Parts : std::enable_shared_from_this<ClaimClient::Parts> {
+struct ClaimClient::Parts {
     Parts(loop::EventLoop &loop, std::vector<std::string> addresses)
         : loop(loop)
         , addresses(std::move(addresses))
         , target(this->addresses.front())
+        , connections(loop)
     {
     }
 
-    /** @return the stub of the target, or of the next replica whose connection is ready; nullptr if none is ready */
-    std::shared_ptr<wire::Control::Stub> chooseReady()
+    ~Parts()
+    {
+        for (const auto &[id, call] : this->calls) {
+            this->loop.cancel(call.timer);
+        }
+    }
+
+    /** @return the connection to the target, or to the next replica that is ready; nullptr if none is ready */
+    std::shared_ptr<FrameSocket> chooseReady()
     {
         const BootTime now = BootClock::now();
         this->connections.connectAll(this->addresses, now);
         for (std::size_t tries = 0; tries <= this->addresses.size(); ++tries) {
-            if (auto stub = this->connections.readyStub(this->target, now)) {
-                return stub;
+            if (auto replica = this->connections.ready(this->target, now)) {
+                return replica;
             }
             this->chooseNext({});
         }
@@ -107,99 +89,106 @@
         this->target = this->addresses[this->nextAddress++ % this->addresses.size()];
     }
 
-    template<typename Request, typename Reply>
-    void attempt(const std::shared_ptr<Call<Request, Reply>> &call)
+    void attempt(std::uint64_t id)
     {
-        const auto remaining = call->deadline - BootClock::now();
+        Call &call = this->calls.at(id);
+        const auto remaining = call.deadline - BootClock::now();
         if (remaining <= std::chrono::nanoseconds(0)) {
-            setUnavailable(call->reply);
-            call->done(call->reply);
+            this->finish(id, nullptr);
             return;
         }
-        const std::shared_ptr<wire::Control::Stub> stub = this->chooseReady();
-        if (!stub) {
-            this->attemptAfter(ReplicaConnections::PollInterval, call);
+        const std::shared_ptr<FrameSocket> replica = this->chooseReady();
+        if (!replica) {
+            this->attemptAfter(ReplicaConnections::PollInterval, id);
             return;
         }
-        call->begunAt = BootClock::now();
-        call->context = std::make_unique<grpc::ClientContext>();
-        call->context->set_deadline(std::chrono::system_clock::now()
-                                    + std::chrono::duration_cast<std::chrono::microseconds>(
-                                        std::min<std::chrono::nanoseconds>(remaining, this->attemptTimeout())));
-        call->reply.Clear();
-        call->replica = this->target;
-        {
-            const std::lock_guard guard(this->mutex);
-            this->activeContexts.insert(call->context.get());
-        }
-        start(*stub, call, [this, held = call](const grpc::Status &status) mutable {
-            this->postResult(std::move(held), status.ok());
+        call.replica = this->target;
+        call.askedAt = BootClock::now();
+        replica->setEvents({.frame =
+                                [this](std::string_view payload) {
+                                    this->handleFrame(payload);
+                                },
+                            .closed =
+                                [this, address = this->target] {
+                                    this->handleClosed(address);
+                                }});
+        wire::AgentMessage message;
+        *message.mutable_claim_call() = call.request;
+        replica->send(makeFrame(message));
+        call.timer = this->loop.after(std::min<std::chrono::nanoseconds>(remaining, this->attemptTimeout()), [this, id] {
+            this->handleTimeout(id);
         });
     }
 
-    // Called on one of gRPC's threads. The call, which holds a reference to the channel, is moved to the loop's thread:
-    // gRPC aborts the process if the last reference to a channel is released on one of its callback threads.
-    template<typename Request, typename Reply>
-    void postResult(std::shared_ptr<Call<Request, Reply>> call, bool ok)
+    void handleTimeout(std::uint64_t id)
     {
-        grpc::ClientContext *const context = call->context.get();
-        this->loop.post([self = this->weak_from_this(), held = std::move(call), ok] {
-            const std::shared_ptr<Parts> client = self.lock();
-            if (client) {
-                client->handleResult(held, ok);
-            }
-        });
-        const std::lock_guard guard(this->mutex);
-        this->activeContexts.erase(context);
-        this->allEnded.notify_all();
+        Call &call = this->calls.at(id);
+        // The connection may have stalled while a new one would work.
+        Log.event(loop::LogLevel::Warn, "claim not answered").with("replica", call.replica);
+        this->connections.closeReadyBefore(call.askedAt);
+        this->chooseNext({});
+        this->attemptAfter(RetryBackoff, id);
     }
 
-    void cancelAndWait()
+    void handleClosed(const std::string &replica)
     {
-        std::unique_lock guard(this->mutex);
-        for (grpc::ClientContext *context : this->activeContexts) {
-            context->TryCancel();
+        this->chooseNext({});
+        for (auto &[id, call] : this->calls) {
+            if (call.replica == replica) {
+                this->loop.cancel(call.timer);
+                this->attemptAfter(RetryBackoff, id);
+            }
         }
-        this->allEnded.wait(guard, [this] {
-            return this->activeContexts.empty();
-        });
     }
 
-    template<typename Request, typename Reply>
-    void handleResult(const std::shared_ptr<Call<Request, Reply>> &call, bool ok)
+    void handleFrame(std::string_view payload)
     {
-        if (ok && isFinalReply(call->reply)) {
-            call->done(call->reply);
+        wire::ControlMessage message;
+        if (!message.ParseFromArray(payload.data(), static_cast<int>(payload.size())) || !message.has_claim_answer()) {
+            Log.error("received a message that is not the answer to a claim");
+            return;
+        }
+        const wire::ClaimAnswer &answer = message.claim_answer();
+        const auto found = this->calls.find(answer.id());
+        if (found == this->calls.end()) {
             return;
         }
-        if (!ok) {
-            // The connection may have stalled while a new one would work. Calls in progress keep their channel.
-            Log.event(loop::LogLevel::Warn, "claim not answered").with("replica", call->replica);
-            this->connections.closeReadyBefore(call->begunAt);
+        if (isFinalAnswer(answer)) {
+            this->finish(answer.id(), &answer);
+            return;
         }
-        this->chooseNext(ok ? call->reply.leader_address() : std::string());
-        this->attemptAfter(RetryBackoff, call);
+        this->loop.cancel(found->second.timer);
+        this->chooseNext(leaderIn(answer));
+        this->attemptAfter(RetryBackoff, answer.id());
     }
 
-    template<typename Request, typename Reply>
-    void attemptAfter(std::chrono::milliseconds delay, const std::shared_ptr<Call<Request, Reply>> &call)
+    void attemptAfter(std::chrono::milliseconds delay, std::uint64_t id)
     {
-        this->loop.after(delay, [self = this->weak_from_this(), call] {
-            const std::shared_ptr<Parts> client = self.lock();
-            if (client) {
-                client->attempt(call);
-            }
+        this->calls.at(id).timer = this->loop.after(delay, [this, id] {
+            this->attempt(id);
         });
     }
 
-    template<typename Request, typename Reply>
-    void begin(const Request &request, std::chrono::milliseconds timeout, std::function<void(Reply)> done)
+    void finish(std::uint64_t id, const wire::ClaimAnswer *answer)
+    {
+        const Call call = this->calls.extract(id).mapped();
+        this->loop.cancel(call.timer);
+        call.done(answer);
+    }
+
+    void begin(wire::ClaimCall request,
+               std::chrono::milliseconds timeout,
+               std::function<void(const wire::ClaimAnswer *)> done)
     {
-        auto call = std::make_shared<Call<Request, Reply>>();
-        call->request = request;
-        call->deadline = BootClock::now() + timeout;
-        call->done = std::move(done);
-        this->attempt(call);
+        const std::uint64_t id = ++this->lastId;
+        request.set_id(id);
+        this->calls[id] = {.request = std::move(request),
+                           .deadline = BootClock::now() + timeout,
+                           .done = std::move(done),
+                           .replica = {},
+                           .askedAt = {}};
+        // Never within begin(), so that the caller's callback doesn't run within its call.
+        this->attemptAfter(std::chrono::milliseconds(0), id);
     }
 
     loop::EventLoop &loop;
@@ -207,33 +196,39 @@
     std::string target;
     std::size_t nextAddress = 1;
     ReplicaConnections connections;
-    std::mutex mutex;
-    std::condition_variable allEnded;
-    std::set<grpc::ClientContext *> activeContexts;
+    std::map<std::uint64_t, Call> calls;
+    std::uint64_t lastId = 0;
 };
 
 ClaimClient::ClaimClient(loop::EventLoop &loop, std::vector<std::string> addresses)
-    : parts(std::make_shared<Parts>(loop, std::move(addresses)))
+    : parts(std::make_unique<Parts>(loop, std::move(addresses)))
 {
 }
 
-ClaimClient::~ClaimClient()
-{
-    this->parts->cancelAndWait();
-}
+ClaimClient::~ClaimClient() = default;
 
 void ClaimClient::claim(const wire::ClaimRequest &request,
                         std::chrono::milliseconds timeout,
                         std::function<void(wire::ClaimReply)> done)
 {
-    this->parts->begin<wire::ClaimRequest, wire::ClaimReply>(request, timeout, std::move(done));
+    wire::ClaimCall call;
+    *call.mutable_claim() = request;
+    this->parts->begin(std::move(call), timeout, [done = std::move(done)](const wire::ClaimAnswer *answer) {
+        wire::ClaimReply unavailable;
+        unavailable.set_verdict(wire::CLAIM_VERDICT_UNAVAILABLE);
+        done(answer == nullptr ? unavailable : answer->claim());
+    });
 }
 
 void ClaimClient::recordOutcome(const wire::ClaimOutcome &outcome,
                                 std::chrono::milliseconds timeout,
                                 std::function<void(wire::OutcomeReply)> done)
 {
-    this->parts->begin<wire::ClaimOutcome, wire::OutcomeReply>(outcome, timeout, std::move(done));
+    wire::ClaimCall call;
+    *call.mutable_outcome() = outcome;
+    this->parts->begin(std::move(call), timeout, [done = std::move(done)](const wire::ClaimAnswer *answer) {
+        done(answer == nullptr ? wire::OutcomeReply() : answer->outcome());
+    });
 }
 
 } // namespace bergamotweir::rpc
--- a/src/rpc/ControlService.cpp
+++ b/src/rpc/ControlService.cpp
@@ -1,16 +1,14 @@
 #include "rpc/ControlService.h"
 
-#include "control.grpc.pb.h"
 #include "loop/EventLoop.h"
+#include "loop/Log.h"
 #include "rpc/Channel.h"
+#include "rpc/FrameServer.h"
+#include "rpc/OperatorService.h"
 #include "rpc/PackedMessage.h"
 
-#include <grpcpp/grpcpp.h>
-
 #include <chrono>
-#include <deque>
 #include <map>
-#include <mutex>
 #include <utility>
 #include <vector>
 
@@ -21,14 +19,15 @@
 /** Maximum number of bytes queued for one agent, above which its session is closed; larger than a full state. */
 constexpr std::size_t MaxQueuedBytes = std::size_t{4} * MaxMessageBytes;
 
-/** Interval and time-out of HTTP/2 pings, which detect a VM that was lost without closing its connections. */
-constexpr int KeepaliveMs = 5000;
-
-/** Maximum numbers of sessions and of unary calls in progress; above them a replica is overloaded. Each uses memory. */
-constexpr std::size_t MaxSessions = 16384;
-constexpr std::size_t MaxCalls = 16384;
+/** Maximum numbers of connections and of claims in progress; above them a replica is overloaded. Each uses memory. */
+constexpr std::size_t MaxConnections = 32768;
+constexpr std::size_t MaxClaims = 16384;
 
-constexpr std::chrono::milliseconds ShutdownTimeout{200};
+/** Agents renew their leases several times a second, so a connection that is silent for longer has been lost. */
+constexpr std::chrono::seconds MaxSessionSilence{10};
+/** A connection without a session may be used for claims at any time. */
+constexpr std::chrono::seconds MaxIdleTime{60};
+constexpr std::chrono::seconds SweepInterval{2};
 
 /**
  * Minimum size in bytes of messages that are compressed, such as full states: these mostly consist of recurring names,
@@ -37,326 +36,206 @@
  */
 constexpr std::size_t MinPackedBytes = 4096;
 
-using OutgoingMessage = std::shared_ptr<const wire::ControlMessage>;
+constexpr loop::Log Log("session");
 
-/** The gRPC stream of one session. Its callbacks run on gRPC's threads; it deletes itself in OnDone(). */
-class SessionStream : public grpc::ServerBidiReactor<wire::AgentMessage, wire::ControlMessage>
-{
-public:
-    struct Handlers {
-        std::function<void(SessionStream *, wire::AgentMessage)> received;
-        std::function<void(SessionStream *)> done;
-    };
-
-    explicit SessionStream(Handlers handlers)
-        : handlers(std::move(handlers))
-    {
-    }
-
-    /** Reads the next message; called once the previous one has been handled. */
-    void readNext()
-    {
-        const std::lock_guard guard(this->mutex);
-        if (!this->finished) {
-            this->StartRead(&this->incoming);
-        }
-    }
+/** The connection of an agent. */
+struct Connection {
+    std::shared_ptr<FrameSocket> socket;
+    /** The session on it; 0 when there is none. */
+    std::uint64_t session = 0;
+};
 
-    void send(OutgoingMessage message)
-    {
-        const std::lock_guard guard(this->mutex);
-        if (this->closing) {
-            return;
-        }
-        this->queuedBytes += message->ByteSizeLong();
-        this->queue.push_back(std::move(message));
-        if (this->queuedBytes > MaxQueuedBytes) {
-            this->finish(grpc::Status(grpc::StatusCode::RESOURCE_EXHAUSTED, "the agent does not read"));
-            return;
-        }
-        this->writeNext();
-    }
+} // namespace
 
-    void close()
-    {
-        const std::lock_guard guard(this->mutex);
-        this->closing = true;
-        this->writeNext();
-    }
+struct ControlService::Parts {
+    using ConnectionId = std::uint64_t;
 
-    void abort()
+    Parts(loop::EventLoop &loop, ControlServiceEvents events)
+        : loop(loop)
+        , events(std::move(events))
+        , operators(loop, this->events.operate)
     {
-        const std::lock_guard guard(this->mutex);
-        this->finish(grpc::Status(grpc::StatusCode::UNAVAILABLE, "stopping"));
     }
 
-    void OnReadDone(bool ok) override
+    ~Parts()
     {
-        if (ok) {
-            this->handlers.received(this, std::move(this->incoming));
-            return;
+        this->loop.cancel(this->sweepTimer);
+        for (const auto &[id, connection] : this->connections) {
+            connection.socket->close();
         }
-        const std::lock_guard guard(this->mutex);
-        this->finish(grpc::Status::OK);
     }
 
-    void OnWriteDone(bool ok) override
-    {
-        const std::lock_guard guard(this->mutex);
-        this->writing = false;
-        if (!ok) {
-            this->finish(grpc::Status::OK);
-            return;
-        }
-        this->queuedBytes -= this->queue.front()->ByteSizeLong();
-        this->queue.pop_front();
-        this->writeNext();
-    }
+    Parts(const Parts &) = delete;
+    Parts &operator=(const Parts &) = delete;
 
-    void OnCancel() override
-    {
-        const std::lock_guard guard(this->mutex);
-        this->finish(grpc::Status::CANCELLED);
-    }
+    void accepted(std::shared_ptr<FrameSocket> socket);
+    void received(ConnectionId id, std::string_view payload);
+    void receivedClaim(ConnectionId id, const wire::ClaimCall &call);
+    void answerClaim(ConnectionId id, const wire::ClaimAnswer &answer);
+    void open(ConnectionId id, const wire::Hello &hello);
+    void endSession(Connection &connection);
+    void drop(ConnectionId id, const char *why);
+    void dropSilent();
+    Frame frameOf(const std::shared_ptr<const wire::ControlMessage> &message);
 
-    void OnDone() override
-    {
-        this->handlers.done(this);
-        delete this;
-    }
+    loop::EventLoop &loop;
+    ControlServiceEvents events;
+    OperatorService operators;
+    std::unique_ptr<FrameServer> server;
+    loop::TimerId sweepTimer = 0;
+    std::map<ConnectionId, Connection> connections;
+    ConnectionId lastConnection = 0;
+    std::map<std::uint64_t, ConnectionId> sessions;
+    std::uint64_t lastSession = 0;
+    std::size_t claimsInProgress = 0;
+    /** The large message that was packed last: the same one is sent on many sessions, between smaller messages. */
+    std::weak_ptr<const wire::ControlMessage> lastPacked;
+    Frame lastPackedFrame;
+    /** The message that was made a frame last: updates are sent on all sessions in a row. */
+    std::weak_ptr<const wire::ControlMessage> lastMessage;
+    Frame lastFrame;
+    /** Expired once the service has been destroyed. */
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
 
-private:
-    void writeNext()
-    {
-        if (this->finished || this->writing) {
-            return;
-        }
-        if (!this->queue.empty()) {
-            this->writing = true;
-            this->StartWrite(this->queue.front().get());
-        } else if (this->closing) {
-            this->finish(grpc::Status::OK);
-        }
+void ControlService::Parts::accepted(std::shared_ptr<FrameSocket> socket)
+{
+    if (this->connections.size() >= MaxConnections) {
+        Log.event(loop::LogLevel::Warn, "connection closed").with("why", "too many connections");
+        socket->close();
+        return;
     }
+    const ConnectionId id = ++this->lastConnection;
+    socket->setEvents({.frame =
+                           [this, id](std::string_view payload) {
+                               this->received(id, payload);
+                           },
+                       .closed =
+                           [this, id] {
+                               this->drop(id, nullptr);
+                           }});
+    this->connections[id].socket = std::move(socket);
+}
 
-    void finish(const grpc::Status &status)
-    {
-        this->closing = true;
-        if (!this->finished) {
-            this->finished = true;
-            this->Finish(status);
-        }
+void ControlService::Parts::received(ConnectionId id, std::string_view payload)
+{
+    wire::AgentMessage message;
+    if (!message.ParseFromArray(payload.data(), static_cast<int>(payload.size()))) {
+        this->drop(id, "a message cannot be decoded");
+        return;
     }
+    if (message.has_hello()) {
+        this->open(id, message.hello());
+    } else if (message.has_claim_call()) {
+        this->receivedClaim(id, message.claim_call());
+    } else if (const std::uint64_t session = this->connections.at(id).session; session != 0) {
+        this->events.message(session, message);
+    }
+}
 
-    const Handlers handlers;
-    std::mutex mutex;
-    wire::AgentMessage incoming;
-    std::deque<OutgoingMessage> queue;
-    std::size_t queuedBytes = 0;
-    bool writing = false;
-    bool closing = false;
-    bool finished = false;
-};
-
-/** One unary call in progress. Finished exactly once: with its answer, or with an error when the service stops. */
-template<typename Reply>
-struct PendingCall {
-    grpc::ServerUnaryReactor *reactor = nullptr;
-    Reply *reply = nullptr;
+void ControlService::Parts::open(ConnectionId id, const wire::Hello &hello)
+{
+    Connection &connection = this->connections.at(id);
+    this->endSession(connection);
+    connection.session = ++this->lastSession;
+    this->sessions[connection.session] = id;
+    this->events.opened(connection.session, hello);
+}
 
-    void answer(Reply value)
-    {
-        if (this->reactor != nullptr) {
-            *this->reply = std::move(value);
-            std::exchange(this->reactor, nullptr)->Finish(grpc::Status::OK);
+void ControlService::Parts::receivedClaim(ConnectionId id, const wire::ClaimCall &call)
+{
+    wire::ClaimAnswer answer;
+    answer.set_id(call.id());
+    if (this->claimsInProgress >= MaxClaims) {
+        if (call.has_claim()) {
+            answer.mutable_claim()->set_verdict(wire::CLAIM_VERDICT_UNAVAILABLE);
+        } else {
+            answer.mutable_outcome()->set_recorded(false);
         }
+        this->answerClaim(id, answer);
+        return;
     }
-
-    void fail()
-    {
-        if (this->reactor != nullptr) {
-            std::exchange(this->reactor, nullptr)->Finish(grpc::Status(grpc::StatusCode::UNAVAILABLE, "stopping"));
+    ++this->claimsInProgress;
+    const auto finish = [this, id, aliveToken = std::weak_ptr<bool>(this->alive)](const wire::ClaimAnswer &finished) {
+        if (!aliveToken.expired()) {
+            --this->claimsInProgress;
+            this->answerClaim(id, finished);
         }
-    }
-};
-
-} // namespace
-
-/** State shared with tasks posted to the loop, which may run after the service has been destroyed. */
-struct ControlService::Parts : wire::Control::CallbackService, std::enable_shared_from_this<ControlService::Parts> {
-    struct OpenStream {
-        SessionStream *stream = nullptr;
-        bool opened = false;
     };
-
-    loop::EventLoop *loop = nullptr;
-    ControlServiceEvents events;
-    std::unique_ptr<grpc::Server> server;
-    int boundPort = 0;
-    /** Guards the members below, as streams start and end on gRPC's threads. */
-    std::mutex mutex;
-    bool stopped = false;
-    std::uint64_t lastSession = 0;
-    std::map<std::uint64_t, OpenStream> sessions;
-    std::map<std::uint64_t, std::function<void()>> pendingCalls;
-    std::uint64_t lastCall = 0;
-    /** The message that was packed last: the same message is often sent to many sessions in a row. */
-    std::weak_ptr<const wire::ControlMessage> lastUnpacked;
-    OutgoingMessage lastPacked;
-
-    /** @return the message to write: @p message itself, or, if it is large, its packed form, shared by all sessions */
-    OutgoingMessage packForSending(const OutgoingMessage &message)
-    {
-        if (message->ByteSizeLong() < MinPackedBytes) {
-            return message;
-        }
-        if (this->lastUnpacked.lock() != message) {
-            this->lastUnpacked = message;
-            this->lastPacked = pack(*message);
-        }
-        return this->lastPacked == nullptr ? message : this->lastPacked;
-    }
-
-    grpc::ServerBidiReactor<wire::AgentMessage, wire::ControlMessage> *Session(grpc::CallbackServerContext *) override;
-    grpc::ServerUnaryReactor *
-    Claim(grpc::CallbackServerContext *context, const wire::ClaimRequest *request, wire::ClaimReply *reply) override
-    {
-        return this->call(context, request, reply, &ControlServiceEvents::claim);
+    if (call.has_claim()) {
+        this->events.claim(call.claim(), [answer, finish](wire::ClaimReply reply) mutable {
+            *answer.mutable_claim() = std::move(reply);
+            finish(answer);
+        });
+    } else {
+        this->events.recordOutcome(call.outcome(), [answer, finish](wire::OutcomeReply reply) mutable {
+            *answer.mutable_outcome() = std::move(reply);
+            finish(answer);
+        });
     }
+}
 
-    grpc::ServerUnaryReactor *RecordOutcome(grpc::CallbackServerContext *context,
-                                            const wire::ClaimOutcome *request,
-                                            wire::OutcomeReply *reply) override
-    {
-        return this->call(context, request, reply, &ControlServiceEvents::recordOutcome);
+void ControlService::Parts::answerClaim(ConnectionId id, const wire::ClaimAnswer &answer)
+{
+    const auto found = this->connections.find(id);
+    if (found != this->connections.end()) {
+        wire::ControlMessage message;
+        *message.mutable_claim_answer() = answer;
+        found->second.socket->send(makeFrame(message));
     }
+}
 
-    grpc::ServerUnaryReactor *Operate(grpc::CallbackServerContext *context,
-                                      const wire::OperatorRequest *request,
-                                      wire::OperatorReply *reply) override
-    {
-        return this->call(context, request, reply, &ControlServiceEvents::operate);
+void ControlService::Parts::endSession(Connection &connection)
+{
+    const std::uint64_t session = std::exchange(connection.session, 0);
+    if (session != 0) {
+        this->sessions.erase(session);
+        this->events.closed(session);
     }
+}
 
-    void received(std::uint64_t session, const wire::AgentMessage &message);
-    void ended(std::uint64_t session);
-
-    template<typename Request, typename Reply>
-    grpc::ServerUnaryReactor *
-    call(grpc::CallbackServerContext *context,
-         const Request *request,
-         Reply *reply,
-         std::function<void(const Request &, std::function<void(Reply)>)> ControlServiceEvents::*handler);
-};
-
-grpc::ServerBidiReactor<wire::AgentMessage, wire::ControlMessage> *
-ControlService::Parts::Session(grpc::CallbackServerContext *)
+/** Closes a connection and ends its session. @param why reason for the log; nullptr if the agent closed it */
+void ControlService::Parts::drop(ConnectionId id, const char *why)
 {
-    const std::lock_guard guard(this->mutex);
-    const std::uint64_t sessionId = ++this->lastSession;
-    SessionStream::Handlers handlers;
-    const std::weak_ptr<Parts> weak = this->weak_from_this();
-    handlers.received = [weak, sessionId](SessionStream *, wire::AgentMessage message) {
-        if (const std::shared_ptr<Parts> parts = weak.lock(); parts != nullptr) {
-            parts->loop->post([weak, sessionId, message = std::move(message)] {
-                if (const std::shared_ptr<Parts> alive = weak.lock(); alive != nullptr) {
-                    alive->received(sessionId, message);
-                }
-            });
-        }
-    };
-    handlers.done = [weak, sessionId](SessionStream *) {
-        if (const std::shared_ptr<Parts> parts = weak.lock(); parts != nullptr) {
-            parts->ended(sessionId);
-        }
-    };
-    auto *const stream = new SessionStream(std::move(handlers));
-    this->sessions[sessionId].stream = stream;
-    if (this->stopped || this->sessions.size() > MaxSessions) {
-        stream->abort();
+    Connection dropped = this->connections.extract(id).mapped();
+    if (why != nullptr) {
+        Log.event(loop::LogLevel::Warn, "connection closed").with("why", why).with("session", dropped.session);
     }
-    stream->readNext();
-    return stream;
+    dropped.socket->close();
+    this->endSession(dropped);
 }
 
-void ControlService::Parts::received(std::uint64_t session, const wire::AgentMessage &message)
+/** Closes connections whose VM was lost without a reset. */
+void ControlService::Parts::dropSilent()
 {
-    bool isFirstMessage = false;
-    {
-        const std::lock_guard guard(this->mutex);
-        const auto found = this->sessions.find(session);
-        if (this->stopped || found == this->sessions.end()) {
-            return;
-        }
-        isFirstMessage = !std::exchange(found->second.opened, true);
-        if (isFirstMessage && !message.has_hello()) {
-            found->second.stream->close();
-            return;
+    const BootTime now = BootClock::now();
+    std::vector<ConnectionId> silent;
+    for (const auto &[id, connection] : this->connections) {
+        const auto limit = connection.session != 0 ? MaxSessionSilence : MaxIdleTime;
+        if (now - connection.socket->lastReceivedAt() > limit) {
+            silent.push_back(id);
         }
     }
-    if (isFirstMessage) {
-        this->events.opened(session, message.hello());
-    } else {
-        this->events.message(session, message);
-    }
-    const std::lock_guard guard(this->mutex);
-    const auto found = this->sessions.find(session);
-    if (found != this->sessions.end()) {
-        found->second.stream->readNext();
+    for (const ConnectionId id : silent) {
+        this->drop(id, "silent");
     }
 }
 
-void ControlService::Parts::ended(std::uint64_t session)
+/** @return the frame of @p message, or of its packed form if it is large; shared by all sessions */
+Frame ControlService::Parts::frameOf(const std::shared_ptr<const wire::ControlMessage> &message)
 {
-    const std::lock_guard guard(this->mutex);
-    const auto found = this->sessions.find(session);
-    const bool shouldNotify = found->second.opened && !this->stopped;
-    this->sessions.erase(found);
-    if (shouldNotify) {
-        this->loop->post([weak = this->weak_from_this(), session] {
-            if (const std::shared_ptr<Parts> parts = weak.lock(); parts != nullptr && !parts->stopped) {
-                parts->events.closed(session);
-            }
-        });
+    if (this->lastMessage.lock() == message) {
+        return this->lastFrame;
     }
-}
-
-template<typename Request, typename Reply>
-grpc::ServerUnaryReactor *ControlService::Parts::call(
-    grpc::CallbackServerContext *context,
-    const Request *request,
-    Reply *reply,
-    std::function<void(const Request &, std::function<void(Reply)>)> ControlServiceEvents::*handler)
-{
-    grpc::ServerUnaryReactor *const reactor = context->DefaultReactor();
-    const auto pending = std::make_shared<PendingCall<Reply>>();
-    pending->reactor = reactor;
-    pending->reply = reply;
-    const std::lock_guard guard(this->mutex);
-    if (this->stopped || this->pendingCalls.size() >= MaxCalls) {
-        pending->fail();
-        return reactor;
+    if (this->lastPacked.lock() == message) {
+        return this->lastPackedFrame;
     }
-    const std::uint64_t callId = ++this->lastCall;
-    this->pendingCalls[callId] = [pending] {
-        pending->fail();
-    };
-    this->loop->post([weak = this->weak_from_this(), pending, callId, request = *request, handler] {
-        const std::shared_ptr<Parts> parts = weak.lock();
-        if (parts == nullptr || pending->reactor == nullptr) {
-            return;
-        }
-        (parts->events.*handler)(request, [weak, pending, callId](Reply value) {
-            const std::shared_ptr<Parts> alive = weak.lock();
-            if (alive == nullptr) {
-                return;
-            }
-            const std::lock_guard lock(alive->mutex);
-            alive->pendingCalls.erase(callId);
-            pending->answer(std::move(value));
-        });
-    });
-    return reactor;
+    const bool isLarge = message->ByteSizeLong() >= MinPackedBytes;
+    const std::shared_ptr<const wire::ControlMessage> packed = isLarge ? pack(*message) : nullptr;
+    Frame frame = makeFrame(packed == nullptr ? *message : *packed);
+    (isLarge ? this->lastPacked : this->lastMessage) = message;
+    (isLarge ? this->lastPackedFrame : this->lastFrame) = frame;
+    return frame;
 }
 
 Result<std::unique_ptr<ControlService>> ControlService::listen(loop::EventLoop &loop,
@@ -364,68 +243,59 @@
                                                                std::uint16_t port,
                                                                ControlServiceEvents events)
 {
-    auto parts = std::make_shared<Parts>();
-    parts->loop = &loop;
-    parts->events = std::move(events);
-    grpc::ServerBuilder builder;
-    const std::string endpoint = address + ":" + std::to_string(port);
-    builder.AddListeningPort(endpoint, grpc::InsecureServerCredentials(), &parts->boundPort);
-    builder.SetMaxReceiveMessageSize(MaxMessageBytes);
-    builder.SetMaxSendMessageSize(MaxMessageBytes);
-    // A second replica on the same port must fail to start, not share the port.
-    builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
-    builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIME_MS, KeepaliveMs);
-    builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, KeepaliveMs);
-    builder.RegisterService(parts.get());
-    parts->server = builder.BuildAndStart();
-    if (parts->server == nullptr || parts->boundPort == 0) {
-        return oneFinding("control port", "could not listen on " + endpoint, "a free port");
+    auto parts = std::make_unique<Parts>(loop, std::move(events));
+    Result<std::unique_ptr<FrameServer>> server = FrameServer::listen(
+        loop,
+        {.address = address, .port = port, .maxFrameBytes = MaxMessageBytes},
+        {.accepted =
+             [parts = parts.get()](std::shared_ptr<FrameSocket> socket) {
+                 parts->accepted(std::move(socket));
+             },
+         .http2 =
+             [parts = parts.get()](int descriptor) {
+                 parts->operators.adopt(descriptor);
+             }});
+    if (!server) {
+        return oneFinding("control port", server.error().front().message, "a free port");
     }
+    parts->server = std::move(server).value();
+    parts->sweepTimer = loop.every(SweepInterval, [parts = parts.get()] {
+        parts->dropSilent();
+    });
     return std::unique_ptr<ControlService>(new ControlService(std::move(parts)));
 }
 
-ControlService::ControlService(std::shared_ptr<Parts> parts)
+ControlService::ControlService(std::unique_ptr<Parts> parts)
     : parts(std::move(parts))
 {
 }
 
-ControlService::~ControlService()
-{
-    {
-        const std::lock_guard guard(this->parts->mutex);
-        this->parts->stopped = true;
-        for (const auto &[sessionId, session] : this->parts->sessions) {
-            session.stream->abort();
-        }
-        for (const auto &[callId, fail] : this->parts->pendingCalls) {
-            fail();
-        }
-        this->parts->pendingCalls.clear();
-    }
-    this->parts->server->Shutdown(std::chrono::system_clock::now() + ShutdownTimeout);
-    this->parts->server.reset();
-}
+ControlService::~ControlService() = default;
 
 std::uint16_t ControlService::port() const
 {
-    return static_cast<std::uint16_t>(this->parts->boundPort);
+    return this->parts->server->port();
 }
 
 void ControlService::send(std::uint64_t session, const std::shared_ptr<const wire::ControlMessage> &message)
 {
-    const std::lock_guard guard(this->parts->mutex);
     const auto found = this->parts->sessions.find(session);
-    if (found != this->parts->sessions.end()) {
-        found->second.stream->send(this->parts->packForSending(message));
+    if (found == this->parts->sessions.end()) {
+        return;
+    }
+    const Parts::ConnectionId id = found->second;
+    FrameSocket &socket = *this->parts->connections.at(id).socket;
+    socket.send(this->parts->frameOf(message));
+    if (socket.queuedBytes() > MaxQueuedBytes) {
+        this->parts->drop(id, "the agent does not read");
     }
 }
 
 void ControlService::close(std::uint64_t session)
 {
-    const std::lock_guard guard(this->parts->mutex);
     const auto found = this->parts->sessions.find(session);
     if (found != this->parts->sessions.end()) {
-        found->second.stream->close();
+        this->parts->endSession(this->parts->connections.at(found->second));
     }
 }
 
--- a/src/rpc/ControlSession.cpp
+++ b/src/rpc/ControlSession.cpp
@@ -1,23 +1,23 @@
 #include "rpc/ControlSession.h"
 
-#include "control.grpc.pb.h"
 #include "loop/Log.h"
+#include "rpc/FrameSocket.h"
 #include "rpc/PackedMessage.h"
 #include "rpc/ReplicaConnections.h"
 
-#include <grpcpp/channel.h>
-
 #include <algorithm>
-#include <condition_variable>
-#include <deque>
-#include <mutex>
+#include <utility>
 
 namespace bergamotweir::rpc {
 
 namespace {
 
-/** Maximum number of messages that wait to be sent; above it the session is cancelled, so that memory is bounded. */
-constexpr std::size_t MaxQueuedMessages = 4096;
+/** Maximum size in bytes of the messages that wait to be sent; above it the session ends, so that memory is bounded. */
+constexpr std::size_t MaxQueuedBytes = std::size_t{1024} * 1024;
+
+/** Number of replicas that connections are set up to at first, and that are added after each WidenInterval. */
+constexpr std::size_t SearchBreadth = 3;
+constexpr std::chrono::milliseconds WidenInterval{200};
 
 /** How long to wait for the connection to the least recently asked replica before another one is asked again. */
 constexpr std::chrono::milliseconds RepeatDelay{300};
@@ -26,136 +26,6 @@
 
 } // namespace
 
-/**
- * One gRPC stream. Its callbacks run on gRPC's threads; received messages are posted to the loop.
- * Owned by the session alone, which frees it on the loop's thread after OnDone(): gRPC aborts the process if the last
- * reference to a channel is released on one of its callback threads (a reference count check failed in its callback
- * queue at one start in fifteen under load).
- */
-class ControlSession::Stream : public grpc::ClientBidiReactor<wire::AgentMessage, wire::ControlMessage>
-{
-public:
-    Stream(std::shared_ptr<wire::Control::Stub> stub,
-           std::function<void(wire::ControlMessage)> received,
-           std::function<void()> ended)
-        : stub(std::move(stub))
-        , received(std::move(received))
-        , ended(std::move(ended))
-    {
-    }
-
-    void start(const wire::AgentMessage &first)
-    {
-        this->stub->async()->Session(&this->context, this);
-        this->AddHold();
-        this->send(first);
-        this->StartRead(&this->incoming);
-        this->StartCall();
-    }
-
-    void send(const wire::AgentMessage &message)
-    {
-        const std::lock_guard guard(this->mutex);
-        if (this->closing) {
-            return;
-        }
-        this->outgoing.push_back(message);
-        if (this->outgoing.size() > MaxQueuedMessages) {
-            this->context.TryCancel();
-        }
-        this->writeNext();
-    }
-
-    void cancel()
-    {
-        {
-            const std::lock_guard guard(this->mutex);
-            if (this->closing) {
-                return;
-            }
-            this->closing = true;
-        }
-        this->context.TryCancel();
-        this->RemoveHold();
-    }
-
-    bool hasEnded()
-    {
-        const std::lock_guard guard(this->mutex);
-        return this->isDone;
-    }
-
-    /** Waits until OnDone() has run; to be called only after cancel(). */
-    void waitDone()
-    {
-        std::unique_lock guard(this->mutex);
-        this->doneCondition.wait(guard, [this] {
-            return this->isDone;
-        });
-    }
-
-private:
-    void OnReadDone(bool ok) override
-    {
-        if (!ok) {
-            this->cancel();
-            return;
-        }
-        if (!unpack(this->incoming)) {
-            Log.error("received a packed message that cannot be decoded; closing the session");
-            this->cancel();
-            return;
-        }
-        this->received(std::move(this->incoming));
-        this->incoming.Clear();
-        this->StartRead(&this->incoming);
-    }
-
-    void OnWriteDone(bool ok) override
-    {
-        {
-            const std::lock_guard guard(this->mutex);
-            this->writing = false;
-            this->outgoing.pop_front();
-            if (ok) {
-                this->writeNext();
-            }
-        }
-        if (!ok) {
-            this->cancel();
-        }
-    }
-
-    void OnDone(const grpc::Status &) override
-    {
-        this->ended();
-        const std::lock_guard guard(this->mutex);
-        this->isDone = true;
-        this->doneCondition.notify_all();
-    }
-
-    void writeNext()
-    {
-        if (this->writing || this->closing || this->outgoing.empty()) {
-            return;
-        }
-        this->writing = true;
-        this->StartWrite(&this->outgoing.front());
-    }
-
-    const std::shared_ptr<wire::Control::Stub> stub;
-    grpc::ClientContext context;
-    std::function<void(wire::ControlMessage)> received;
-    std::function<void()> ended;
-    wire::ControlMessage incoming;
-    std::mutex mutex;
-    std::condition_variable doneCondition;
-    std::deque<wire::AgentMessage> outgoing;
-    bool writing = false;
-    bool closing = false;
-    bool isDone = false;
-};
-
 ControlSession::ControlSession(loop::EventLoop &loop,
                                std::vector<std::string> addresses,
                                ControlSessionEvents events,
@@ -164,9 +34,10 @@
     , addresses(std::move(addresses))
     , events(std::move(events))
     , timeouts(timeouts)
-    , connections(std::make_unique<ReplicaConnections>())
+    , connections(std::make_unique<ReplicaConnections>(loop))
     , random(timeouts.seed)
     , firstAddress(this->random(static_cast<std::uint32_t>(this->addresses.size())))
+    , searchBegunAt(BootClock::now())
     , alive(std::make_shared<bool>(true))
 {
     this->silenceTimer = this->loop.every(this->timeouts.silenceTimeout / 4, [this] {
@@ -184,20 +55,22 @@
     this->alive.reset();
     this->loop.cancel(this->silenceTimer);
     this->loop.cancel(this->askTimer);
-    if (this->stream) {
-        this->stream->cancel();
-        this->cancelledStreams.push_back(std::move(this->stream));
-    }
-    for (const std::unique_ptr<Stream> &cancelled : this->cancelledStreams) {
-        cancelled->waitDone();
+    if (this->socket) {
+        this->socket->setEvents({});
     }
 }
 
 void ControlSession::send(const wire::AgentMessage &message)
 {
-    if (this->stream) {
-        this->stream->send(message);
+    if (!this->socket) {
+        return;
+    }
+    if (this->socket->queuedBytes() > MaxQueuedBytes) {
+        this->logDisconnect("does not read");
+        this->handleEnd(false);
+        return;
     }
+    this->socket->send(makeFrame(message));
 }
 
 void ControlSession::addAddresses(const std::vector<std::string> &replicas)
@@ -223,9 +96,9 @@
 void ControlSession::askNextReplica()
 {
     const BootTime now = BootClock::now();
-    this->connections->connectAll(this->addresses, now);
-    if (auto stub = this->chooseReady(now)) {
-        this->connect(this->currentAddress, std::move(stub));
+    this->connections->connectAll(this->searchedAddresses(now), now);
+    if (auto replica = this->chooseReady(now)) {
+        this->connect(std::move(replica));
         return;
     }
     this->askTimer = this->loop.after(ReplicaConnections::PollInterval, [this] {
@@ -233,37 +106,55 @@
     });
 }
 
-/** Sets the current address to the replica to ask now. @return its stub; nullptr if there is none to ask yet */
-std::shared_ptr<wire::Control::Stub> ControlSession::chooseReady(BootTime now)
+/**
+ * Returns the replicas that connections are set up to: a few, as any of them names the leader; more when these do not
+ * answer. With connections to all, a control group would accept one connection from each agent at each replica at once
+ * whenever its leader changes.
+ */
+std::vector<std::string> ControlSession::searchedAddresses(BootTime now) const
+{
+    const auto widenings = static_cast<std::size_t>((now - this->searchBegunAt) / WidenInterval);
+    const std::size_t count = std::min(this->addresses.size(), SearchBreadth * (widenings + 1));
+    std::vector<std::string> searched;
+    for (std::size_t offset = 0; offset < count; ++offset) {
+        searched.push_back(this->addresses[(this->firstAddress + offset) % this->addresses.size()]);
+    }
+    if (!this->redirectTarget.empty()) {
+        searched.push_back(this->redirectTarget);
+    }
+    return searched;
+}
+
+/** Sets the current address to the replica to ask now. @return its connection; nullptr if there is none to ask yet */
+std::shared_ptr<FrameSocket> ControlSession::chooseReady(BootTime now)
 {
     if (!this->redirectTarget.empty() && !this->isAvoided(this->redirectTarget)) {
-        if (auto stub = this->connections->readyStub(this->redirectTarget, now)) {
+        if (auto replica = this->connections->ready(this->redirectTarget, now)) {
             this->currentAddress = std::exchange(this->redirectTarget, {});
-            return stub;
+            return replica;
         }
     }
-    const std::string *chosen = nullptr;
-    std::shared_ptr<wire::Control::Stub> stub;
+    std::string chosen;
+    std::shared_ptr<FrameSocket> replica;
     BootTime oldestAskedAt = BootTime::max();
-    for (std::size_t offset = 0; offset < this->addresses.size(); ++offset) {
-        const std::string &address = this->addresses[(this->firstAddress + offset) % this->addresses.size()];
+    for (const std::string &address : this->searchedAddresses(now)) {
         if (this->isAvoided(address) && this->addresses.size() > 1) {
             continue;
         }
         oldestAskedAt = std::min(oldestAskedAt, this->askedAt[address]);
-        auto ready = this->connections->readyStub(address, now);
-        if (ready && (chosen == nullptr || this->askedAt[address] < this->askedAt[*chosen])) {
-            chosen = &address;
-            stub = std::move(ready);
+        auto ready = this->connections->ready(address, now);
+        if (ready && (chosen.empty() || this->askedAt[address] < this->askedAt[chosen])) {
+            chosen = address;
+            replica = std::move(ready);
         }
     }
     // The connection to the least recently asked replica may become ready within RepeatDelay.
-    const bool isRepeat = chosen != nullptr && this->askedAt[*chosen] > oldestAskedAt;
-    if (chosen == nullptr || (isRepeat && now < this->disconnectedAt + RepeatDelay)) {
+    const bool isRepeat = !chosen.empty() && this->askedAt[chosen] > oldestAskedAt;
+    if (chosen.empty() || (isRepeat && now < this->disconnectedAt + RepeatDelay)) {
         return nullptr;
     }
-    this->currentAddress = *chosen;
-    return stub;
+    this->currentAddress = chosen;
+    return replica;
 }
 
 std::chrono::nanoseconds ControlSession::currentOpenTimeout() const
@@ -273,39 +164,32 @@
                                               expected);
 }
 
-void ControlSession::connect(const std::string &address, std::shared_ptr<wire::Control::Stub> stub)
+void ControlSession::connect(std::shared_ptr<FrameSocket> replica)
 {
-    this->disconnect();
+    this->disconnect(false);
     const SessionId id = ++this->session;
     this->accepted = false;
     this->lastReceivedAt = BootClock::now();
     this->searchStartedAt = this->lastReceivedAt;
-    this->askedAt[address] = this->searchStartedAt;
-    const std::weak_ptr<bool> aliveToken = this->alive;
+    this->askedAt[this->currentAddress] = this->searchStartedAt;
     Log.event(loop::LogLevel::Info, "session sought")
-        .with("replica", address)
-        .with("setup_ms", this->connections->setUpTime(address))
+        .with("replica", this->currentAddress)
+        .with("setup_ms", this->connections->setUpTime(this->currentAddress))
         .with("failures", this->failures);
-    this->stream = std::make_unique<Stream>(
-        std::move(stub),
-        [this, aliveToken, id, &target = this->loop](wire::ControlMessage message) {
-            target.post([this, aliveToken, id, message = std::move(message)]() mutable {
-                if (!aliveToken.expired()) {
-                    this->handleMessage(id, std::move(message));
-                }
-            });
-        },
-        [this, aliveToken, id, &target = this->loop] {
-            target.post([this, aliveToken, id] {
-                if (!aliveToken.expired()) {
-                    this->streamEnded(id);
-                }
-            });
-        });
+    this->socket = std::move(replica);
+    this->socket->setEvents({.frame =
+                                 [this, id](std::string_view payload) {
+                                     this->handleFrame(id, payload);
+                                 },
+                             .closed =
+                                 [this] {
+                                     this->logDisconnect("connection closed");
+                                     this->handleEnd(false);
+                                 }});
     wire::AgentMessage first;
     *first.mutable_hello() = this->events.hello();
-    this->stream->start(first);
-    this->loop.after(this->currentOpenTimeout(), [this, aliveToken, id] {
+    this->socket->send(makeFrame(first));
+    this->loop.after(this->currentOpenTimeout(), [this, aliveToken = std::weak_ptr<bool>(this->alive), id] {
         if (!aliveToken.expired()) {
             this->checkOpenTimeout(id);
         }
@@ -316,26 +200,30 @@
 // each of them, agents that asked two such VMs in a row served outdated routes for seven seconds.
 void ControlSession::checkOpenTimeout(SessionId id)
 {
-    if (id == this->session && this->stream && !this->opened && !this->accepted) {
+    if (id == this->session && this->socket && !this->opened && !this->accepted) {
         this->logDisconnect("no answer");
         ++this->unansweredRequests;
         this->connections->closeReadyBefore(this->searchStartedAt);
-        this->handleEnd(id);
+        this->handleEnd(false);
     }
 }
 
-void ControlSession::disconnect()
+/** Ends the session. @param keepsConnection whether another session may begin on the same connection */
+void ControlSession::disconnect(bool keepsConnection)
 {
-    if (!this->stream) {
+    if (!this->socket) {
         return;
     }
     this->disconnectedAt = BootClock::now();
-    this->stream->cancel();
-    this->freeEndedStreams();
-    this->cancelledStreams.push_back(std::move(this->stream));
-    this->stream.reset();
+    this->socket->setEvents({});
+    if (!keepsConnection) {
+        this->socket->close();
+    }
+    this->socket.reset();
     if (this->opened) {
         this->opened = false;
+        this->searchBegunAt = this->disconnectedAt;
+        this->firstAddress = this->random(static_cast<std::uint32_t>(this->addresses.size()));
         this->events.closed(this->session);
     }
 }
@@ -344,27 +232,37 @@
 void ControlSession::followRedirect(const std::string &leader)
 {
     this->redirectTarget = leader;
-    if (!this->connections->readyStub(leader, BootClock::now())) {
+    if (!this->connections->ready(leader, BootClock::now())) {
         this->logDisconnect("names a leader without a connection");
-        this->handleEnd(this->session);
+        this->handleEnd(true);
         return;
     }
-    this->disconnect();
+    this->disconnect(true);
     this->askNextReplica();
 }
 
-void ControlSession::handleMessage(SessionId id, wire::ControlMessage message)
+void ControlSession::handleFrame(SessionId id, std::string_view payload)
 {
-    if (id != this->session || !this->stream) {
+    wire::ControlMessage message;
+    if (!message.ParseFromArray(payload.data(), static_cast<int>(payload.size())) || !unpack(message)) {
+        Log.error("received a message that cannot be decoded; closing the session");
+        this->handleEnd(false);
         return;
     }
+    if (id == this->session && this->socket) {
+        this->handleMessage(std::move(message));
+    }
+}
+
+void ControlSession::handleMessage(wire::ControlMessage message)
+{
     this->lastReceivedAt = BootClock::now();
     this->unansweredRequests = 0;
     if (message.has_redirect()) {
         const std::string leader = message.redirect().leader_address();
         if (leader.empty() || leader == this->currentAddress || this->isAvoided(leader)) {
             this->logDisconnect(leader.empty() ? "knows no leader" : "names an unusable leader");
-            this->handleEnd(id);
+            this->handleEnd(true);
             return;
         }
         this->followRedirect(leader);
@@ -382,16 +280,9 @@
         this->failures = 0;
         this->redirectTarget.clear();
         this->connections->keepOnly(this->currentAddress);
-        this->events.opened(id);
+        this->events.opened(this->session);
     }
-    this->events.message(id, std::move(message));
-}
-
-void ControlSession::freeEndedStreams()
-{
-    std::erase_if(this->cancelledStreams, [](const std::unique_ptr<Stream> &cancelled) {
-        return cancelled->hasEnded();
-    });
+    this->events.message(this->session, std::move(message));
 }
 
 void ControlSession::logDisconnect(const char *why) const
@@ -405,22 +296,11 @@
         .with("took_ms", BootClock::now() - this->searchStartedAt);
 }
 
-void ControlSession::streamEnded(SessionId id)
-{
-    if (id == this->session && this->stream) {
-        this->logDisconnect("stream ended");
-    }
-    this->handleEnd(id);
-}
-
-void ControlSession::handleEnd(SessionId id)
+/** Ends the session and searches for the leader after a backoff. */
+void ControlSession::handleEnd(bool keepsConnection)
 {
-    // The end of a cancelled stream is reported after the next session may have started.
-    if (id != this->session || !this->stream) {
-        return;
-    }
     this->failures += this->opened ? 0 : 1;
-    this->disconnect();
+    this->disconnect(keepsConnection);
     this->loop.cancel(this->askTimer);
     const auto backoff = nextBackoff(this->timeouts.retryBackoff, std::max(this->failures, 1U), this->random);
     this->askTimer = this->loop.after(backoff, [this] {
@@ -444,15 +324,14 @@
 // longer than two renewals means that this replica cannot confirm that it is the leader.
 void ControlSession::checkSilence()
 {
-    this->freeEndedStreams();
-    if (!this->stream || BootClock::now() - this->lastReceivedAt < this->maxSilence()) {
+    if (!this->socket || BootClock::now() - this->lastReceivedAt < this->maxSilence()) {
         return;
     }
     this->logDisconnect("silent");
     this->connections->closeReadyBefore(std::max(this->searchStartedAt, this->lastReceivedAt));
     this->avoidedAddress = this->currentAddress;
     this->avoidedUntil = BootClock::now() + this->timeouts.avoidFor;
-    this->handleEnd(this->session);
+    this->handleEnd(false);
 }
 
 } // namespace bergamotweir::rpc
--- a/src/rpc/RaftTransport.cpp
+++ b/src/rpc/RaftTransport.cpp
@@ -1,18 +1,16 @@
 #include "rpc/RaftTransport.h"
 
+#include "base/BootClock.h"
 #include "loop/EventLoop.h"
-#include "raft.grpc.pb.h"
-#include "rpc/Channel.h"
+#include "loop/Log.h"
+#include "rpc/FrameServer.h"
+#include "rpc/FrameSocket.h"
 
-#include <grpcpp/grpcpp.h>
-
-#include <atomic>
 #include <chrono>
-#include <condition_variable>
 #include <deque>
 #include <map>
-#include <mutex>
 #include <utility>
+#include <vector>
 
 namespace bergamotweir::rpc {
 
@@ -21,293 +19,203 @@
 /** Maximum number of messages queued for one peer; the oldest are dropped first, as newer ones supersede them. */
 constexpr std::size_t MaxQueuedPerPeer = 1024;
 
-/** Maximum number of messages received but not yet handled by the loop; further messages are dropped. */
-constexpr int MaxUnhandled = 4096;
+/** Messages are handed to the socket up to this size; the rest stays in the queue, from which they can be dropped. */
+constexpr std::size_t MaxSocketBytes = std::size_t{256} * 1024;
 
 /** Minimum time between two attempts to reach a peer. */
 constexpr std::chrono::milliseconds ReconnectBackoff{50};
-
-/** Pings detect a partition within about two seconds; otherwise a stream would stall until TCP times out. */
-constexpr std::chrono::milliseconds PingInterval{1000};
-constexpr std::chrono::milliseconds PingTimeout{1000};
 constexpr std::chrono::milliseconds ConnectTimeout{500};
-constexpr std::chrono::milliseconds MaxReconnectBackoff{100};
-
-/** True until the transport is destroyed; read and written on the loop's thread only. */
-using Alive = std::shared_ptr<bool>;
-
-/** Reads one incoming stream and posts each message to the loop. Deletes itself. */
-class IncomingStream : public grpc::ServerReadReactor<wire::RaftMessage>
-{
-public:
-    using Handler = std::function<void(const wire::RaftMessage &)>;
-
-    IncomingStream(loop::EventLoop &loop,
-                   Alive alive,
-                   std::shared_ptr<std::atomic<int>> unhandled,
-                   const Handler &handler)
-        : loop(loop)
-        , alive(std::move(alive))
-        , unhandled(std::move(unhandled))
-        , handler(handler)
-    {
-        this->StartRead(&this->message);
-    }
-
-    void OnReadDone(bool ok) override
-    {
-        if (!ok) {
-            this->Finish(grpc::Status::OK);
-            return;
-        }
-        if (this->unhandled->fetch_add(1) < MaxUnhandled) {
-            auto received = std::make_shared<wire::RaftMessage>(std::move(this->message));
-            this->loop.post([received, alive = this->alive, unhandled = this->unhandled, handler = &this->handler] {
-                unhandled->fetch_sub(1);
-                if (*alive) {
-                    (*handler)(*received);
-                }
-            });
-        } else {
-            this->unhandled->fetch_sub(1);
-        }
-        this->message.Clear();
-        this->StartRead(&this->message);
-    }
 
-    void OnDone() override
-    {
-        delete this;
-    }
+/** Interval in which a peer confirms what it has received, with an empty frame. */
+constexpr std::chrono::milliseconds ReceiptInterval{500};
+/** Time without a receipt for a sent message after which the connection counts as stalled by a partition. */
+constexpr std::chrono::milliseconds ReceiptTimeout{2000};
+constexpr std::chrono::milliseconds CheckInterval{100};
+/** Followers rarely send to each other; a connection without a message for longer may belong to a lost VM. */
+constexpr std::chrono::seconds MaxIdleTime{60};
 
-private:
-    loop::EventLoop &loop;
-    const Alive alive;
-    const std::shared_ptr<std::atomic<int>> unhandled;
-    const Handler &handler;
-    wire::RaftMessage message;
-};
+constexpr loop::Log Log("replica");
 
-class Service : public wire::RaftTransport::CallbackService
-{
-public:
-    Service(loop::EventLoop &loop, Alive alive, IncomingStream::Handler handler)
-        : loop(loop)
-        , alive(std::move(alive))
-        , handler(std::move(handler))
-    {
-    }
-
-    grpc::ServerReadReactor<wire::RaftMessage> *Deliver(grpc::CallbackServerContext *, wire::Delivered *) override
-    {
-        return new IncomingStream(this->loop, this->alive, this->unhandled, this->handler);
-    }
-
-private:
-    loop::EventLoop &loop;
-    const Alive alive;
-    const IncomingStream::Handler handler;
-    const std::shared_ptr<std::atomic<int>> unhandled = std::make_shared<std::atomic<int>>(0);
+/** The connection to a peer on which messages are sent. */
+struct Peer {
+    std::shared_ptr<FrameSocket> socket;
+    std::deque<Frame> queue;
+    BootTime connectedAt;
+    BootTime nextAttemptAt;
+    /** When the first message was sent that no receipt has confirmed; BootTime::max() if there is none. */
+    BootTime unconfirmedSince = BootTime::max();
 };
 
-/** Counts the streams whose OnDone() has not run yet. */
-struct OpenStreams {
-    std::mutex mutex;
-    std::condition_variable ended;
-    int count = 0;
+/** A connection on which messages arrive. */
+struct Incoming {
+    std::shared_ptr<FrameSocket> socket;
+    bool owesReceipt = false;
 };
 
-/**
- * One outgoing stream. Holds a reference to itself until OnDone().
- * Guards against a write on a stream that gRPC has ended meanwhile on its own thread, which would read freed memory and
- * crash the process: a hold keeps gRPC from ending the stream before release(), which is called on the loop's thread
- * only.
- */
-class OutgoingStream : public grpc::ClientWriteReactor<wire::RaftMessage>
-{
-public:
-    OutgoingStream(wire::RaftTransport::Stub &stub, OpenStreams &streams, std::function<void(bool ok)> written)
-        : streams(streams)
-        , written(std::move(written))
-    {
-        {
-            const std::lock_guard guard(this->streams.mutex);
-            this->streams.count++;
-        }
-        stub.async()->Deliver(&this->context, &this->delivered, this);
-    }
+} // namespace
 
-    void start(std::shared_ptr<OutgoingStream> self)
+struct RaftTransport::Parts {
+    explicit Parts(loop::EventLoop &loop, std::function<void(const wire::RaftMessage &)> received)
+        : loop(loop)
+        , received(std::move(received))
     {
-        this->self = std::move(self);
-        this->AddHold();
-        this->StartCall();
     }
 
-    void write(wire::RaftMessage next)
+    ~Parts()
     {
-        this->message = std::move(next);
-        this->StartWrite(&this->message);
+        this->loop.cancel(this->checkTimer);
+        this->loop.cancel(this->receiptTimer);
+        for (const auto &[address, peer] : this->peers) {
+            if (peer.socket) {
+                peer.socket->close();
+            }
+        }
+        for (const auto &[id, connection] : this->incoming) {
+            connection.socket->close();
+        }
     }
 
-    /** Ends the stream; nothing may be written after it. Called once. */
-    void release()
-    {
-        this->context.TryCancel();
-        this->RemoveHold();
-    }
+    Parts(const Parts &) = delete;
+    Parts &operator=(const Parts &) = delete;
 
-    void OnWriteDone(bool ok) override
-    {
-        this->written(ok);
-    }
+    void accepted(std::shared_ptr<FrameSocket> socket);
+    void receivedFrame(std::uint64_t id, std::string_view payload);
+    void sendReceipts();
+    void connect(const std::string &address, Peer &peer, BootTime now);
+    void disconnect(Peer &peer, BootTime now);
+    void sendQueued(Peer &peer, BootTime now);
+    void checkPeers();
 
-    // The stream is freed before it is counted as ended, as the transport closes its channels once the count is zero.
-    // gRPC aborts the process if the last reference to a channel is released on one of its threads.
-    void OnDone(const grpc::Status &) override
-    {
-        OpenStreams &open = this->streams;
-        std::shared_ptr<OutgoingStream> own = std::move(this->self);
-        own.reset();
-        const std::lock_guard guard(open.mutex);
-        open.count--;
-        open.ended.notify_all();
-    }
-
-private:
-    OpenStreams &streams;
-    const std::function<void(bool)> written;
-    std::shared_ptr<OutgoingStream> self;
-    grpc::ClientContext context;
-    wire::Delivered delivered;
-    wire::RaftMessage message;
-};
-
-struct Peer {
-    std::unique_ptr<wire::RaftTransport::Stub> stub;
-    std::deque<wire::RaftMessage> queue;
-    std::shared_ptr<OutgoingStream> stream;
-    std::uint64_t streamNumber = 0;
-    bool writing = false;
-    bool isBackingOff = false;
+    loop::EventLoop &loop;
+    const std::function<void(const wire::RaftMessage &)> received;
+    std::unique_ptr<FrameServer> server;
+    loop::TimerId checkTimer = 0;
+    loop::TimerId receiptTimer = 0;
+    std::map<std::string, Peer> peers;
+    std::map<std::uint64_t, Incoming> incoming;
+    std::uint64_t lastIncoming = 0;
 };
 
-ChannelSettings channelSettings()
+void RaftTransport::Parts::accepted(std::shared_ptr<FrameSocket> socket)
 {
-    ChannelSettings settings;
-    settings.maxMessageBytes = static_cast<int>(RaftTransport::MaxMessageBytes);
-    settings.connectTimeout = ConnectTimeout;
-    settings.minReconnectBackoff = ReconnectBackoff;
-    settings.maxReconnectBackoff = MaxReconnectBackoff;
-    settings.ping = PingInterval;
-    settings.pingTimeout = PingTimeout;
-    return settings;
+    const std::uint64_t id = ++this->lastIncoming;
+    socket->setEvents({.frame =
+                           [this, id](std::string_view payload) {
+                               this->receivedFrame(id, payload);
+                           },
+                       .closed =
+                           [this, id] {
+                               this->incoming.erase(id);
+                           }});
+    this->incoming[id].socket = std::move(socket);
 }
 
-} // namespace
-
-struct RaftTransport::Parts {
-    explicit Parts(loop::EventLoop &loop)
-        : loop(loop)
-    {
+void RaftTransport::Parts::receivedFrame(std::uint64_t id, std::string_view payload)
+{
+    wire::RaftMessage message;
+    if (!message.ParseFromArray(payload.data(), static_cast<int>(payload.size()))) {
+        Log.error("received a message of a replica that cannot be decoded; closing the connection");
+        this->incoming.extract(id).mapped().socket->close();
+        return;
     }
+    this->incoming.at(id).owesReceipt = true;
+    this->received(message);
+}
 
-    Peer &peer(const std::string &address);
-    void sendNext(const std::string &address);
-    void open(const std::string &address, Peer &peer);
-    void handleBrokenStream(const std::string &address, Peer &broken);
-
-    loop::EventLoop &loop;
-    const Alive alive = std::make_shared<bool>(true);
-    std::unique_ptr<Service> service;
-    std::unique_ptr<grpc::Server> server;
-    int port = 0;
-    OpenStreams streams;
-    std::map<std::string, Peer> peers;
-};
-
-Peer &RaftTransport::Parts::peer(const std::string &address)
+void RaftTransport::Parts::sendReceipts()
 {
-    Peer &found = this->peers[address];
-    if (found.stub == nullptr) {
-        found.stub = wire::RaftTransport::NewStub(openChannel(address, channelSettings()));
+    static const Frame receipt = std::make_shared<const std::string>(frameHeader(0));
+    const BootTime idleBefore = BootClock::now() - MaxIdleTime;
+    std::erase_if(this->incoming, [idleBefore](const auto &entry) {
+        return entry.second.socket->lastReceivedAt() < idleBefore;
+    });
+    for (auto &[id, connection] : this->incoming) {
+        if (std::exchange(connection.owesReceipt, false)) {
+            connection.socket->send(receipt);
+        }
     }
-    return found;
 }
 
-void RaftTransport::Parts::open(const std::string &address, Peer &peer)
+void RaftTransport::Parts::connect(const std::string &address, Peer &peer, BootTime now)
 {
-    const std::uint64_t number = ++peer.streamNumber;
-    const auto written = [this, address, number, alive = this->alive, &loop = this->loop](bool ok) {
-        loop.post([this, address, number, alive, ok] {
-            if (!*alive) {
-                return;
-            }
-            Peer &peer = this->peer(address);
-            if (peer.streamNumber != number || peer.stream == nullptr) {
-                return;
-            }
-            if (!ok) {
-                this->handleBrokenStream(address, peer);
-                return;
-            }
-            peer.writing = false;
-            this->sendNext(address);
-        });
-    };
-    peer.stream = std::make_shared<OutgoingStream>(*peer.stub, this->streams, written);
-    peer.writing = false;
-    peer.stream->start(peer.stream);
+    peer.socket = FrameSocket::connect(this->loop, address, MaxMessageBytes);
+    peer.connectedAt = now;
+    peer.nextAttemptAt = now + ReconnectBackoff;
+    peer.unconfirmedSince = BootTime::max();
+    peer.socket->setEvents({.frame =
+                                [&peer](std::string_view) {
+                                    peer.unconfirmedSince = BootTime::max();
+                                },
+                            .closed =
+                                [this, &peer] {
+                                    this->disconnect(peer, BootClock::now());
+                                },
+                            .written =
+                                [this, &peer] {
+                                    this->sendQueued(peer, BootClock::now());
+                                }});
 }
 
-void RaftTransport::Parts::handleBrokenStream(const std::string &address, Peer &broken)
+/** Raft retransmits what is still needed, so the queue is dropped. */
+void RaftTransport::Parts::disconnect(Peer &peer, BootTime now)
 {
-    broken.stream->release();
-    broken.stream.reset();
-    broken.queue.clear();
-    broken.writing = false;
-    broken.isBackingOff = true;
-    this->loop.after(ReconnectBackoff, [this, address, alive = this->alive] {
-        if (*alive) {
-            this->peer(address).isBackingOff = false;
-        }
-    });
+    peer.socket->close();
+    peer.socket.reset();
+    peer.queue.clear();
+    peer.nextAttemptAt = now + ReconnectBackoff;
 }
 
-void RaftTransport::Parts::sendNext(const std::string &address)
+void RaftTransport::Parts::sendQueued(Peer &peer, BootTime now)
 {
-    Peer &target = this->peer(address);
-    if (target.queue.empty() || target.writing || target.isBackingOff) {
-        return;
+    while (peer.socket && !peer.queue.empty() && peer.socket->queuedBytes() < MaxSocketBytes) {
+        peer.socket->send(std::move(peer.queue.front()));
+        peer.queue.pop_front();
+        peer.unconfirmedSince = std::min(peer.unconfirmedSince, now);
     }
-    if (target.stream == nullptr) {
-        this->open(address, target);
+}
+
+void RaftTransport::Parts::checkPeers()
+{
+    const BootTime now = BootClock::now();
+    for (auto &[address, peer] : this->peers) {
+        if (!peer.socket) {
+            continue;
+        }
+        const bool isConnecting = !peer.socket->isReady();
+        const bool hasStalled = isConnecting ? now >= peer.connectedAt + ConnectTimeout
+                                             : peer.unconfirmedSince != BootTime::max()
+                                                   && now - peer.unconfirmedSince >= ReceiptTimeout;
+        if (hasStalled) {
+            this->disconnect(peer, now);
+        } else {
+            this->sendQueued(peer, now);
+        }
     }
-    target.writing = true;
-    wire::RaftMessage next = std::move(target.queue.front());
-    target.queue.pop_front();
-    target.stream->write(std::move(next));
 }
 
 Result<std::unique_ptr<RaftTransport>> RaftTransport::open(loop::EventLoop &loop,
                                                            const RaftTransportSettings &settings,
                                                            std::function<void(const wire::RaftMessage &)> received)
 {
-    auto parts = std::make_unique<Parts>(loop);
-    parts->service = std::make_unique<Service>(loop, parts->alive, std::move(received));
-    const std::string endpoint = settings.address + ":" + std::to_string(settings.port);
-    grpc::ServerBuilder builder;
-    builder.SetMaxReceiveMessageSize(static_cast<int>(MaxMessageBytes));
-    builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
-    builder.AddChannelArgument(GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS,
-                               static_cast<int>(PingInterval.count() / 2));
-    builder.AddChannelArgument(GRPC_ARG_HTTP2_MAX_PING_STRIKES, 0);
-    builder.AddListeningPort(endpoint, grpc::InsecureServerCredentials(), &parts->port);
-    builder.RegisterService(parts->service.get());
-    parts->server = builder.BuildAndStart();
-    if (parts->server == nullptr || parts->port == 0) {
-        return oneFinding("raft port " + endpoint, "could not be opened for listening");
-    }
+    auto parts = std::make_unique<Parts>(loop, std::move(received));
+    Result<std::unique_ptr<FrameServer>> server = FrameServer::listen(
+        loop,
+        {.address = settings.address, .port = settings.port, .maxFrameBytes = MaxMessageBytes},
+        {.accepted =
+             [parts = parts.get()](std::shared_ptr<FrameSocket> socket) {
+                 parts->accepted(std::move(socket));
+             },
+         .http2 = {}});
+    if (!server) {
+        return oneFinding("raft port " + server.error().front().place, "could not be opened for listening");
+    }
+    parts->server = std::move(server).value();
+    parts->checkTimer = loop.every(CheckInterval, [parts = parts.get()] {
+        parts->checkPeers();
+    });
+    parts->receiptTimer = loop.every(ReceiptInterval, [parts = parts.get()] {
+        parts->sendReceipts();
+    });
     return std::unique_ptr<RaftTransport>(new RaftTransport(std::move(parts)));
 }
 
@@ -316,37 +224,31 @@
 {
 }
 
-RaftTransport::~RaftTransport()
-{
-    *this->parts->alive = false;
-    this->parts->server->Shutdown(std::chrono::system_clock::now());
-    for (auto &[address, peer] : this->parts->peers) {
-        if (peer.stream != nullptr) {
-            peer.stream->release();
-        }
-    }
-    std::unique_lock guard(this->parts->streams.mutex);
-    this->parts->streams.ended.wait(guard, [this] {
-        return this->parts->streams.count == 0;
-    });
-}
+RaftTransport::~RaftTransport() = default;
 
 void RaftTransport::send(const std::string &address, wire::RaftMessage message)
 {
-    Peer &target = this->parts->peer(address);
-    if (target.isBackingOff || message.ByteSizeLong() > MaxMessageBytes) {
+    if (message.ByteSizeLong() > MaxMessageBytes) {
         return;
     }
-    if (target.queue.size() >= MaxQueuedPerPeer) {
-        target.queue.pop_front();
+    const BootTime now = BootClock::now();
+    Peer &peer = this->parts->peers[address];
+    if (!peer.socket) {
+        if (now < peer.nextAttemptAt) {
+            return;
+        }
+        this->parts->connect(address, peer, now);
+    }
+    if (peer.queue.size() >= MaxQueuedPerPeer) {
+        peer.queue.pop_front();
     }
-    target.queue.push_back(std::move(message));
-    this->parts->sendNext(address);
+    peer.queue.push_back(makeFrame(message));
+    this->parts->sendQueued(peer, now);
 }
 
 std::uint16_t RaftTransport::port() const
 {
-    return static_cast<std::uint16_t>(this->parts->port);
+    return this->parts->server->port();
 }
 
 } // namespace bergamotweir::rpc
--- a/src/rpc/ReplicaConnection.cpp
+++ b/src/rpc/ReplicaConnection.cpp
@@ -2,8 +2,6 @@
 
 #include "rpc/Channel.h"
 
-#include <grpcpp/channel.h>
-
 #include <utility>
 
 namespace bergamotweir::rpc {
@@ -16,63 +14,78 @@
 constexpr milliseconds ShortConnectTimeout{200};
 /** Time after which an attempt with the short time-out starts in parallel if the connection is not ready. */
 constexpr milliseconds ParallelAttemptDelay{250};
+/** Low enough that a restarted replica is reached again well within the duration of a lease. */
+constexpr BackoffSettings ReconnectBackoff{.first = milliseconds(20), .max = milliseconds(200)};
 
 } // namespace
 
-ReplicaConnection::ReplicaConnection(ChannelPoller &poller, const std::string &address, BootTime now)
-    : poller(poller)
-    , address(address)
+ReplicaConnection::ReplicaConnection(loop::EventLoop &loop, std::string address, BootTime now)
+    : loop(loop)
+    , address(std::move(address))
     , connectStartedAt(now)
-    , primaryAttempt{openChannel(address, {.connectTimeout = LongConnectTimeout})}
 {
-    this->isReady(this->primaryAttempt);
+    this->proceed(this->primaryAttempt, LongConnectTimeout, now);
 }
 
-/** Continues to connect the channel if it is not ready. @return whether calls can be sent on it */
-bool ReplicaConnection::isReady(Attempt &attempt)
+ReplicaConnection::~ReplicaConnection()
 {
-    const grpc_connectivity_state state = attempt.channel->GetState(true);
-    if (state == GRPC_CHANNEL_READY) {
-        return true;
-    }
-    if (!this->poller.isWatching(attempt.watch)) {
-        attempt.watch = this->poller.watch(*attempt.channel, state);
+    for (const Attempt *const attempt : {&this->primaryAttempt, &this->parallelAttempt}) {
+        if (attempt->socket) {
+            attempt->socket->close();
+        }
     }
-    return false;
 }
 
-std::shared_ptr<wire::Control::Stub> ReplicaConnection::readyStub(BootTime now)
+/** Replaces the socket of an attempt once it has failed or timed out, after a backoff. */
+void ReplicaConnection::proceed(Attempt &attempt, std::chrono::milliseconds timeout, BootTime now)
 {
-    if (this->isReady(this->primaryAttempt)) {
-        return this->useAttempt(this->primaryAttempt, now);
+    if (attempt.socket && (attempt.socket->isReady() || (!attempt.socket->isClosed() && now < attempt.deadline))) {
+        return;
     }
-    if (this->parallelAttempt.channel && this->isReady(this->parallelAttempt)) {
-        return this->useAttempt(this->parallelAttempt, now);
+    if (attempt.socket) {
+        attempt.socket->close();
+        attempt.socket.reset();
+        attempt.retryAt = now + exponentialDelay(ReconnectBackoff, attempt.failures++);
     }
-    if (this->stub) {
+    if (now >= attempt.retryAt) {
+        attempt.socket = FrameSocket::connect(this->loop, this->address, MaxMessageBytes);
+        attempt.deadline = now + timeout;
+    }
+}
+
+std::shared_ptr<FrameSocket> ReplicaConnection::ready(BootTime now)
+{
+    if (this->readyAt != BootTime::max() && !this->primaryAttempt.socket->isReady()) {
         // The connection was ready and has been lost.
         this->connectStartedAt = now;
         this->readyAt = BootTime::max();
-        this->stub.reset();
     }
-    if (!this->parallelAttempt.channel && now - this->connectStartedAt >= ParallelAttemptDelay) {
-        this->parallelAttempt.channel = openChannel(this->address, {.connectTimeout = ShortConnectTimeout});
-        this->isReady(this->parallelAttempt);
+    this->proceed(this->primaryAttempt, LongConnectTimeout, now);
+    if (this->readyAt == BootTime::max() && now - this->connectStartedAt >= ParallelAttemptDelay) {
+        this->proceed(this->parallelAttempt, ShortConnectTimeout, now);
+    }
+    for (Attempt *const attempt : {&this->primaryAttempt, &this->parallelAttempt}) {
+        if (attempt->socket && attempt->socket->isReady()) {
+            return this->use(*attempt, now);
+        }
     }
     return nullptr;
 }
 
-std::shared_ptr<wire::Control::Stub> ReplicaConnection::useAttempt(Attempt &attempt, BootTime now)
+std::shared_ptr<FrameSocket> ReplicaConnection::use(Attempt &attempt, BootTime now)
 {
-    if (!this->stub) {
+    if (this->readyAt == BootTime::max()) {
         this->readyAt = now;
-        this->stub = wire::Control::NewStub(attempt.channel);
         if (&attempt == &this->parallelAttempt) {
             std::swap(this->primaryAttempt, this->parallelAttempt);
         }
+        if (this->parallelAttempt.socket) {
+            this->parallelAttempt.socket->close();
+        }
         this->parallelAttempt = {};
+        this->primaryAttempt.failures = 0;
     }
-    return this->stub;
+    return this->primaryAttempt.socket;
 }
 
 BootTime ReplicaConnection::readySince() const
@@ -82,7 +95,7 @@
 
 std::chrono::nanoseconds ReplicaConnection::setUpTime() const
 {
-    return this->stub ? this->readyAt - this->connectStartedAt : std::chrono::nanoseconds(0);
+    return this->readyAt == BootTime::max() ? std::chrono::nanoseconds(0) : this->readyAt - this->connectStartedAt;
 }
 
 } // namespace bergamotweir::rpc
--- a/src/rpc/ReplicaConnection.h
+++ b/src/rpc/ReplicaConnection.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "base/Backoff.h"
 #include "base/BootClock.h"
-#include "control.grpc.pb.h"
-#include "rpc/ChannelPoller.h"
+#include "rpc/FrameSocket.h"
 
 #include <chrono>
 #include <memory>
@@ -11,19 +11,22 @@
 namespace bergamotweir::rpc {
 
 /**
- * A connection to one control replica, set up without a call in progress.
+ * A connection to one control replica, set up before it is used and set up again after it has failed.
  * On a congested link the set-up takes seconds, so the first attempt has a long time-out. After a partition, a lost SYN
- * is retransmitted only seconds later, so attempts with a short time-out run in parallel. Used on the loop's thread. A
- * stub keeps its connection alive.
+ * is retransmitted only seconds later, so attempts with a short time-out run in parallel. Used on the loop's thread.
  */
 class ReplicaConnection
 {
 public:
-    /** Starts to connect. @param poller outlives the connection @param address IP:port of the replica */
-    ReplicaConnection(ChannelPoller &poller, const std::string &address, BootTime now);
+    /** Starts to connect. @param loop outlives the connection @param address IP:port of the replica */
+    ReplicaConnection(loop::EventLoop &loop, std::string address, BootTime now);
+    /** Closes the connection. */
+    ~ReplicaConnection();
+    ReplicaConnection(const ReplicaConnection &) = delete;
+    ReplicaConnection &operator=(const ReplicaConnection &) = delete;
 
-    /** Continues to connect if the connection is not ready. @return the replica's stub; nullptr if it is not ready */
-    std::shared_ptr<wire::Control::Stub> readyStub(BootTime now);
+    /** Continues to connect if the connection is not ready. @return the connection; nullptr if it is not ready */
+    std::shared_ptr<FrameSocket> ready(BootTime now);
 
     /** @return when the connection became ready; BootTime::max() if it is not ready */
     BootTime readySince() const;
@@ -32,23 +35,26 @@
     std::chrono::nanoseconds setUpTime() const;
 
 private:
-    /** A channel to the replica that is connecting or ready. */
+    /** A socket that is connecting or ready. */
     struct Attempt {
-        std::shared_ptr<grpc::Channel> channel;
-        ChannelPoller::WatchId watch = 0;
+        std::shared_ptr<FrameSocket> socket;
+        BootTime deadline;
+        /** Number of consecutive sockets that failed. */
+        unsigned failures = 0;
+        /** When the next socket may be opened after a failure. */
+        BootTime retryAt;
     };
 
-    bool isReady(Attempt &attempt);
-    std::shared_ptr<wire::Control::Stub> useAttempt(Attempt &attempt, BootTime now);
+    void proceed(Attempt &attempt, std::chrono::milliseconds timeout, BootTime now);
+    std::shared_ptr<FrameSocket> use(Attempt &attempt, BootTime now);
 
-    ChannelPoller &poller;
+    loop::EventLoop &loop;
     std::string address;
     BootTime connectStartedAt;
     BootTime readyAt = BootTime::max();
     Attempt primaryAttempt;
-    /** Has a channel only while primaryAttempt has exceeded ParallelAttemptDelay and neither of the two is ready. */
+    /** Has a socket only while primaryAttempt has exceeded ParallelAttemptDelay and neither of the two is ready. */
     Attempt parallelAttempt;
-    std::shared_ptr<wire::Control::Stub> stub;
 };
 
 } // namespace bergamotweir::rpc
--- a/src/rpc/ReplicaConnections.cpp
+++ b/src/rpc/ReplicaConnections.cpp
@@ -12,16 +12,21 @@
 
 } // namespace
 
+ReplicaConnections::ReplicaConnections(loop::EventLoop &loop)
+    : loop(loop)
+{
+}
+
 void ReplicaConnections::connectAll(const std::vector<std::string> &addresses, BootTime now)
 {
     for (const std::string &address : addresses) {
-        this->readyStub(address, now);
+        this->ready(address, now);
     }
 }
 
-std::shared_ptr<wire::Control::Stub> ReplicaConnections::readyStub(const std::string &address, BootTime now)
+std::shared_ptr<FrameSocket> ReplicaConnections::ready(const std::string &address, BootTime now)
 {
-    return this->connections.try_emplace(address, this->poller, address, now).first->second.readyStub(now);
+    return this->connections.try_emplace(address, this->loop, address, now).first->second.ready(now);
 }
 
 std::chrono::nanoseconds ReplicaConnections::setUpTime(const std::string &address) const
--- a/src/rpc/ReplicaConnections.h
+++ b/src/rpc/ReplicaConnections.h
@@ -15,11 +15,14 @@
     /** Interval at which a client that waits for a connection checks whether one is ready. */
     static constexpr std::chrono::milliseconds PollInterval{5};
 
+    /** @param loop outlives the connections */
+    explicit ReplicaConnections(loop::EventLoop &loop);
+
     /** Sets up the connections that do not exist yet. @param addresses IP:port of each replica */
     void connectAll(const std::vector<std::string> &addresses, BootTime now);
 
-    /** @return the stub of the replica at @p address; nullptr if its connection is not ready */
-    std::shared_ptr<wire::Control::Stub> readyStub(const std::string &address, BootTime now);
+    /** @return the connection to the replica at @p address; nullptr if it is not ready */
+    std::shared_ptr<FrameSocket> ready(const std::string &address, BootTime now);
 
     /** @return how long setting up the connection to @p address took; 0 if it is not ready */
     std::chrono::nanoseconds setUpTime(const std::string &address) const;
@@ -40,7 +43,7 @@
     void keepOnly(const std::string &address);
 
 private:
-    ChannelPoller poller;
+    loop::EventLoop &loop;
     std::map<std::string, ReplicaConnection> connections;
 };
 
--- a/tests/ControlSessionTest.cpp
+++ b/tests/ControlSessionTest.cpp
@@ -1,105 +1,21 @@
 #include "rpc/ControlSession.h"
+#include "FakeReplica.h"
 #include "LoopbackProxy.h"
 #include "SilentListener.h"
-#include "control.grpc.pb.h"
 #include "rpc/ClaimClient.h"
 #include "rpc/OperatorClient.h"
 
 #include <catch2/catch.hpp>
-#include <grpcpp/server_builder.h>
 
 #include <array>
-#include <atomic>
 #include <memory>
-#include <thread>
 
 using namespace bergamotweir;
+using test::FakeReplica;
 using namespace std::chrono_literals;
 
 namespace {
 
-/** A control replica whose behaviour the test sets. */
-class FakeReplica : public wire::Control::Service
-{
-public:
-    FakeReplica()
-    {
-        grpc::ServerBuilder builder;
-        builder.AddListeningPort("127.0.0.1:0", grpc::InsecureServerCredentials(), &this->port);
-        builder.RegisterService(this);
-        this->server = builder.BuildAndStart();
-    }
-
-    ~FakeReplica() override
-    {
-        this->server->Shutdown(std::chrono::system_clock::now());
-    }
-
-    std::string address() const
-    {
-        return "127.0.0.1:" + std::to_string(this->port);
-    }
-
-    grpc::Status Session(grpc::ServerContext *context,
-                         grpc::ServerReaderWriter<wire::ControlMessage, wire::AgentMessage> *stream) override
-    {
-        ++this->sessions;
-        wire::AgentMessage message;
-        while (stream->Read(&message)) {
-            wire::ControlMessage answer;
-            if (this->silent) {
-                continue;
-            }
-            if (this->stateDelay.count() > 0 && message.has_hello()) {
-                wire::ControlMessage accepted;
-                accepted.mutable_accepted();
-                stream->Write(accepted);
-                std::this_thread::sleep_for(this->stateDelay);
-            }
-            if (!this->leader.empty()) {
-                answer.mutable_redirect()->set_leader_address(this->leader);
-            } else {
-                answer.mutable_renewed()->set_sequence(message.has_renew() ? message.renew().sequence() : 0);
-            }
-            stream->Write(answer);
-            if (this->closesAfterAnswer) {
-                return grpc::Status::OK;
-            }
-        }
-        return context->IsCancelled() ? grpc::Status::CANCELLED : grpc::Status::OK;
-    }
-
-    grpc::Status Claim(grpc::ServerContext *, const wire::ClaimRequest *, wire::ClaimReply *reply) override
-    {
-        ++this->claims;
-        reply->set_verdict(this->leader.empty() ? wire::CLAIM_VERDICT_GRANTED : wire::CLAIM_VERDICT_UNAVAILABLE);
-        reply->set_leader_address(this->leader);
-        return grpc::Status::OK;
-    }
-
-    grpc::Status Operate(grpc::ServerContext *, const wire::OperatorRequest *, wire::OperatorReply *reply) override
-    {
-        if (this->silent) {
-            return {grpc::StatusCode::INTERNAL, "lost on the way"};
-        }
-        reply->set_status(this->leader.empty() ? wire::OPERATOR_STATUS_DONE : wire::OPERATOR_STATUS_NOT_LEADER);
-        reply->set_leader_address(this->leader);
-        return grpc::Status::OK;
-    }
-
-    std::string leader;
-    /** Delay between the acceptance of the session and the full state. */
-    std::chrono::milliseconds stateDelay{0};
-    std::atomic<bool> silent{false};
-    std::atomic<bool> closesAfterAnswer{false};
-    std::atomic<int> sessions{0};
-    std::atomic<int> claims{0};
-
-private:
-    int port = 0;
-    std::unique_ptr<grpc::Server> server;
-};
-
 wire::Hello someHello()
 {
     wire::Hello hello;
@@ -449,3 +365,28 @@
     addresses.push_back(leaderProxy.address());
     CHECK(timeWithoutSession(addresses, proxies) < MaxTimeWithoutSession);
 }
+
+// Guards against a connection for each request for a session: without a leader, all agents keep asking all replicas.
+TEST_CASE("an agent asks a replica that names no leader again on the same connection")
+{
+    FakeReplica follower;
+    // A replica that names itself can't be followed.
+    follower.leader = follower.address();
+    auto loop = loop::EventLoop::create().value();
+    rpc::ControlSessionEvents events;
+    events.hello = someHello;
+    events.opened = [](rpc::SessionId) {};
+    events.message = [](rpc::SessionId, const wire::ControlMessage &) {};
+    events.closed = [](rpc::SessionId) {};
+    const rpc::ControlSession session(*loop, {follower.address()}, events);
+    const loop::TimerId poll = loop->every(5ms, [&] {
+        if (follower.sessions >= 5) {
+            loop->stop();
+        }
+    });
+    stopAfter(*loop, TestLimit);
+    loop->run();
+    loop->cancel(poll);
+    CHECK(follower.sessions >= 5);
+    CHECK(follower.connections == 1);
+}
