--- a/include/process/AgentSettings.h
+++ b/include/process/AgentSettings.h
@@ -45,6 +45,8 @@
     std::chrono::milliseconds renewInterval{100};
     /** Silence after which the session with a control replica is closed: two renewal intervals. */
     std::chrono::milliseconds controlSilenceTimeout{200};
+    /** Time without a heartbeat or an answer after which an upstream counts as frozen. */
+    std::chrono::milliseconds heartbeatTimeout{3500};
     /** Upper bound of a stop, regardless of requests still in progress. */
     std::chrono::milliseconds maxStopTime{std::chrono::seconds(20)};
     /** Upper bound of a stop's wait until control has reassigned the keys; after that the lease expires by itself. */
--- a/src/process/LocalUpstreamHealth.cpp
+++ b/src/process/LocalUpstreamHealth.cpp
@@ -14,8 +14,6 @@
 constexpr milliseconds FrozenTimeout{500};
 /** An upstream that has not announced itself for this long counts as frozen. */
 constexpr milliseconds AnnouncementTimeout{3000};
-/** An upstream with heartbeats that has sent none and not answered for this long counts as frozen: two may be late. */
-constexpr milliseconds HeartbeatTimeout{3500};
 
 constexpr loop::Log Log("upstream");
 
@@ -124,7 +122,7 @@
 bool LocalUpstream::isUnresponsive(BootTime now) const
 {
     return this->currentStatus == UpstreamStatus::Serving
-           && now - std::max(this->lastAnnouncedAt, this->lastAnswerAt) > HeartbeatTimeout;
+           && now - std::max(this->lastAnnouncedAt, this->lastAnswerAt) > this->state.settings.heartbeatTimeout;
 }
 
 void LocalUpstream::markReplaced()
