A stop waits for requests in progress until the last sixth of the grace time

Change: the whole stop may take 0.9 of the grace time. The check in PlatformTest states the new value, 4.5 s of 5 s.

--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -347,7 +347,7 @@
     REQUIRE(settings.announcePort == 8620);
     REQUIRE(settings.controls == std::vector<std::string>{"10.1.0.46:7600", "10.2.0.28:7600"});
     REQUIRE(settings.upstreamAddress == "10.1.0.41:8628");
-    REQUIRE(settings.maxStopTime == 4000ms);
+    REQUIRE(settings.maxStopTime == 4500ms);
 }
 
 TEST_CASE("platform: settings of a control replica give the seeds and the number of voters")
