Keys move only where upstreams would be busy

Cause: a service's loads counted once it had 40 requests a second in all. With 357 upstreams and 1,611 requests a second each upstream gets 4.5 a second: the differences between them are chance, and the tolerance of 0.15 moved keys for them each second. The number of moves grows with the fleet; a move costs up to two heartbeat intervals in which the keys are unserved. Keys with one or two requests in a second were isolated as hot.

Change: the leader estimates the slots in use from request rates and mean work times. Below 0.4 an imbalance is tolerated up to where an upstream would reach 0.4, at most 0.8, so that an upstream that joins gets keys in any case; a key counts as hot by its part of a busy upstream's load. At 0.4 and above nothing changes.

--- a/include/control/Assignment.h
+++ b/include/control/Assignment.h
@@ -51,6 +51,14 @@
 std::vector<SliceMove>
 assign(const std::vector<Member> &members, const std::vector<LoadedSlice> &slices, double tolerance = DefaultTolerance);
 
+/**
+ * Chooses the tolerance for assign(). Balancing moves keys away from upstreams that work on them, which pays only if an
+ * upstream would otherwise be busy.
+ * @param minimum tolerance while upstreams are busy
+ * @param headroom load up to which upstreams aren't busy, as a multiple of their mean load; at least 1
+ */
+double toleratedImbalance(double minimum, double headroom);
+
 /**
  * Computes the minimum load that any assignment must move to reach the tolerance, assuming that slices can be split
  * anywhere.
--- a/include/control/Coordinator.h
+++ b/include/control/Coordinator.h
@@ -159,7 +159,12 @@
     /** @return the weight by which an upstream may own slices now; 0 when it may not */
     double weightOf(const wire::UpstreamInfo &upstream, BootTime now) const;
     void recordMembers(ServicePlan &servicePlan, const std::vector<Member> &members, BootTime now) const;
-    bool proposeSplits(const std::string &service, const SliceMap &map, std::size_t memberCount, BootTime now);
+    /** @return how much more load the members could take before they are busy; see LoadTracker::headroom() */
+    double headroomOf(const std::string &service, const std::vector<Member> &members) const;
+    bool proposeSplits(const std::string &service,
+                       const SliceMap &map,
+                       const std::vector<Member> &members,
+                       BootTime now);
     std::vector<SliceMove>
     wantedMoves(const std::string &service, const SliceMap &map, const std::vector<Member> &members, BootTime now);
     /** Reassigns the slices of an upstream whose process has ended to the process that now listens at its address. */
--- a/include/control/LoadTracker.h
+++ b/include/control/LoadTracker.h
@@ -50,6 +50,15 @@
      */
     std::unordered_map<std::uint32_t, double> relativeSpeeds(const std::string &service, BootTime now);
 
+    /**
+     * Returns how much more load upstreams could take before they are busy, as a multiple of their load; at least 1.
+     * Below that load, differences between upstreams don't delay requests, and with few requests to each upstream they
+     * are chance.
+     * @param slots the slots of all upstreams of the service together
+     * @return 1 if the load isn't known
+     */
+    double headroom(const std::string &service, double slots) const;
+
     /** Removes all records. */
     void clear();
 
--- a/src/control/Assignment.cpp
+++ b/src/control/Assignment.cpp
@@ -13,6 +13,9 @@
 /** Loads that differ by less than this are equal, because sums of doubles depend on their order. */
 constexpr double Epsilon = 1e-12;
 
+/** Upper bound of the tolerated imbalance, so that a member that joins gets a part of the load in any case. */
+constexpr double MaxTolerance = 0.8;
+
 /** The target load and the current load of a member while moves are being decided. */
 struct MemberLoad {
     std::uint32_t id = 0;
@@ -206,6 +209,11 @@
     return combineMoves(moves);
 }
 
+double toleratedImbalance(double minimum, double headroom)
+{
+    return std::max(minimum, std::min(headroom - 1, MaxTolerance));
+}
+
 double minChurn(const std::vector<Member> &members, const std::vector<LoadedSlice> &slices, double tolerance)
 {
     if (members.empty()) {
--- a/src/control/CoordinatorMoves.cpp
+++ b/src/control/CoordinatorMoves.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-/** Minimum share of an upstream's target load at which a key gets a slice of its own. */
+/** Minimum share of the load of a busy upstream at which a key gets a slice of its own. */
 constexpr double MinHotKeyShare = 0.25;
 
 wire::SliceRef makeSliceRef(const SliceName &slice, std::uint64_t epoch)
@@ -165,17 +165,30 @@
     servicePlan.rebalanceAtOnce = false;
 }
 
-bool Coordinator::proposeSplits(const std::string &service, const SliceMap &map, std::size_t memberCount, BootTime now)
+double Coordinator::headroomOf(const std::string &service, const std::vector<Member> &members) const
 {
+    double slots = 0;
+    for (const Member &member : members) {
+        slots += this->state.upstreams().find(member.id)->slots();
+    }
+    return this->loadTracker.headroom(service, slots);
+}
+
+bool Coordinator::proposeSplits(const std::string &service,
+                                const SliceMap &map,
+                                const std::vector<Member> &members,
+                                BootTime now)
+{
+    const std::size_t memberCount = members.size();
     ServicePlan &servicePlan = this->servicePlans[service];
     if (servicePlan.splitInFlight || memberCount == 0) {
         return servicePlan.splitInFlight;
     }
-    const double targetShare = 1.0 / static_cast<double>(memberCount);
+    const double busyShare = this->headroomOf(service, members) / static_cast<double>(memberCount);
     const table::ServicePolicy policy = this->state.tables().table().service(service);
     const SliceSplits splits = planSplits(map,
                                           memberCount * this->settings.slicesPerUpstream,
-                                          this->loadTracker.hotKeys(service, MinHotKeyShare * targetShare, now),
+                                          this->loadTracker.hotKeys(service, MinHotKeyShare * busyShare, now),
                                           this->moveTracker.movingSlices(service),
                                           policy.numberedKeys ? NumberedKeyWidth : 1);
     if (splits.empty()) {
@@ -235,7 +248,8 @@
     const bool isSettled = now >= servicePlan.membersChangedAt + this->settings.rebalanceDelay;
     // Until the members have settled only orphans move, so any imbalance is tolerated.
     constexpr double AnyImbalance = 1e9;
-    return assign(members, slices, isSettled ? this->settings.tolerance : AnyImbalance);
+    const double tolerance = toleratedImbalance(this->settings.tolerance, this->headroomOf(service, members));
+    return assign(members, slices, isSettled ? tolerance : AnyImbalance);
 }
 
 std::uint32_t Coordinator::successorOf(std::uint32_t ended, BootTime now) const
@@ -300,7 +314,7 @@
     this->recordMembers(servicePlan, members, now);
     servicePlan.dirty = false;
     servicePlan.nextCheckAt = now + this->settings.rebalanceInterval;
-    if (this->proposeSplits(service, map, members.size(), now)) {
+    if (this->proposeSplits(service, map, members, now)) {
         // The slices are about to change; the moves are planned once they have.
         return;
     }
--- a/src/control/LoadTracker.cpp
+++ b/src/control/LoadTracker.cpp
@@ -26,6 +26,8 @@
 /** Bounds of an upstream's relative speed, and so of its target load as a multiple of an equal share. */
 constexpr double MinRelativeSpeed = 0.3;
 constexpr double MaxRelativeSpeed = 3;
+/** Fraction of the slots in use from which on an upstream is busy. */
+constexpr double BusyUtilization = 0.4;
 
 } // namespace
 
@@ -118,6 +120,24 @@
     return hot;
 }
 
+double LoadTracker::headroom(const std::string &service, double slots) const
+{
+    const auto found = this->services.find(service);
+    if (found == this->services.end() || found->second.workTimes.empty()) {
+        return 1;
+    }
+    const double rate = this->totalRate(found->second);
+    if (rate < MinMeasuredRate) {
+        return 1;
+    }
+    double seconds = 0;
+    for (const auto &[upstream, time] : found->second.workTimes) {
+        seconds += time.seconds;
+    }
+    const double utilization = rate * seconds / static_cast<double>(found->second.workTimes.size()) / slots;
+    return std::max(1.0, BusyUtilization / utilization);
+}
+
 void LoadTracker::clear()
 {
     this->services.clear();
