The leader's work per tick follows changes, and a full state is built once per version

Cause: each tick of 20 ms compared every agent's announced upstreams with the registered ones and copied them: 984 agents are 49,200 comparisons a second.

Change: agents are checked after an event of theirs, and all of them once a second. The full state is kept until the state's version changes.

Test: an idle agent is checked once a second (it was 50 times).

--- a/include/control/Coordinator.h
+++ b/include/control/Coordinator.h
@@ -81,6 +81,12 @@
     const MoveTracker &moves() const;
     const LimitAllocator &limits() const;
 
+    /** @return the number of times that the full state was built for sessions so far */
+    std::uint64_t fullStateBuilds() const;
+
+    /** @return the number of comparisons of an agent's announced upstreams with the registered ones so far */
+    std::uint64_t agentChecks() const;
+
     /** @return agents that have applied @p version or a newer one, and agents with a serving upstream that have not */
     wire::InForceReport inForce(const wire::Version &version) const;
 
@@ -111,6 +117,8 @@
         std::string previousAgent;
         /** Service and name; empty when no upstream changes. */
         std::pair<std::string, std::string> upstream;
+        /** Agent that announced or lost that upstream; empty when no upstream changes. */
+        std::string agent;
         /** Service whose slices are being split or merged; empty otherwise. */
         std::string splitService;
     };
@@ -135,6 +143,7 @@
     void endMove(const SliceName &slice, ProposalOutcome outcome);
     void startRound();
     void sendFullState(const std::vector<SessionId> &sessions);
+    const std::shared_ptr<const wire::ControlMessage> &currentFullState();
     void renew(AgentRecord &agent, const Heartbeat &heartbeat, BootTime now);
     bool canRenew(const AgentRecord &agent, BootTime now) const;
     /** @return whether every agent that may use shares of limits has reported them to this leader */
@@ -145,11 +154,14 @@
     void receivedUpstream(AgentRecord &agent, const wire::UpstreamInfo &announced);
     void receivedReleased(const AgentRecord &agent, const wire::Released &released);
     void proposeUpstream(const wire::UpstreamInfo &upstream, const std::string &previousAgent);
-    void reconcile(AgentRecord &agent, BootTime now);
+    /** Checks the agents whose upstreams may differ from the registered ones, and from time to time all agents. */
+    void checkAgents(BootTime now);
+    /** Registers the upstreams that an agent has announced. @return whether all of them are registered */
+    bool reconcile(AgentRecord &agent, BootTime now);
     bool canMoveToAgent(const wire::UpstreamInfo &registered, const AgentRecord &agent, BootTime now) const;
     /** @return whether @p candidate is a process that started after the upstream and listens at its address */
     static bool replacesUpstream(const wire::UpstreamInfo &candidate, const wire::UpstreamInfo &upstream);
-    void retireUnannounced(AgentRecord &agent, BootTime now);
+    bool retireUnannounced(AgentRecord &agent, BootTime now);
     void retireLost(BootTime now);
     std::chrono::nanoseconds maxWorkTime(const wire::UpstreamInfo &upstream) const;
 
@@ -196,10 +208,18 @@
     Round currentRound;
     std::map<std::uint64_t, Proposal> proposals;
     std::set<std::pair<std::string, std::string>> upstreamsInFlight;
+    /** Names of agents whose announced upstreams may differ from the registered ones. */
+    std::set<std::string> unsettledAgents;
+    BootTime allAgentsCheckAt;
+    std::uint64_t agentChecksTotal = 0;
     std::map<std::string, ServicePlan> servicePlans;
     std::uint64_t lastProposal = 0;
     UpdateBatch batch;
     std::vector<std::string> controls;
+    /** The full state sent last, for the sessions that begin before the state changes; nullptr when there is none. */
+    std::shared_ptr<const wire::ControlMessage> fullState;
+    wire::Version fullStateVersion;
+    std::uint64_t fullStatesBuilt = 0;
     BootTime lastTickAt;
     std::vector<Action> actions;
 };
--- a/src/control/Coordinator.cpp
+++ b/src/control/Coordinator.cpp
@@ -60,6 +60,9 @@
     this->currentRound = {};
     this->proposals.clear();
     this->upstreamsInFlight.clear();
+    this->unsettledAgents.clear();
+    this->fullState.reset();
+    this->allAgentsCheckAt = {};
     this->servicePlans.clear();
     this->batch = {};
 }
@@ -101,6 +104,7 @@
     agent.presumedAliveUntil = std::max(agent.presumedAliveUntil, now + this->settings.lease);
     agent.announceDeadline = now + this->settings.announceGrace;
     agent.startedAt = now - std::chrono::milliseconds(hello.uptime_ms());
+    this->unsettledAgents.insert(agent.name);
     // Accepted is sent at once, for a few bytes, so that agents don't take a busy leader for a failed one. After a loss
     // of power all agents connect at once, and the last full state is sent only after seconds. Each agent that
     // disconnects and connects again would delay it further.
@@ -165,6 +169,7 @@
         this->sendBatch();
     }
     for (const wire::UpstreamInfo &upstream : applied.update.upstreams()) {
+        this->unsettledAgents.insert(upstream.agent());
         this->servicePlans[upstream.service()].dirty = true;
     }
     if (applied.update.has_table()) {
@@ -188,6 +193,9 @@
         --this->agentRegistry.getOrCreate(ended.previousAgent).forcedMovesInFlight;
     }
     this->upstreamsInFlight.erase(ended.upstream);
+    if (!ended.agent.empty()) {
+        this->unsettledAgents.insert(ended.agent);
+    }
     if (!ended.splitService.empty()) {
         this->servicePlans[ended.splitService].splitInFlight = false;
         this->servicePlans[ended.splitService].dirty = true;
@@ -241,6 +249,7 @@
         return;
     }
     this->controls = std::move(addresses);
+    this->fullState.reset();
     // Agents get the new addresses at once, so that they don't search for the next leader among removed replicas. With
     // the addresses of the session's start alone they would use the first three replicas forever, of which two may be
     // down for long. The message carries the version of the state, so the batched updates are sent first.
@@ -272,12 +281,7 @@
     }
     this->startRound();
     this->retireLost(now);
-    for (auto &[name, agent] : this->agentRegistry.agents) {
-        if (agent.session != 0 && !isLost(agent, now)) {
-            this->reconcile(agent, now);
-            this->retireUnannounced(agent, now);
-        }
-    }
+    this->checkAgents(now);
     this->forceMovesOfLost(now);
     this->planServices(now);
     this->proposeReleased(now);
@@ -308,6 +312,16 @@
     return this->limitAllocator;
 }
 
+std::uint64_t Coordinator::fullStateBuilds() const
+{
+    return this->fullStatesBuilt;
+}
+
+std::uint64_t Coordinator::agentChecks() const
+{
+    return this->agentChecksTotal;
+}
+
 wire::InForceReport Coordinator::inForce(const wire::Version &version) const
 {
     std::set<std::string> expected;
@@ -386,23 +400,32 @@
     this->actions.emplace_back(ConfirmAction{});
 }
 
+/** @return the full state, built anew only after the state has changed: all agents connect after a change of leader */
+const std::shared_ptr<const wire::ControlMessage> &Coordinator::currentFullState()
+{
+    const wire::Version &version = this->state.version();
+    const bool isCurrent = this->fullState != nullptr && !isBefore(this->fullStateVersion, version);
+    if (!isCurrent) {
+        wire::ControlMessage message;
+        *message.mutable_update() = this->state.fullUpdate();
+        message.mutable_update()->mutable_controls()->Assign(this->controls.begin(), this->controls.end());
+        this->fullState = std::make_shared<const wire::ControlMessage>(std::move(message));
+        this->fullStateVersion = version;
+        ++this->fullStatesBuilt;
+    }
+    return this->fullState;
+}
+
 void Coordinator::sendFullState(const std::vector<SessionId> &sessions)
 {
     // The full state already contains the batched updates. Sending them later changes nothing, because a batch ends
     // with the newest value of each item that it names.
-    // After a change of leader all agents connect at once, so they share one message instead of a copy each.
-    std::shared_ptr<wire::ControlMessage> message;
     for (const SessionId session : sessions) {
         AgentRecord *const agent = this->agentRegistry.findBySession(session);
         if (agent == nullptr) {
             continue;
         }
-        if (message == nullptr) {
-            message = std::make_shared<wire::ControlMessage>();
-            *message->mutable_update() = this->state.fullUpdate();
-            message->mutable_update()->mutable_controls()->Assign(this->controls.begin(), this->controls.end());
-        }
-        this->actions.emplace_back(SendAction{session, message});
+        this->actions.emplace_back(SendAction{session, this->currentFullState()});
         agent->hasFullState = true;
         this->resendRevokes(*agent);
     }
--- a/src/control/CoordinatorAgents.cpp
+++ b/src/control/CoordinatorAgents.cpp
@@ -6,6 +6,13 @@
 
 namespace bergamotweir::control {
 
+namespace {
+
+/** Interval at which all agents are checked, in addition to those with an event. */
+constexpr std::chrono::seconds AllAgentsCheckInterval{1};
+
+} // namespace
+
 bool Coordinator::replacesUpstream(const wire::UpstreamInfo &candidate, const wire::UpstreamInfo &upstream)
 {
     return !upstream.address().empty() && candidate.address() == upstream.address()
@@ -87,6 +94,7 @@
     upstream.set_failure_domain(agent.failureDomain);
     upstream.set_agent_incarnation(agent.incarnation);
     agent.announced[{upstream.service(), upstream.name()}] = std::move(upstream);
+    this->unsettledAgents.insert(agent.name);
 }
 
 bool Coordinator::canMoveToAgent(const wire::UpstreamInfo &registered, const AgentRecord &agent, BootTime now) const
@@ -100,20 +108,42 @@
     return other == nullptr || (isLost(*other, now) && now >= other->leaseUntil + this->maxWorkTime(registered));
 }
 
-void Coordinator::reconcile(AgentRecord &agent, BootTime now)
+void Coordinator::checkAgents(BootTime now)
 {
+    if (now >= this->allAgentsCheckAt) {
+        this->allAgentsCheckAt = now + AllAgentsCheckInterval;
+        for (const auto &[name, agent] : this->agentRegistry.agents) {
+            this->unsettledAgents.insert(name);
+        }
+    }
+    std::erase_if(this->unsettledAgents, [&](const std::string &name) {
+        AgentRecord *const agent = this->agentRegistry.find(name);
+        if (agent == nullptr || agent->session == 0 || isLost(*agent, now)) {
+            return true;
+        }
+        ++this->agentChecksTotal;
+        const bool isRegistered = this->reconcile(*agent, now);
+        return this->retireUnannounced(*agent, now) && isRegistered;
+    });
+}
+
+bool Coordinator::reconcile(AgentRecord &agent, BootTime now)
+{
+    bool isRegistered = true;
     for (const auto &[name, announced] : agent.announced) {
         const wire::UpstreamInfo *const registered = this->state.upstreams().find(name.first, name.second);
-        if (this->upstreamsInFlight.contains(name)) {
+        if (registered != nullptr && sameAnnouncement(*registered, announced)) {
             continue;
         }
-        if (registered != nullptr
-            && (sameAnnouncement(*registered, announced) || !this->canMoveToAgent(*registered, agent, now))) {
+        isRegistered = false;
+        if (this->upstreamsInFlight.contains(name)
+            || (registered != nullptr && !this->canMoveToAgent(*registered, agent, now))) {
             continue;
         }
         const bool takenOver = registered != nullptr && registered->agent() != agent.name;
         this->proposeUpstream(announced, takenOver ? registered->agent() : std::string());
     }
+    return isRegistered;
 }
 
 void Coordinator::proposeUpstream(const wire::UpstreamInfo &upstream, const std::string &previousAgent)
@@ -122,6 +152,7 @@
     *command.mutable_put_upstream()->mutable_upstream() = upstream;
     Proposal proposal;
     proposal.upstream = {upstream.service(), upstream.name()};
+    proposal.agent = upstream.agent();
     proposal.previousAgent = previousAgent;
     this->propose(std::move(command), std::move(proposal));
 }
@@ -130,19 +161,23 @@
  * Retires upstreams of an agent that it hasn't announced by its announceDeadline. An upstream is retired at once when
  * another process listens at its address, which proves that it has exited. Without this, its keys would be refused for
  * 3.5 s after a loss of power, once the leader and all agents are running again.
+ * @return whether none is left to retire
  */
-void Coordinator::retireUnannounced(AgentRecord &agent, BootTime now)
+bool Coordinator::retireUnannounced(AgentRecord &agent, BootTime now)
 {
-    if (now < agent.leaseBlockedUntil) {
-        return;
-    }
+    bool isDone = true;
     for (const std::uint32_t id : this->state.upstreams().ofAgent(agent.name)) {
-        wire::UpstreamInfo upstream = *this->state.upstreams().find(id);
-        const std::pair name(upstream.service(), upstream.name());
-        const bool alreadyRetired = !upstream.serving() && upstream.agent_incarnation() == agent.incarnation;
-        if (alreadyRetired || agent.announced.contains(name) || this->upstreamsInFlight.contains(name)) {
+        const wire::UpstreamInfo &registered = *this->state.upstreams().find(id);
+        const std::pair name(registered.service(), registered.name());
+        const bool alreadyRetired = !registered.serving() && registered.agent_incarnation() == agent.incarnation;
+        if (alreadyRetired || agent.announced.contains(name)) {
+            continue;
+        }
+        isDone = false;
+        if (now < agent.leaseBlockedUntil || this->upstreamsInFlight.contains(name)) {
             continue;
         }
+        wire::UpstreamInfo upstream = registered;
         const bool isReplaced = std::any_of(agent.announced.begin(), agent.announced.end(), [&](const auto &entry) {
             return replacesUpstream(entry.second, upstream);
         });
@@ -153,6 +188,7 @@
         upstream.set_agent_incarnation(agent.incarnation);
         this->proposeUpstream(upstream, {});
     }
+    return isDone;
 }
 
 void Coordinator::retireLost(BootTime now)
--- a/tests/CoordinatorTest.cpp
+++ b/tests/CoordinatorTest.cpp
@@ -196,3 +196,18 @@
                   << inMilliseconds(gaps[99]) << " ms");
     }
 }
+
+// Guards against a leader that is busy comparing all agents at each tick: nothing has changed for most of them.
+TEST_CASE("control: an idle agent is checked once a second, not at each tick")
+{
+    for (const std::size_t agents : {2U, 4U, 8U}) {
+        CAPTURE(agents);
+        ControlSimulation simulation(5, agents);
+        runUntilServed(simulation);
+        // Longer than rebalancing takes to settle.
+        simulation.run(8s);
+        const std::uint64_t before = simulation.coordinator().agentChecks();
+        simulation.run(4s);
+        CHECK(simulation.coordinator().agentChecks() - before <= 5 * agents);
+    }
+}
