The answer to a heartbeat waits for an upstream's first keys

Cause: keys are granted with answers to heartbeats only. Control assigns keys within a fraction of a second after an upstream's first heartbeat, but with heartbeats each 5 s the upstream got them with the next one.

Change: the answer to a heartbeat of an upstream that may hold keys and has none is delayed until keys can be granted, 600 ms at most; upstreams wait for a second. The hold is still counted from the heartbeat's arrival at the earliest.

Test: a restarted upstream that sends a heartbeat each 10 s holds its keys within 3 s.

--- a/src/process/AgentProcess.cpp
+++ b/src/process/AgentProcess.cpp
@@ -114,7 +114,12 @@
     this->state.incarnation = std::to_string(start);
 }
 
-AgentProcess::~AgentProcess() = default;
+AgentProcess::~AgentProcess()
+{
+    for (const auto &[name, held] : this->heldHeartbeats) {
+        this->loop.cancel(held.timer);
+    }
+}
 
 Findings AgentProcess::listen()
 {
@@ -295,6 +300,7 @@
             upstream->sendGrants();
         }
     }
+    this->answerHeldHeartbeats();
 }
 
 LocalUpstream *AgentProcess::localUpstream(std::uint32_t id)
--- a/src/process/AgentProcess.h
+++ b/src/process/AgentProcess.h
@@ -45,6 +45,11 @@
     void answerOperator(const std::shared_ptr<net::Exchange> &exchange);
     /** Handles a heartbeat in the deployment's protocol. */
     void handleHeartbeat(const std::shared_ptr<net::Exchange> &exchange);
+    /** Delays the answer to an upstream's heartbeat until it can be granted keys. */
+    void holdHeartbeat(const UpstreamName &name, const std::shared_ptr<net::Exchange> &exchange, Heartbeat heartbeat);
+    /** Answers the delayed heartbeats of upstreams that can be granted keys now. */
+    void answerHeldHeartbeats();
+    void answerHeldHeartbeat(const UpstreamName &name);
     /** @return whether the sender has another address than configured, or a newer process has replaced it */
     bool isOutdated(const Heartbeat &heartbeat) const;
     LocalUpstream *findByInstance(const std::string &instance);
@@ -75,6 +80,13 @@
     std::unique_ptr<net::HttpServer> operators;
     std::unique_ptr<net::HttpServer> readiness;
     std::map<UpstreamName, std::unique_ptr<LocalUpstream>> upstreams;
+    /** A heartbeat whose answer is delayed. */
+    struct HeldHeartbeat {
+        std::shared_ptr<net::Exchange> exchange;
+        Heartbeat heartbeat;
+        loop::TimerId timer = 0;
+    };
+    std::map<UpstreamName, HeldHeartbeat> heldHeartbeats;
     /** Start of the newest process at each address, as Unix time of its own wall clock. */
     std::map<std::string, std::chrono::milliseconds> newestStartTimes;
     std::unique_ptr<ControlLink> control;
--- a/src/process/AgentProcessUpstreams.cpp
+++ b/src/process/AgentProcessUpstreams.cpp
@@ -12,6 +12,8 @@
 
 /** Maximum number of upstreams beside one agent; announcements of more are refused. */
 constexpr std::size_t MaxUpstreams = 8;
+/** Maximum delay of the answer to a heartbeat; upstreams wait for a second. */
+constexpr std::chrono::milliseconds MaxHeartbeatDelay{600};
 
 constexpr loop::Log Log("agent");
 
@@ -73,7 +75,53 @@
     } else {
         upstream = found->second.get();
     }
-    exchange->answer(this->state.protocol->answerHeartbeat(upstream->applyHeartbeat(heartbeat)));
+    const HeartbeatAnswer answer = upstream->applyHeartbeat(heartbeat);
+    if (upstream->awaitsFirstKeys(heartbeat, answer)) {
+        this->holdHeartbeat({heartbeat.announcement.service, heartbeat.announcement.name}, exchange, heartbeat);
+        return;
+    }
+    exchange->answer(this->state.protocol->answerHeartbeat(answer));
+}
+
+// Guards against an upstream that stays without keys for a whole interval of its heartbeats: control assigns keys within
+// a fraction of a second after the first heartbeat, but they are granted with the answer to a heartbeat only.
+void AgentProcess::holdHeartbeat(const UpstreamName &name,
+                                 const std::shared_ptr<net::Exchange> &exchange,
+                                 Heartbeat heartbeat)
+{
+    this->answerHeldHeartbeat(name);
+    const loop::TimerId timer = this->loop.after(MaxHeartbeatDelay, [this, name] {
+        this->answerHeldHeartbeat(name);
+    });
+    this->heldHeartbeats[name] = {exchange, std::move(heartbeat), timer};
+}
+
+void AgentProcess::answerHeldHeartbeats()
+{
+    std::vector<UpstreamName> answerable;
+    for (const auto &[name, held] : this->heldHeartbeats) {
+        const auto upstream = this->upstreams.find(name);
+        if (upstream == this->upstreams.end() || upstream->second->canGrantKeys()) {
+            answerable.push_back(name);
+        }
+    }
+    for (const UpstreamName &name : answerable) {
+        this->answerHeldHeartbeat(name);
+    }
+}
+
+void AgentProcess::answerHeldHeartbeat(const UpstreamName &name)
+{
+    const auto found = this->heldHeartbeats.find(name);
+    if (found == this->heldHeartbeats.end()) {
+        return;
+    }
+    const HeldHeartbeat held = std::move(found->second);
+    this->heldHeartbeats.erase(found);
+    this->loop.cancel(held.timer);
+    const auto upstream = this->upstreams.find(name);
+    held.exchange->answer(this->state.protocol->answerHeartbeat(
+        upstream == this->upstreams.end() ? HeartbeatAnswer() : upstream->second->answerHeartbeat(held.heartbeat)));
 }
 
 bool AgentProcess::isOutdated(const Heartbeat &heartbeat) const
--- a/src/process/LocalUpstream.h
+++ b/src/process/LocalUpstream.h
@@ -84,6 +84,18 @@
      */
     HeartbeatAnswer applyHeartbeat(const Heartbeat &heartbeat);
 
+    /** @return the answer to an applied heartbeat: the keys that map and lease allow now */
+    HeartbeatAnswer answerHeartbeat(const Heartbeat &heartbeat);
+
+    /** @return whether answerHeartbeat() would grant any keys now */
+    bool canGrantKeys() const;
+
+    /**
+     * @return whether an upstream that may hold keys would be left without any until its next heartbeat, so that the
+     *         answer is worth delaying
+     */
+    bool awaitsFirstKeys(const Heartbeat &heartbeat, const HeartbeatAnswer &answer) const;
+
     /** Ends the upstream: another process has its address, which proves that this one has ended. */
     void markReplaced();
 
@@ -165,6 +177,8 @@
     bool isOutOfService(BootTime now) const;
     bool isServing() const;
     void recordReportedKeys(const Heartbeat &heartbeat);
+    /** @return how long keys granted now may be held; 0 if none may be granted */
+    std::chrono::milliseconds allowedGrantDuration() const;
     /** @return the grants for the answer to a heartbeat; records that the revokes of revoked slices are sent with it */
     std::vector<KeyGrant> grantKeys();
     void recordHeld(const std::vector<KeyGrant> &grants, std::chrono::milliseconds holdFor);
--- a/src/process/LocalUpstreamHolds.cpp
+++ b/src/process/LocalUpstreamHolds.cpp
@@ -87,24 +87,57 @@
     if (differs || startsDraining) {
         this->events.changed();
     }
-    HeartbeatAnswer answer;
     if (!this->grantsByHeartbeat()) {
         this->updateCallGrants();
-        return answer;
+        return {};
     }
-    const auto remainingLease = std::chrono::duration_cast<milliseconds>(this->state.lease.validUntil - now);
-    const auto grantDuration = milliseconds(
+    return this->answerHeartbeat(heartbeat);
+}
+
+milliseconds LocalUpstream::allowedGrantDuration() const
+{
+    const auto remainingLease = std::chrono::duration_cast<milliseconds>(this->state.lease.validUntil - BootClock::now());
+    const auto duration = milliseconds(
         static_cast<milliseconds::rep>(static_cast<double>(remainingLease.count()) / (1 + MaxClockSlowdown)));
-    if (heartbeat.isDeregistration || this->currentStatus != UpstreamStatus::Serving
-        || grantDuration < MinGrantDuration) {
-        return answer;
+    const bool canGrant = this->currentStatus == UpstreamStatus::Serving && duration >= MinGrantDuration;
+    return canGrant ? std::min(duration, MaxGrantDuration) : milliseconds(0);
+}
+
+HeartbeatAnswer LocalUpstream::answerHeartbeat(const Heartbeat &heartbeat)
+{
+    const milliseconds duration = this->allowedGrantDuration();
+    if (heartbeat.isDeregistration || duration.count() == 0) {
+        return {};
     }
+    HeartbeatAnswer answer;
     answer.grants = this->grantKeys();
-    answer.holdFor = std::min(grantDuration, MaxGrantDuration);
-    this->recordHeld(answer.grants, *answer.holdFor);
+    answer.holdFor = duration;
+    this->recordHeld(answer.grants, duration);
     return answer;
 }
 
+bool LocalUpstream::canGrantKeys() const
+{
+    const std::uint32_t own = this->id();
+    const auto slices = this->state.map.slices.find(this->latestAnnouncement.service);
+    if (own == 0 || slices == this->state.map.slices.end() || this->allowedGrantDuration().count() == 0) {
+        return false;
+    }
+    const agent::Ownership &ownership = this->state.ownership;
+    return std::any_of(slices->second.begin(), slices->second.end(), [&](const agent::Slice &slice) {
+        const agent::SliceKey key{this->latestAnnouncement.service, slice.begin, slice.epoch};
+        return slice.owner == own && !ownership.released.contains(key) && !ownership.revoked.contains(key);
+    });
+}
+
+bool LocalUpstream::awaitsFirstKeys(const Heartbeat &heartbeat, const HeartbeatAnswer &answer) const
+{
+    const table::RoutedService *const routed = this->state.table.routes().service(this->latestAnnouncement.service);
+    const bool mayHoldKeys = routed != nullptr && routed->numberedKeys && !routed->grantsByCall;
+    return mayHoldKeys && !heartbeat.isDeregistration && this->takesWork() && heartbeat.held.empty()
+           && answer.grants.empty();
+}
+
 /**
  * Replaces the recorded held keys by those that the upstream reports: its report takes precedence over what it was
  * granted. Stores the handovers of released keys, whose slices may now be released.
--- a/tests/PlatformProcessTest.cpp
+++ b/tests/PlatformProcessTest.cpp
@@ -60,7 +60,9 @@
         return this->net + std::to_string(number);
     }
 
-    void startWorker(int number, const std::string &id)
+    void startWorker(int number,
+                     const std::string &id,
+                     std::chrono::milliseconds heartbeatInterval = std::chrono::milliseconds(150))
     {
         this->workers.push_back(
             std::make_unique<PlatformWorker>(PlatformWorker::Settings{.id = id,
@@ -69,7 +71,8 @@
                                                                       .address = this->ip(number),
                                                                       .port = 8628,
                                                                       .control = this->ip(number) + ":8620",
-                                                                      .grantsByCall = this->grantsByCall}));
+                                                                      .grantsByCall = this->grantsByCall,
+                                                                      .heartbeatInterval = heartbeatInterval}));
     }
 
     std::string common(int number) const
@@ -202,6 +205,23 @@
     REQUIRE(Deployment::waitForExit(machines.agents[0], 3s) == 0);
 }
 
+// Guards against keys unserved for a whole heartbeat interval after the restart of an upstream that rarely sends one.
+TEST_CASE("platform process: a restarted upstream gets its keys with the answer to its first heartbeat", "[process]")
+{
+    Machines machines;
+    REQUIRE(Deployment::eventually(10s, [&] {
+        return machines.order(1, "PUT", "/api/config", manifest("00000003", "00000000")).status == 200;
+    }));
+    REQUIRE(Deployment::eventually(10s, [&] {
+        return keysHeld(*machines.workers[0]) > 20000 && keysHeld(*machines.workers[1]) > 20000;
+    }));
+    machines.workers.erase(machines.workers.begin());
+    machines.startWorker(11, "w11-restarted", 10s);
+    CHECK(Deployment::eventually(3s, [&] {
+        return keysHeld(*machines.workers.back()) > 20000;
+    }));
+}
+
 /*
  * Keys are granted to upstreams by calls. Guards against two holders of a key and against unserved keys: keys move
  * during rebalancing, and an agent is killed while its upstream still holds its grants.
--- a/tests/PlatformWorker.cpp
+++ b/tests/PlatformWorker.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr auto HeartbeatInterval = 150ms;
+constexpr auto FirstHeartbeatDelay = 150ms;
 
 std::string valueOf(const net::HttpRequest &request, const char *name)
 {
@@ -36,7 +36,10 @@
                                                      }))
                        .value();
     this->client = std::make_unique<net::HttpClient>(*this->loop);
-    this->loop->every(HeartbeatInterval, [this] {
+    this->loop->after(FirstHeartbeatDelay, [this] {
+        this->sendHeartbeat();
+    });
+    this->loop->every(this->settings.heartbeatInterval, [this] {
         this->sendHeartbeat();
     });
     this->thread = std::thread([this] {
--- a/tests/PlatformWorker.h
+++ b/tests/PlatformWorker.h
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <atomic>
+#include <chrono>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -33,6 +34,8 @@
         std::string control;
         /** Whether keys are granted by calls; heartbeats don't report keys then. */
         bool grantsByCall = false;
+        /** Time between two heartbeats; the first one is sent 150 ms after the start. */
+        std::chrono::milliseconds heartbeatInterval{150};
     };
 
     explicit PlatformWorker(Settings settings);
