A write to a closed connection no longer ends the process

Cause: frames were written with writev(), which raises SIGPIPE when the peer has closed the connection; the frame sockets had replaced gRPC's, which ignores it.

Change: sendmsg() with MSG_NOSIGNAL.

--- a/src/rpc/FrameSocket.cpp
+++ b/src/rpc/FrameSocket.cpp
@@ -206,7 +206,11 @@
             parts[index].iov_base = const_cast<char *>(this->queue[index]->data()) + skipped;
             parts[index].iov_len = this->queue[index]->size() - skipped;
         }
-        const ssize_t written = this->stream.sendv(parts.data(), static_cast<int>(count));
+        msghdr message{};
+        message.msg_iov = parts.data();
+        message.msg_iovlen = count;
+        // The peer may have closed the connection; writing to it must not raise a signal.
+        const ssize_t written = ::sendmsg(this->stream.get_handle(), &message, MSG_NOSIGNAL);
         if (written < 0) {
             if (isRetryable(errno)) {
                 break;
