Requests that any upstream can run avoid upstreams that are slow at the moment

Cause: in a service of 311 upstreams an agent sends each of them a request every few minutes, so its choice is blind: upstreams differ in speed by three, and for a fifth of the time a VM is three times slower. The power of two choices by observed load needs many requests of one agent to one upstream; it holds only while the fleet is small.

Ways compared: the choice by the agent where a request begins (in place), and a decision at the agent beside the upstream, which knows its work times and the VM's slowness: if the expected work time is above 1.2 of the service's mean, it leaves the request to another upstream, twice at most. Nothing is sent to the upstream then, so it counts neither as a try nor in the budget.

Agents report work times of all services; the leader sends the mean and the headroom of each service back with a renewal each second, 30 bytes a service. Only services below 0.3 of their slots divert, so that busy ones keep their order. The means of reports start as running means instead of the first report's.

--- a/include/agent/AttemptOutcome.h
+++ b/include/agent/AttemptOutcome.h
@@ -15,6 +15,8 @@
     KeyNotHeld,
     /** Shed by the gate or by the upstream. */
     Overloaded,
+    /** Not sent to the upstream, because others of the service are faster at the moment. */
+    Slow,
     /** Shed by the gate at the limit set in the table. */
     OverLimit,
     Quarantined,
--- a/include/agent/RequestState.h
+++ b/include/agent/RequestState.h
@@ -47,6 +47,9 @@
 /** Maximum number of attempts of one request, hedges and retries included; waiting for an owner isn't counted. */
 constexpr unsigned MaxTries = 3;
 
+/** Maximum number of slow upstreams that one request avoids. */
+constexpr unsigned MaxDiversions = 2;
+
 /** Properties of a request that are known when it is accepted. */
 struct RequestFacts {
     std::string service;
@@ -83,6 +86,8 @@
     unsigned lastAttempt = 0;
     /** Number of attempts begun, hedges included. */
     unsigned tries = 0;
+    /** Number of attempts that ended because the upstream was slow; they don't count as tries. */
+    unsigned diversions = 0;
     bool hedged = false;
     /** Whether the next routed attempt is the hedge. */
     bool routingHedge = false;
@@ -92,6 +97,9 @@
     AttemptOutcome lastOutcome = AttemptOutcome::NotOwner;
 };
 
+/** @return whether a slow upstream should leave the request to another one */
+bool mayDivert(const RequestState &state);
+
 /** @return whether the request may be sent again after an earlier send that may have run */
 bool canRetry(const RequestFacts &facts);
 
--- a/include/control/AgentRegistry.h
+++ b/include/control/AgentRegistry.h
@@ -41,6 +41,8 @@
     BootTime startedAt;
     /** A predecessor under this name may still use shares of limits that this leader doesn't know. */
     bool hasUnknownPredecessor = false;
+    /** When the work of all services was last sent to the agent. */
+    BootTime workSentAt;
     /** The version of the state that the agent has applied. */
     wire::Version appliedVersion;
     /** The upstreams announced on the session, by service and name. */
--- a/include/control/Coordinator.h
+++ b/include/control/Coordinator.h
@@ -172,7 +172,9 @@
     double weightOf(const wire::UpstreamInfo &upstream, BootTime now) const;
     void recordMembers(ServicePlan &servicePlan, const std::vector<Member> &members, BootTime now) const;
     /** @return how much more load the members could take before they are busy; see LoadTracker::headroom() */
-    double headroomOf(const std::string &service, const std::vector<Member> &members) const;
+    double headroomOf(const std::string &service, const std::vector<Member> &members, BootTime now) const;
+    /** Summarizes the work of all services for the agents. */
+    void summarizeWork(BootTime now);
     bool proposeSplits(const std::string &service,
                        const SliceMap &map,
                        const std::vector<Member> &members,
@@ -220,6 +222,9 @@
     std::shared_ptr<const wire::ControlMessage> fullState;
     wire::Version fullStateVersion;
     std::uint64_t fullStatesBuilt = 0;
+    /** Work of all services, for the next renewal of each agent. */
+    std::vector<wire::ServiceWork> serviceWork;
+    BootTime workSummarizedAt;
     BootTime lastTickAt;
     std::vector<Action> actions;
 };
--- a/include/control/LoadTracker.h
+++ b/include/control/LoadTracker.h
@@ -57,7 +57,10 @@
      * @param slots the slots of all upstreams of the service together
      * @return 1 if the load isn't known
      */
-    double headroom(const std::string &service, double slots) const;
+    double headroom(const std::string &service, double slots, BootTime now) const;
+
+    /** @return mean over the service's upstreams of the time that each works on a request; 0 if not known */
+    double meanWorkSeconds(const std::string &service) const;
 
     /** Removes all records. */
     void clear();
@@ -72,6 +75,10 @@
     struct WorkTime {
         /** Smoothed mean. */
         double seconds = 0;
+        /** Answers that the mean is based on, up to HalfWeightAnswers. */
+        double answers = 0;
+        /** Smoothed answers a second. */
+        double rate = 0;
         BootTime reportedAt;
     };
 
@@ -81,6 +88,7 @@
         std::unordered_map<std::uint32_t, WorkTime> workTimes;
     };
 
+    static void recordWork(WorkTime &time, const wire::UpstreamWork &work, BootTime now);
     double totalRate(const Service &service) const;
 
     std::map<std::string, Service> services;
--- a/include/process/ParsedRequest.h
+++ b/include/process/ParsedRequest.h
@@ -35,6 +35,8 @@
     std::string requestId;
     std::uint32_t requestedUpstream = 0;
     bool suspect = false;
+    /** Read only from requests of other agents: a slow upstream should leave the request to another one. */
+    bool mayDivert = false;
 };
 
 /** Which port a request arrived at: the one for callers or the one for other agents. */
--- a/src/agent/LoadSketch.cpp
+++ b/src/agent/LoadSketch.cpp
@@ -126,6 +126,8 @@
         ServiceLoad &load = sketch.services[service];
         reportSlices(service, slices, load, ownership, seconds, renew);
         reportHotKeys(service, load, seconds, renew);
+    }
+    for (const auto &[service, load] : sketch.services) {
         reportWork(service, load, map, ownership, renew);
     }
     sketch.services.clear();
--- a/src/agent/RequestStep.cpp
+++ b/src/agent/RequestStep.cpp
@@ -57,6 +57,7 @@
     case AttemptOutcome::NotOwner:
     case AttemptOutcome::KeyNotHeld:
     case AttemptOutcome::Overloaded:
+    case AttemptOutcome::Slow:
     case AttemptOutcome::NotSent:
         return 503;
     default:
@@ -239,6 +240,12 @@
         refuseAttempt(state, actions);
         return;
     }
+    if (state.lastOutcome == AttemptOutcome::Slow) {
+        --state.tries;
+        ++state.diversions;
+        route(state, actions);
+        return;
+    }
     if (isRoutingFailure(state)) {
         const bool canTryAnother = !state.facts.keyed && state.tries < state.facts.maxTries;
         if (canTryAnother) {
@@ -361,6 +368,11 @@
     return facts.repeatable.value_or(isIdempotent(facts.method));
 }
 
+bool mayDivert(const RequestState &state)
+{
+    return !state.facts.keyed && state.diversions < MaxDiversions;
+}
+
 bool isRead(const std::string &method)
 {
     return method == "GET" || method == "HEAD";
--- a/src/control/Coordinator.cpp
+++ b/src/control/Coordinator.cpp
@@ -18,6 +18,8 @@
  */
 constexpr std::size_t MaxFullStatesPerRound = 16;
 
+constexpr std::chrono::seconds WorkSummaryInterval{1};
+
 } // namespace
 
 Coordinator::Coordinator(const CoordinatorSettings &settings, const State &state)
@@ -62,6 +64,8 @@
     this->upstreamsInFlight.clear();
     this->unsettledAgents.clear();
     this->fullState.reset();
+    this->serviceWork.clear();
+    this->workSummarizedAt = {};
     this->allAgentsCheckAt = {};
     this->servicePlans.clear();
     this->batch = {};
@@ -282,6 +286,9 @@
     this->startRound();
     this->retireLost(now);
     this->checkAgents(now);
+    if (now - this->workSummarizedAt >= WorkSummaryInterval) {
+        this->summarizeWork(now);
+    }
     this->forceMovesOfLost(now);
     this->planServices(now);
     this->proposeReleased(now);
--- a/src/control/CoordinatorAgents.cpp
+++ b/src/control/CoordinatorAgents.cpp
@@ -45,6 +45,10 @@
                     now,
                     *message.mutable_renewed());
     }
+    if (agent.workSentAt < this->workSummarizedAt) {
+        agent.workSentAt = this->workSummarizedAt;
+        message.mutable_renewed()->mutable_work()->Assign(this->serviceWork.begin(), this->serviceWork.end());
+    }
     this->send(agent.session, std::move(message));
 }
 
--- a/src/control/CoordinatorMoves.cpp
+++ b/src/control/CoordinatorMoves.cpp
@@ -165,13 +165,34 @@
     servicePlan.rebalanceAtOnce = false;
 }
 
-double Coordinator::headroomOf(const std::string &service, const std::vector<Member> &members) const
+double Coordinator::headroomOf(const std::string &service, const std::vector<Member> &members, BootTime now) const
 {
     double slots = 0;
     for (const Member &member : members) {
         slots += this->state.upstreams().find(member.id)->slots();
     }
-    return this->loadTracker.headroom(service, slots);
+    return this->loadTracker.headroom(service, slots, now);
+}
+
+void Coordinator::summarizeWork(BootTime now)
+{
+    this->workSummarizedAt = now;
+    this->serviceWork.clear();
+    std::map<std::string, double> slots;
+    for (const auto &[id, upstream] : this->state.upstreams().all()) {
+        if (upstream.serving()) {
+            slots[upstream.service()] += upstream.slots();
+        }
+    }
+    for (const auto &[service, serviceSlots] : slots) {
+        wire::ServiceWork work;
+        work.set_service(service);
+        work.set_mean_seconds(static_cast<float>(this->loadTracker.meanWorkSeconds(service)));
+        work.set_headroom(static_cast<float>(this->loadTracker.headroom(service, serviceSlots, now)));
+        if (work.mean_seconds() > 0) {
+            this->serviceWork.push_back(std::move(work));
+        }
+    }
 }
 
 bool Coordinator::proposeSplits(const std::string &service,
@@ -184,7 +205,7 @@
     if (servicePlan.splitInFlight || memberCount == 0) {
         return servicePlan.splitInFlight;
     }
-    const double busyShare = this->headroomOf(service, members) / static_cast<double>(memberCount);
+    const double busyShare = this->headroomOf(service, members, now) / static_cast<double>(memberCount);
     const table::ServicePolicy policy = this->state.tables().table().service(service);
     const SliceSplits splits = planSplits(map,
                                           memberCount * this->settings.slicesPerUpstream,
@@ -248,7 +269,7 @@
     const bool isSettled = now >= servicePlan.membersChangedAt + this->settings.rebalanceDelay;
     // Until the members have settled only orphans move, so any imbalance is tolerated.
     constexpr double AnyImbalance = 1e9;
-    const double tolerance = toleratedImbalance(this->settings.tolerance, this->headroomOf(service, members));
+    const double tolerance = toleratedImbalance(this->settings.tolerance, this->headroomOf(service, members, now));
     return assign(members, slices, isSettled ? tolerance : AnyImbalance);
 }
 
--- a/src/control/LoadTracker.cpp
+++ b/src/control/LoadTracker.cpp
@@ -19,8 +19,8 @@
 constexpr std::chrono::seconds MaxHotKeyAge{10};
 constexpr std::chrono::minutes MaxWorkTimeAge{1};
 /**
- * Number of answers at which a report counts as much as all reports before it. Reports of few answers count less,
- * because work times vary between requests.
+ * Number of answers at which a report counts as much as all reports before it, at most. Reports of few answers count
+ * less, because work times vary between requests.
  */
 constexpr double HalfWeightAnswers = 60;
 /** Bounds of an upstream's relative speed, and so of its target load as a multiple of an equal share. */
@@ -29,8 +29,27 @@
 /** Fraction of the slots in use from which on an upstream is busy. */
 constexpr double BusyUtilization = 0.4;
 
+/** Interval of reports that is assumed for an upstream's first one, and the minimum of later ones. */
+constexpr std::chrono::duration<double> MinReportInterval{0.5};
+constexpr std::chrono::duration<double> FirstReportInterval{1};
+/** Upstreams without an answer for longer are idle. */
+constexpr std::chrono::seconds MaxRateAge{5};
+
 } // namespace
 
+void LoadTracker::recordWork(WorkTime &time, const wire::UpstreamWork &work, BootTime now)
+{
+    const double answers = work.answers();
+    time.seconds += answers / (time.answers + answers) * (work.mean_seconds() - time.seconds);
+    const std::chrono::duration<double> interval =
+        time.answers == 0 ? FirstReportInterval
+                          : std::max<std::chrono::duration<double>>(now - time.reportedAt, MinReportInterval);
+    const double rate = answers / interval.count();
+    time.rate += (time.answers == 0 ? 1 : SmoothingFactor) * (rate - time.rate);
+    time.answers = std::min(time.answers + answers, HalfWeightAnswers);
+    time.reportedAt = now;
+}
+
 void LoadTracker::report(const wire::Renew &renew, BootTime now)
 {
     for (const wire::SliceLoad &load : renew.loads()) {
@@ -41,12 +60,7 @@
         if (!(work.mean_seconds() > 0)) {
             continue;
         }
-        const double answers = work.answers();
-        const auto [known, added] =
-            this->services[work.service()].workTimes.try_emplace(work.upstream(), WorkTime{work.mean_seconds(), now});
-        WorkTime &time = known->second;
-        time.seconds += answers / (answers + HalfWeightAnswers) * (work.mean_seconds() - time.seconds);
-        time.reportedAt = now;
+        recordWork(this->services[work.service()].workTimes[work.upstream()], work, now);
     }
     for (const wire::HotKey &key : renew.hot_keys()) {
         Service &service = this->services[key.service()];
@@ -120,22 +134,34 @@
     return hot;
 }
 
-double LoadTracker::headroom(const std::string &service, double slots) const
+double LoadTracker::headroom(const std::string &service, double slots, BootTime now) const
 {
     const auto found = this->services.find(service);
-    if (found == this->services.end() || found->second.workTimes.empty()) {
+    if (found == this->services.end()) {
         return 1;
     }
-    const double rate = this->totalRate(found->second);
-    if (rate < MinMeasuredRate) {
-        return 1;
+    double rate = 0;
+    double slotsInUse = 0;
+    for (const auto &[upstream, time] : found->second.workTimes) {
+        if (now - time.reportedAt <= MaxRateAge) {
+            rate += time.rate;
+            slotsInUse += time.rate * time.seconds;
+        }
+    }
+    return rate < MinMeasuredRate ? 1 : std::max(1.0, BusyUtilization * slots / slotsInUse);
+}
+
+double LoadTracker::meanWorkSeconds(const std::string &service) const
+{
+    const auto found = this->services.find(service);
+    if (found == this->services.end() || found->second.workTimes.empty()) {
+        return 0;
     }
-    double seconds = 0;
+    double total = 0;
     for (const auto &[upstream, time] : found->second.workTimes) {
-        seconds += time.seconds;
+        total += time.seconds;
     }
-    const double utilization = rate * seconds / static_cast<double>(found->second.workTimes.size()) / slots;
-    return std::max(1.0, BusyUtilization / utilization);
+    return total / static_cast<double>(found->second.workTimes.size());
 }
 
 void LoadTracker::clear()
--- a/src/process/AgentState.h
+++ b/src/process/AgentState.h
@@ -8,6 +8,7 @@
 #include "agent/RetryBudget.h"
 #include "agent/RouteMap.h"
 #include "agent/Router.h"
+#include "agent/SlowUpstream.h"
 #include "process/AgentSettings.h"
 #include "table/Table.h"
 
@@ -35,6 +36,8 @@
     agent::LoadSketch load;
     agent::LimitShares limits;
     std::map<std::string, ServiceState, std::less<>> services;
+    /** Control's reports of the services' work times. */
+    std::map<std::string, agent::ServiceWork, std::less<>> serviceWork;
     pcg32 random;
     /** Addresses for other agents and operators; set once the servers listen. */
     std::string peerAddress;
--- a/src/process/ControlLink.cpp
+++ b/src/process/ControlLink.cpp
@@ -142,6 +142,11 @@
         return;
     }
     agent::applyShares(this->state.limits, renewed, *sentAt, BootClock::now());
+    for (const wire::ServiceWork &work : renewed.work()) {
+        this->state.serviceWork[work.service()] = {.mean = std::chrono::duration<double>(work.mean_seconds()),
+                                                   .headroom = work.headroom(),
+                                                   .receivedAt = BootClock::now()};
+    }
     this->events.renewed();
 }
 
--- a/src/process/LocalUpstream.cpp
+++ b/src/process/LocalUpstream.cpp
@@ -357,9 +357,10 @@
     const BootTime now = BootClock::now();
     if (ended.request.keyed) {
         agent::endWork(this->state.ownership, ended.request.service, ended.request.hash);
-        if (outcome == agent::WorkOutcome::Answered && answeredInFull) {
-            agent::countAnswer(this->state.load, ended.request.service, now - ended.dispatchedAt);
-        }
+    }
+    if (outcome == agent::WorkOutcome::Answered && answeredInFull) {
+        agent::countAnswer(this->state.load, ended.request.service, now - ended.dispatchedAt);
+        agent::recordWork(this->workTime, now - ended.dispatchedAt);
     }
     agent::recordEnd(this->state.crashes, ended.request.fingerprint, answeredInFull);
     agent::finish(this->gate, outcome, now - ended.dispatchedAt, now);
@@ -477,6 +478,15 @@
     return agent::load(this->gate) * (isFresh ? this->slowness : 1);
 }
 
+bool LocalUpstream::isSlowNow() const
+{
+    const auto service = this->state.serviceWork.find(this->latestAnnouncement.service);
+    const BootTime now = BootClock::now();
+    const bool isFresh = now - this->slownessAt < MaxSlownessAge;
+    return service != this->state.serviceWork.end()
+           && agent::isSlowNow(this->workTime, isFresh ? this->slowness : 1, service->second, now);
+}
+
 const agent::AdaptiveLimit &LocalUpstream::limit() const
 {
     return this->gate.limit;
--- a/src/process/LocalUpstream.h
+++ b/src/process/LocalUpstream.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agent/Gate.h"
+#include "agent/SlowUpstream.h"
 #include "loop/EventLoop.h"
 #include "loop/LogEvent.h"
 #include "net/HttpClient.h"
@@ -87,6 +88,9 @@
     /** @return the answer to an applied heartbeat: the keys that map and lease allow now */
     HeartbeatAnswer answerHeartbeat(const Heartbeat &heartbeat);
 
+    /** @return whether a request that another upstream can run is better sent there; see agent::isSlowNow() */
+    bool isSlowNow() const;
+
     /** @return whether answerHeartbeat() would grant any keys now */
     bool canGrantKeys() const;
 
@@ -197,6 +201,7 @@
     LocalUpstreamEvents events;
     net::HttpClient client;
     CallGrants callGrants;
+    agent::WorkTime workTime;
     agent::Gate gate;
     bool canRestoreLimit = true;
     std::map<agent::TicketId, Work> work;
--- a/src/process/RequestRunner.cpp
+++ b/src/process/RequestRunner.cpp
@@ -285,6 +285,12 @@
     request.attempts[action.attempt] = std::move(attempt);
     this->tickets[ticket] = {request.number, action.attempt};
     agent::recordSent(this->state.services[request.state.facts.service].routing, action.upstream, BootClock::now());
+    const bool mayDivert =
+        request.origin == Origin::Peer ? request.parsed.mayDivert : agent::mayDivert(request.state);
+    if (mayDivert && upstream != nullptr && upstream->isSlowNow()) {
+        this->attemptEnded(request.number, action.attempt, AttemptOutcome::Slow, false, {});
+        return;
+    }
     const agent::Admission admission =
         upstream == nullptr
             ? agent::Admission::NotServing
@@ -414,6 +420,9 @@
     addForwarding(call.headers, request.parsed, now);
     call.headers.push_back({HopHeader, "1"});
     call.headers.push_back({UpstreamHeader, std::to_string(action.upstream)});
+    if (agent::mayDivert(request.state)) {
+        call.headers.push_back({DivertHeader, "1"});
+    }
     call.headers.push_back({"Request-Id", request.parsed.requestId + "." + std::to_string(id)});
     call.headers.push_back({"Request-Timeout", std::to_string(left.count())});
     if (agent::isSuspect(this->state.crashes, request.parsed.fingerprint)) {
--- a/src/process/RequestRunnerAnswers.cpp
+++ b/src/process/RequestRunnerAnswers.cpp
@@ -63,6 +63,7 @@
         break;
     }
     case AttemptOutcome::Overloaded:
+    case AttemptOutcome::Slow:
     case AttemptOutcome::OverLimit:
     case AttemptOutcome::NotOwner:
     case AttemptOutcome::KeyNotHeld:
--- a/src/process/RequestText.cpp
+++ b/src/process/RequestText.cpp
@@ -108,6 +108,7 @@
     case agent::AttemptOutcome::KeyNotHeld:
         return {"no owner", "nobody serves this key or service now"};
     case agent::AttemptOutcome::Overloaded:
+    case agent::AttemptOutcome::Slow:
         return {"no room", "the upstream can't serve this request in time"};
     case agent::AttemptOutcome::OverLimit:
         return {"over the limit", "the upstream is at the limit that the table sets"};
@@ -259,6 +260,7 @@
     parsed.originService = headerText(request, OriginHeader);
     parsed.workspace = headerText(request, WorkspaceHeader);
     parsed.facts.repeatable = headerText(request, RepeatableHeader) == "1";
+    parsed.mayDivert = !headerText(request, DivertHeader).empty();
     const std::optional<BootTime> deadline = readDeadline(request, milliseconds(0), now);
     if (parsed.facts.service.empty() || !deadline || *deadline <= now) {
         return badRequest("a forwarded request names no service or has no time left");
--- a/src/process/RequestText.h
+++ b/src/process/RequestText.h
@@ -30,6 +30,8 @@
 /** Priority, target deadline and dispatch deadline in the queue; the deadlines in milliseconds from now. */
 constexpr const char *QueuePriorityHeader = "Bergamotweir-Urgency";
 constexpr const char *RepeatableHeader = "Bergamotweir-Repeatable";
+/** Present if a slow upstream should leave the request to another one. */
+constexpr const char *DivertHeader = "Bergamotweir-Divert";
 constexpr const char *OriginHeader = "Bergamotweir-Origin-Service";
 constexpr const char *WorkspaceHeader = "Bergamotweir-Workspace";
 
--- a/tests/LoadHeadroomTest.cpp
+++ b/tests/LoadHeadroomTest.cpp
@@ -54,15 +54,16 @@
             work.set_service("catalogue");
             work.set_upstream(member.id);
             work.set_mean_seconds(WorkSeconds);
-            work.set_answers(5);
+            work.set_answers(static_cast<std::uint32_t>(std::max(1.0, ratePerMember)));
         }
-        this->loads.report(renew, BootTime(1000s));
+        this->now += 1s;
+        this->loads.report(renew, this->now);
     }
 
     double tolerance() const
     {
         return toleratedImbalance(
-            BaseTolerance, this->loads.headroom("catalogue", Slots * static_cast<double>(this->members.size())));
+            BaseTolerance, this->loads.headroom("catalogue", Slots * static_cast<double>(this->members.size()), this->now));
     }
 
     /** Moves the slices that an assignment with the given tolerance moves. @return their number */
@@ -82,6 +83,7 @@
     LoadTracker loads;
     std::vector<LoadedSlice> slices;
     std::vector<Member> members;
+    BootTime now{1000s};
 
 private:
     std::mt19937 random{7};
--- a/tests/RequestStepTest.cpp
+++ b/tests/RequestStepTest.cpp
@@ -459,3 +459,35 @@
     REQUIRE(world.records == 1);
     REQUIRE_FALSE(world.released);
 }
+
+// Guards against retries spent on slow upstreams: a diverted request was not sent to an upstream, so it neither counts
+// as a try nor takes from the budget.
+TEST_CASE("a request that slow upstreams divert is routed again, twice at most, without counting tries")
+{
+    RequestState state;
+    state.facts = {.service = "bookings", .method = "POST", .deadline = Start + 1s, .maxTries = 1};
+    RetryBudget retries;
+    RetryBudget hedges;
+    pcg32 random{7};
+    const RequestContext context{&retries, &hedges, &random};
+    REQUIRE(step(state, {.kind = EventKind::Accepted}, Start, context).front().kind == ActionKind::Route);
+    const double tokens = retries.tokens;
+    for (std::uint32_t upstream = 1; upstream <= MaxDiversions; ++upstream) {
+        CHECK(mayDivert(state));
+        const auto sent = step(state, {.kind = EventKind::Routed, .upstream = upstream}, Start, context);
+        REQUIRE(sent.front().kind == ActionKind::Forward);
+        const auto next =
+            step(state,
+                 {.kind = EventKind::AttemptEnded, .attempt = sent.front().attempt, .outcome = AttemptOutcome::Slow},
+                 Start,
+                 context);
+        REQUIRE(next.front().kind == ActionKind::Route);
+    }
+    CHECK_FALSE(mayDivert(state));
+    CHECK(state.tries == 0);
+    CHECK(state.tried.size() == MaxDiversions);
+    CHECK(retries.tokens == tokens);
+    state.facts.keyed = true;
+    state.diversions = 0;
+    CHECK_FALSE(mayDivert(state));
+}
