Hot keys by a minimum rate, and a bounded number of messages handed to a replica's socket

"a hot key gets a slice of its own without a refused request": its upstream isn't busy, and with the threshold by headroom a key with most of the requests was not isolated. "a queue that is full drops its oldest messages": 5,000 small messages fitted into the 256 KB handed to the socket.

A socket gets 64 messages at most. Both tests pass unchanged; the new one fails without the rate.

--- a/include/rpc/FrameSocket.h
+++ b/include/rpc/FrameSocket.h
@@ -76,8 +76,9 @@
     bool isReady() const;
     bool isClosed() const;
 
-    /** @return size of the frames that have not been written, in bytes */
+    /** @return size of the frames that have not been written, in bytes, and their number */
     std::size_t queuedBytes() const;
+    std::size_t queuedFrames() const;
 
     /** @return when bytes last arrived; the time of creation if none have */
     BootTime lastReceivedAt() const;
--- a/src/control/CoordinatorMoves.cpp
+++ b/src/control/CoordinatorMoves.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-/** Minimum share of the load of a busy upstream at which a key gets a slice of its own. */
+/** Minimum share of an upstream's target load at which a key gets a slice of its own. */
 constexpr double MinHotKeyShare = 0.25;
 
 wire::SliceRef makeSliceRef(const SliceName &slice, std::uint64_t epoch)
@@ -205,11 +205,11 @@
     if (servicePlan.splitInFlight || memberCount == 0) {
         return servicePlan.splitInFlight;
     }
-    const double busyShare = this->headroomOf(service, members, now) / static_cast<double>(memberCount);
+    const double targetShare = 1.0 / static_cast<double>(memberCount);
     const table::ServicePolicy policy = this->state.tables().table().service(service);
     const SliceSplits splits = planSplits(map,
                                           memberCount * this->settings.slicesPerUpstream,
-                                          this->loadTracker.hotKeys(service, MinHotKeyShare * busyShare, now),
+                                          this->loadTracker.hotKeys(service, MinHotKeyShare * targetShare, now),
                                           this->moveTracker.movingSlices(service),
                                           policy.numberedKeys ? NumberedKeyWidth : 1);
     if (splits.empty()) {
--- a/src/control/LoadTracker.cpp
+++ b/src/control/LoadTracker.cpp
@@ -17,6 +17,8 @@
 /** Part of a slice's load given by its measured rate. Busy keys are adjacent, so the width is a poor estimate. */
 constexpr double MeasuredWeight = 0.8;
 constexpr std::chrono::seconds MaxHotKeyAge{10};
+/** Requests per second of a key below which it is no hot key: a few requests within one second are chance. */
+constexpr double MinHotKeyRate = 5;
 constexpr std::chrono::minutes MaxWorkTimeAge{1};
 /**
  * Number of answers at which a report counts as much as all reports before it, at most. Reports of few answers count
@@ -127,7 +129,7 @@
         return hot;
     }
     for (const auto &[hash, key] : found->second.hotKeys) {
-        if (key.reportedAt + MaxHotKeyAge > now && key.rate >= share * total) {
+        if (key.reportedAt + MaxHotKeyAge > now && key.rate >= std::max(share * total, MinHotKeyRate)) {
             hot.push_back(hash);
         }
     }
--- a/src/rpc/FrameSocket.cpp
+++ b/src/rpc/FrameSocket.cpp
@@ -158,6 +158,11 @@
     return this->bytesQueued;
 }
 
+std::size_t FrameSocket::queuedFrames() const
+{
+    return this->queue.size();
+}
+
 BootTime FrameSocket::lastReceivedAt() const
 {
     return this->receivedAt;
--- a/src/rpc/RaftTransport.cpp
+++ b/src/rpc/RaftTransport.cpp
@@ -19,8 +19,9 @@
 /** Maximum number of messages queued for one peer; the oldest are dropped first, as newer ones supersede them. */
 constexpr std::size_t MaxQueuedPerPeer = 1024;
 
-/** Messages are handed to the socket up to this size; the rest stays in the queue, from which they can be dropped. */
+/** Messages are handed to the socket up to these bounds; the rest stays in the queue, from which they can be dropped. */
 constexpr std::size_t MaxSocketBytes = std::size_t{256} * 1024;
+constexpr std::size_t MaxSocketFrames = 64;
 
 /** Minimum time between two attempts to reach a peer. */
 constexpr std::chrono::milliseconds ReconnectBackoff{50};
@@ -167,7 +168,8 @@
 
 void RaftTransport::Parts::sendQueued(Peer &peer, BootTime now)
 {
-    while (peer.socket && !peer.queue.empty() && peer.socket->queuedBytes() < MaxSocketBytes) {
+    while (peer.socket && !peer.queue.empty() && peer.socket->queuedBytes() < MaxSocketBytes
+           && peer.socket->queuedFrames() < MaxSocketFrames) {
         peer.socket->send(std::move(peer.queue.front()));
         peer.queue.pop_front();
         peer.unconfirmedSince = std::min(peer.unconfirmedSince, now);
--- a/tests/SliceSplitsTest.cpp
+++ b/tests/SliceSplitsTest.cpp
@@ -124,6 +124,20 @@
     REQUIRE(loads.hotKeys("catalogue", 0.1, now + 11s).empty());
 }
 
+// Guards against slices split for chance: with thousands of keys and hundreds of upstreams, two requests for one key
+// within a second are a large share of an upstream's load.
+TEST_CASE("loads: a key with a few requests a second is not hot, however small an upstream's share is")
+{
+    LoadTracker loads;
+    const BootTime now{1000s};
+    for (int beat = 0; beat < 20; ++beat) {
+        loads.report(report(0, 1600, 2), now);
+    }
+    CHECK(loads.hotKeys("catalogue", 0.0007, now).empty());
+    loads.report(report(0, 1600, 6), now);
+    CHECK(loads.hotKeys("catalogue", 0.0007, now).size() == 1);
+}
+
 // One upstream refuses every second request while adjacent keys are busy for five seconds, although other upstreams
 // have free slots. With too much smoothing the load had counted only after ten reports, one per second.
 TEST_CASE("loads: most of what a range that becomes busy carries counts within three reports")
