Under overload, requests of routes with few requests go first

The log of one domain: they arrive at a keyed service that serves a third of its requests. Their time-outs are about a second, so they may wait 100 ms, while those that fill the queue may wait 250 ms: each is refused at the gate within milliseconds. Ruled out: priority (0, as the others), an unknown route (it is found), the table's age.

A longer minimum wait for all was not taken: it changes the queue of every deployment.

--- a/include/agent/QueuePriority.h
+++ b/include/agent/QueuePriority.h
@@ -10,6 +10,8 @@
 struct QueuePriority {
     /** 0 is the highest priority; requests of a lower priority wait for all of a higher one. */
     unsigned priority = 0;
+    /** Within one priority, requests of minor routes are served first; see isMinorRoute(). */
+    bool isMinorRoute = false;
     /** Within one priority the earlier target deadline is served first, so that short requests overtake long ones. */
     BootTime targetDeadline{};
     /** A request not dispatched to an upstream by then is refused, as its answer would be too late to be useful. */
--- a/include/process/ParsedRequest.h
+++ b/include/process/ParsedRequest.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agent/RequestState.h"
+#include "agent/RouteShares.h"
 #include "table/RouteKind.h"
 
 #include <cstdint>
@@ -16,6 +17,8 @@
     std::string key;
     /** Name of the route in the table, for logs and metrics; the service where there are no routes. */
     std::string route;
+    /** Tag of the route; 0 if it isn't known. */
+    agent::RouteTag routeTag = 0;
     /** Kind given by the route; where there are no routes, the method decides. */
     std::optional<table::RouteKind> kind;
     std::string idempotencyKey;
--- a/src/agent/QueuePriority.cpp
+++ b/src/agent/QueuePriority.cpp
@@ -38,7 +38,10 @@
 
 bool hasPriorityOver(const QueuePriority &one, const QueuePriority &other)
 {
-    return std::tie(one.priority, one.targetDeadline) < std::tie(other.priority, other.targetDeadline);
+    if (one.priority != other.priority || one.isMinorRoute == other.isMinorRoute) {
+        return std::tie(one.priority, one.targetDeadline) < std::tie(other.priority, other.targetDeadline);
+    }
+    return one.isMinorRoute;
 }
 
 } // namespace bergamotweir::agent
--- a/src/process/LocalUpstream.cpp
+++ b/src/process/LocalUpstream.cpp
@@ -478,6 +478,13 @@
     return agent::load(this->gate) * (isFresh ? this->slowness : 1);
 }
 
+bool LocalUpstream::countArrival(agent::RouteTag route)
+{
+    const BootTime now = BootClock::now();
+    agent::countRequest(this->routeShares, route, now);
+    return agent::isMinorRoute(this->routeShares, route, now);
+}
+
 bool LocalUpstream::isSlowNow() const
 {
     const auto service = this->state.serviceWork.find(this->latestAnnouncement.service);
--- a/src/process/LocalUpstream.h
+++ b/src/process/LocalUpstream.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agent/Gate.h"
+#include "agent/RouteShares.h"
 #include "agent/SlowUpstream.h"
 #include "loop/EventLoop.h"
 #include "loop/LogEvent.h"
@@ -88,6 +89,9 @@
     /** @return the answer to an applied heartbeat: the keys that map and lease allow now */
     HeartbeatAnswer answerHeartbeat(const Heartbeat &heartbeat);
 
+    /** Counts a request that arrived for the upstream. @return whether its route is minor here */
+    bool countArrival(agent::RouteTag route);
+
     /** @return whether a request that another upstream can run is better sent there; see agent::isSlowNow() */
     bool isSlowNow() const;
 
@@ -202,6 +206,7 @@
     net::HttpClient client;
     CallGrants callGrants;
     agent::WorkTime workTime;
+    agent::RouteShares routeShares;
     agent::Gate gate;
     bool canRestoreLimit = true;
     std::map<agent::TicketId, Work> work;
--- a/src/process/RequestRunner.cpp
+++ b/src/process/RequestRunner.cpp
@@ -93,6 +93,9 @@
     if (request->parsed.targets.timeout.count() > 0) {
         request->parsed.facts.queuePriority = agent::queuePriorityOf(request->parsed.targets, now);
     }
+    if (origin == Origin::Caller) {
+        request->parsed.routeTag = agent::routeTagOf(request->parsed.route);
+    }
     request->state.facts = request->parsed.facts;
     request->acceptedAt = now;
     const RequestNumber number = request->number;
@@ -291,10 +294,13 @@
         this->attemptEnded(request.number, action.attempt, AttemptOutcome::Slow, false, {});
         return;
     }
+    agent::QueuePriority queuePriority = request.state.facts.queuePriority;
+    if (upstream != nullptr) {
+        queuePriority.isMinorRoute = upstream->countArrival(request.parsed.routeTag);
+    }
     const agent::Admission admission =
-        upstream == nullptr
-            ? agent::Admission::NotServing
-            : upstream->enter({ticket, request.state.facts.deadline, request.state.facts.queuePriority});
+        upstream == nullptr ? agent::Admission::NotServing
+                            : upstream->enter({ticket, request.state.facts.deadline, queuePriority});
     if (admission != agent::Admission::Admitted && upstream != nullptr) {
         upstream->describe(
             Log.event(loop::LogLevel::Info,
--- a/src/process/RequestText.cpp
+++ b/src/process/RequestText.cpp
@@ -210,26 +210,31 @@
 
 namespace {
 
-std::string queuePriorityText(const agent::QueuePriority &queuePriority, BootTime now)
+std::string queuePriorityText(const agent::QueuePriority &queuePriority, agent::RouteTag route, BootTime now)
 {
     const auto millisecondsUntil = [&](BootTime time) {
         return std::to_string(std::chrono::duration_cast<milliseconds>(time - now).count());
     };
     return std::to_string(queuePriority.priority) + " " + millisecondsUntil(queuePriority.targetDeadline) + " "
-           + millisecondsUntil(queuePriority.dispatchDeadline);
+           + millisecondsUntil(queuePriority.dispatchDeadline) + " " + std::to_string(route);
 }
 
-/** @return what queuePriorityText() wrote, or the default when the text can't be parsed */
-agent::QueuePriority readQueuePriority(const std::string &text, BootTime now)
+/** Reads what queuePriorityText() wrote; keeps the defaults when the text can't be parsed. */
+void readQueuePriority(const std::string &text, BootTime now, ParsedRequest &parsed)
 {
-    agent::QueuePriority queuePriority;
+    agent::QueuePriority &queuePriority = parsed.facts.queuePriority;
     long targetDeadline = 0;
     long dispatchDeadline = 0;
-    if (std::sscanf(text.c_str(), "%u %ld %ld", &queuePriority.priority, &targetDeadline, &dispatchDeadline) == 3) {
+    if (std::sscanf(text.c_str(),
+                    "%u %ld %ld %hu",
+                    &queuePriority.priority,
+                    &targetDeadline,
+                    &dispatchDeadline,
+                    &parsed.routeTag)
+        >= 3) {
         queuePriority.targetDeadline = now + milliseconds(targetDeadline);
         queuePriority.dispatchDeadline = now + milliseconds(dispatchDeadline);
     }
-    return queuePriority;
 }
 
 } // namespace
@@ -237,7 +242,7 @@
 void addForwarding(std::vector<net::Header> &headers, const ParsedRequest &parsed, BootTime now)
 {
     if (parsed.facts.queuePriority.dispatchDeadline != BootTime::max()) {
-        headers.push_back({QueuePriorityHeader, queuePriorityText(parsed.facts.queuePriority, now)});
+        headers.push_back({QueuePriorityHeader, queuePriorityText(parsed.facts.queuePriority, parsed.routeTag, now)});
     }
     headers.push_back({ServiceHeader, parsed.facts.service});
     if (parsed.facts.keyed) {
@@ -266,7 +271,7 @@
         return badRequest("a forwarded request names no service or has no time left");
     }
     parsed.facts.deadline = *deadline;
-    parsed.facts.queuePriority = readQueuePriority(headerText(request, QueuePriorityHeader), now);
+    readQueuePriority(headerText(request, QueuePriorityHeader), now, parsed);
     if (const std::optional<std::uint64_t> keyHash = readNumber(headerText(request, KeyHashHeader))) {
         parsed.facts.keyed = true;
         parsed.facts.hash = *keyHash;
