--- a/include/control/Coordinator.h
+++ b/include/control/Coordinator.h
@@ -175,10 +175,8 @@
     double headroomOf(const std::string &service, const std::vector<Member> &members, BootTime now) const;
     /** Summarizes the work of all services for the agents. */
     void summarizeWork(BootTime now);
-    bool proposeSplits(const std::string &service,
-                       const SliceMap &map,
-                       const std::vector<Member> &members,
-                       BootTime now);
+    bool
+    proposeSplits(const std::string &service, const SliceMap &map, const std::vector<Member> &members, BootTime now);
     std::vector<SliceMove>
     wantedMoves(const std::string &service, const SliceMap &map, const std::vector<Member> &members, BootTime now);
     /** Reassigns the slices of an upstream whose process has ended to the process that now listens at its address. */
--- a/include/process/HeartbeatTimes.h
+++ b/include/process/HeartbeatTimes.h
@@ -11,7 +11,8 @@
      * hears from the upstream beside it. Two heartbeats may be late.
      */
     std::chrono::milliseconds silence;
-    /** Length of an agent's lease: keys granted with one heartbeat are held until the next one, even if that is late. */
+    /** Length of an agent's lease: keys granted with one heartbeat are held until the next one, even if that is late.
+     */
     std::chrono::milliseconds lease;
     /** Allowance for clock drift over a lease. */
     std::chrono::milliseconds leaseDrift;
--- a/src/process/AgentProcessUpstreams.cpp
+++ b/src/process/AgentProcessUpstreams.cpp
@@ -83,8 +83,8 @@
     exchange->answer(this->state.protocol->answerHeartbeat(answer));
 }
 
-// Guards against an upstream that stays without keys for a whole interval of its heartbeats: control assigns keys within
-// a fraction of a second after the first heartbeat, but they are granted with the answer to a heartbeat only.
+// Guards against an upstream that stays without keys for a whole interval of its heartbeats: control assigns keys
+// within a fraction of a second after the first heartbeat, but they are granted with the answer to a heartbeat only.
 void AgentProcess::holdHeartbeat(const UpstreamName &name,
                                  const std::shared_ptr<net::Exchange> &exchange,
                                  Heartbeat heartbeat)
--- a/src/process/LocalUpstreamHolds.cpp
+++ b/src/process/LocalUpstreamHolds.cpp
@@ -96,7 +96,8 @@
 
 milliseconds LocalUpstream::allowedGrantDuration() const
 {
-    const auto remainingLease = std::chrono::duration_cast<milliseconds>(this->state.lease.validUntil - BootClock::now());
+    const auto remainingLease =
+        std::chrono::duration_cast<milliseconds>(this->state.lease.validUntil - BootClock::now());
     const auto duration = milliseconds(
         static_cast<milliseconds::rep>(static_cast<double>(remainingLease.count()) / (1 + MaxClockSlowdown)));
     const bool canGrant = this->currentStatus == UpstreamStatus::Serving && duration >= MinGrantDuration;
--- a/src/process/RequestRunner.cpp
+++ b/src/process/RequestRunner.cpp
@@ -288,8 +288,7 @@
     request.attempts[action.attempt] = std::move(attempt);
     this->tickets[ticket] = {request.number, action.attempt};
     agent::recordSent(this->state.services[request.state.facts.service].routing, action.upstream, BootClock::now());
-    const bool mayDivert =
-        request.origin == Origin::Peer ? request.parsed.mayDivert : agent::mayDivert(request.state);
+    const bool mayDivert = request.origin == Origin::Peer ? request.parsed.mayDivert : agent::mayDivert(request.state);
     if (mayDivert && upstream != nullptr && upstream->isSlowNow()) {
         this->attemptEnded(request.number, action.attempt, AttemptOutcome::Slow, false, {});
         return;
@@ -298,9 +297,9 @@
     if (upstream != nullptr) {
         queuePriority.isMinorRoute = upstream->countArrival(request.parsed.routeTag);
     }
-    const agent::Admission admission =
-        upstream == nullptr ? agent::Admission::NotServing
-                            : upstream->enter({ticket, request.state.facts.deadline, queuePriority});
+    const agent::Admission admission = upstream == nullptr
+                                           ? agent::Admission::NotServing
+                                           : upstream->enter({ticket, request.state.facts.deadline, queuePriority});
     if (admission != agent::Admission::Admitted && upstream != nullptr) {
         upstream->describe(
             Log.event(loop::LogLevel::Info,
--- a/src/rpc/ClaimClient.cpp
+++ b/src/rpc/ClaimClient.cpp
@@ -115,9 +115,10 @@
         wire::AgentMessage message;
         *message.mutable_claim_call() = call.request;
         replica->send(makeFrame(message));
-        call.timer = this->loop.after(std::min<std::chrono::nanoseconds>(remaining, this->attemptTimeout()), [this, id] {
-            this->handleTimeout(id);
-        });
+        call.timer =
+            this->loop.after(std::min<std::chrono::nanoseconds>(remaining, this->attemptTimeout()), [this, id] {
+                this->handleTimeout(id);
+            });
     }
 
     void handleTimeout(std::uint64_t id)
--- a/src/rpc/ControlService.cpp
+++ b/src/rpc/ControlService.cpp
@@ -244,17 +244,17 @@
                                                                ControlServiceEvents events)
 {
     auto parts = std::make_unique<Parts>(loop, std::move(events));
-    Result<std::unique_ptr<FrameServer>> server = FrameServer::listen(
-        loop,
-        {.address = address, .port = port, .maxFrameBytes = MaxMessageBytes},
-        {.accepted =
-             [parts = parts.get()](std::shared_ptr<FrameSocket> socket) {
-                 parts->accepted(std::move(socket));
-             },
-         .http2 =
-             [parts = parts.get()](int descriptor) {
-                 parts->operators.adopt(descriptor);
-             }});
+    Result<std::unique_ptr<FrameServer>> server =
+        FrameServer::listen(loop,
+                            {.address = address, .port = port, .maxFrameBytes = MaxMessageBytes},
+                            {.accepted =
+                                 [parts = parts.get()](std::shared_ptr<FrameSocket> socket) {
+                                     parts->accepted(std::move(socket));
+                                 },
+                             .http2 =
+                                 [parts = parts.get()](int descriptor) {
+                                     parts->operators.adopt(descriptor);
+                                 }});
     if (!server) {
         return oneFinding("control port", server.error().front().message, "a free port");
     }
--- a/src/rpc/FrameServer.cpp
+++ b/src/rpc/FrameServer.cpp
@@ -133,8 +133,7 @@
     }
     const std::string_view received(start.data(), static_cast<std::size_t>(size));
     if (FramePreface.starts_with(received)) {
-        this->events.accepted(
-            FrameSocket::accept(this->loop, this->release(descriptor), this->settings.maxFrameBytes));
+        this->events.accepted(FrameSocket::accept(this->loop, this->release(descriptor), this->settings.maxFrameBytes));
     } else if (received == Http2Preface && this->events.http2) {
         this->events.http2(this->release(descriptor).get_handle());
     } else {
--- a/src/rpc/GrpcThreads.cpp
+++ b/src/rpc/GrpcThreads.cpp
@@ -24,8 +24,8 @@
     using TaskKey = std::pair<std::chrono::steady_clock::time_point, std::intptr_t>;
 
     /**
-     * gRPC destroys its engine with the last object that uses it, which may be on the engine's own thread. Therefore the
-     * thread belongs to a worker that is never destroyed.
+     * gRPC destroys its engine with the last object that uses it, which may be on the engine's own thread. Therefore
+     * the thread belongs to a worker that is never destroyed.
      */
     static Worker &instance()
     {
@@ -99,10 +99,11 @@
 class OneThreadEngine : public EventEngine
 {
 public:
-    absl::StatusOr<std::unique_ptr<Listener>> CreateListener(Listener::AcceptCallback,
-                                                             absl::AnyInvocable<void(absl::Status)>,
-                                                             const grpc_event_engine::experimental::EndpointConfig &,
-                                                             std::unique_ptr<grpc_event_engine::experimental::MemoryAllocatorFactory>) override
+    absl::StatusOr<std::unique_ptr<Listener>>
+    CreateListener(Listener::AcceptCallback,
+                   absl::AnyInvocable<void(absl::Status)>,
+                   const grpc_event_engine::experimental::EndpointConfig &,
+                   std::unique_ptr<grpc_event_engine::experimental::MemoryAllocatorFactory>) override
     {
         std::abort();
     }
--- a/src/rpc/OperatorService.cpp
+++ b/src/rpc/OperatorService.cpp
@@ -68,9 +68,8 @@
     grpc::AddInsecureChannelFromFd(this->server.get(), descriptor);
 }
 
-grpc::Status OperatorService::Operate(grpc::ServerContext *context,
-                                      const wire::OperatorRequest *request,
-                                      wire::OperatorReply *reply)
+grpc::Status
+OperatorService::Operate(grpc::ServerContext *context, const wire::OperatorRequest *request, wire::OperatorReply *reply)
 {
     struct Answer {
         bool isReady = false;
--- a/src/rpc/OperatorService.h
+++ b/src/rpc/OperatorService.h
@@ -16,8 +16,8 @@
 
 /**
  * The gRPC endpoint of a control replica for operators.
- * Its server starts with the first connection, so a replica that no operator has called runs no thread of gRPC. Owned by
- * ControlService; its methods must be called on the loop's thread.
+ * Its server starts with the first connection, so a replica that no operator has called runs no thread of gRPC. Owned
+ * by ControlService; its methods must be called on the loop's thread.
  */
 class OperatorService : public wire::Control::Service
 {
--- a/src/rpc/RaftTransport.cpp
+++ b/src/rpc/RaftTransport.cpp
@@ -19,7 +19,8 @@
 /** Maximum number of messages queued for one peer; the oldest are dropped first, as newer ones supersede them. */
 constexpr std::size_t MaxQueuedPerPeer = 1024;
 
-/** Messages are handed to the socket up to these bounds; the rest stays in the queue, from which they can be dropped. */
+/** Messages are handed to the socket up to these bounds; the rest stays in the queue, from which they can be dropped.
+ */
 constexpr std::size_t MaxSocketBytes = std::size_t{256} * 1024;
 constexpr std::size_t MaxSocketFrames = 64;
 
@@ -184,9 +185,9 @@
             continue;
         }
         const bool isConnecting = !peer.socket->isReady();
-        const bool hasStalled = isConnecting ? now >= peer.connectedAt + ConnectTimeout
-                                             : peer.unconfirmedSince != BootTime::max()
-                                                   && now - peer.unconfirmedSince >= ReceiptTimeout;
+        const bool hasStalled =
+            isConnecting ? now >= peer.connectedAt + ConnectTimeout
+                         : peer.unconfirmedSince != BootTime::max() && now - peer.unconfirmedSince >= ReceiptTimeout;
         if (hasStalled) {
             this->disconnect(peer, now);
         } else {
@@ -200,14 +201,14 @@
                                                            std::function<void(const wire::RaftMessage &)> received)
 {
     auto parts = std::make_unique<Parts>(loop, std::move(received));
-    Result<std::unique_ptr<FrameServer>> server = FrameServer::listen(
-        loop,
-        {.address = settings.address, .port = settings.port, .maxFrameBytes = MaxMessageBytes},
-        {.accepted =
-             [parts = parts.get()](std::shared_ptr<FrameSocket> socket) {
-                 parts->accepted(std::move(socket));
-             },
-         .http2 = {}});
+    Result<std::unique_ptr<FrameServer>> server =
+        FrameServer::listen(loop,
+                            {.address = settings.address, .port = settings.port, .maxFrameBytes = MaxMessageBytes},
+                            {.accepted =
+                                 [parts = parts.get()](std::shared_ptr<FrameSocket> socket) {
+                                     parts->accepted(std::move(socket));
+                                 },
+                             .http2 = {}});
     if (!server) {
         return oneFinding("raft port " + server.error().front().place, "could not be opened for listening");
     }
--- a/tests/FrameSocketTest.cpp
+++ b/tests/FrameSocketTest.cpp
@@ -28,8 +28,8 @@
                                                                },
                                                            .http2 = {}})
                                      .value());
-        this->client = rpc::FrameSocket::connect(
-            *this->loop, "127.0.0.1:" + std::to_string(this->server->port()), MaxFrameBytes);
+        this->client =
+            rpc::FrameSocket::connect(*this->loop, "127.0.0.1:" + std::to_string(this->server->port()), MaxFrameBytes);
         this->runUntil([this] {
             return this->client->isReady() && this->accepted && this->accepted->isReady();
         });
@@ -65,11 +65,9 @@
     std::signal(SIGPIPE, SIG_DFL);
     Connection connection;
     bool closed = false;
-    connection.client->setEvents({.frame = {},
-                                  .closed =
-                                      [&] {
-                                          closed = true;
-                                      }});
+    connection.client->setEvents({.frame = {}, .closed = [&] {
+                                      closed = true;
+                                  }});
     connection.accepted->close();
     const loop::TimerId writes = connection.loop->every(1ms, [&] {
         connection.client->send(makeText("late"));
@@ -105,11 +103,9 @@
 {
     Connection connection;
     bool closed = false;
-    connection.accepted->setEvents({.frame = {},
-                                    .closed =
-                                        [&] {
-                                            closed = true;
-                                        }});
+    connection.accepted->setEvents({.frame = {}, .closed = [&] {
+                                        closed = true;
+                                    }});
     connection.client->send(std::make_shared<const std::string>(rpc::frameHeader(MaxFrameBytes + 1)));
     connection.runUntil([&] {
         return closed;
--- a/tests/LoadHeadroomTest.cpp
+++ b/tests/LoadHeadroomTest.cpp
@@ -63,7 +63,8 @@
     double tolerance() const
     {
         return toleratedImbalance(
-            BaseTolerance, this->loads.headroom("catalogue", Slots * static_cast<double>(this->members.size()), this->now));
+            BaseTolerance,
+            this->loads.headroom("catalogue", Slots * static_cast<double>(this->members.size()), this->now));
     }
 
     /** Moves the slices that an assignment with the given tolerance moves. @return their number */
@@ -112,8 +113,8 @@
         CAPTURE(memberCount);
         const std::size_t before = movesUnderSteadyLoad(memberCount, LowRate, false);
         const std::size_t after = movesUnderSteadyLoad(memberCount, LowRate, true);
-        WARN("moves of " << memberCount * SlicesPerMember << " slices in " << Seconds << " s: fixed tolerance " << before
-                         << ", by headroom " << after);
+        WARN("moves of " << memberCount * SlicesPerMember << " slices in " << Seconds << " s: fixed tolerance "
+                         << before << ", by headroom " << after);
         CHECK(before > memberCount);
         CHECK(after <= memberCount / 25);
     }
--- a/tests/RouteSharesTest.cpp
+++ b/tests/RouteSharesTest.cpp
@@ -1,5 +1,5 @@
-#include "agent/Gate.h"
 #include "agent/RouteShares.h"
+#include "agent/Gate.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/SlowUpstreamTest.cpp
+++ b/tests/SlowUpstreamTest.cpp
@@ -33,8 +33,8 @@
 };
 
 /**
- * Plays a service with many upstreams of different speeds, whose VMs are three times slower for a fifth of the time, and
- * few requests to each. An upstream is chosen at random and asked to divert slow requests.
+ * Plays a service with many upstreams of different speeds, whose VMs are three times slower for a fifth of the time,
+ * and few requests to each. An upstream is chosen at random and asked to divert slow requests.
  */
 Shares play(unsigned upstreamCount, unsigned maxDiversions)
 {
--- a/tests/ThreadCountTest.cpp
+++ b/tests/ThreadCountTest.cpp
@@ -31,7 +31,8 @@
     Deployment deployment(std::move(plan));
     for (const UpstreamVm &vm : deployment.vms) {
         REQUIRE(Deployment::eventually(10s, [&] {
-            const Ask keyed{.path = "/s/enrolments/x", .headers = {"Routing-Key: class-7", "Idempotency-Key: " + vm.name}};
+            const Ask keyed{.path = "/s/enrolments/x",
+                            .headers = {"Routing-Key: class-7", "Idempotency-Key: " + vm.name}};
             return Deployment::ask(vm, keyed).status == 200;
         }));
     }
