A restarted agent finds the upstream beside it before its next heartbeat

Cause: an agent that restarts learns of its upstream from the next heartbeat, 2.5 s later on average with heartbeats each 5 s.

Change: once control's state has come, the agent asks the upstream that control has registered for its address for its health. If the answer is from the registered process, the agent serves it again at once and presumes that it holds the keys that it owns; the upstream refuses what it doesn't hold. Releases still wait for its report or until every earlier grant has expired.

Test: with heartbeats each 10 s the keys of a killed and restarted agent are served within 2.5 s.

--- a/include/process/AgentProtocol.h
+++ b/include/process/AgentProtocol.h
@@ -32,6 +32,13 @@
  * The protocol between an agent and the callers and upstreams of a deployment. Its functions only translate messages;
  * all decisions are made elsewhere. Instances are constants.
  */
+/** An upstream that was already running when its agent started. */
+struct RecoveredUpstream {
+    Announcement announcement;
+    /** How much longer the upstream is cold. */
+    std::chrono::milliseconds coldFor{0};
+};
+
 struct AgentProtocol {
     /** Parses a caller's request. @return the request, or the answer that refuses it */
     std::variant<ParsedRequest, net::HttpAnswer> (*readRequest)(const net::HttpRequest &request,
@@ -81,6 +88,13 @@
                                 const std::string &path,
                                 std::chrono::milliseconds timeout) = nullptr;
 
+    /**
+     * @return the upstream that control has registered, if @p health is its answer to a health check; nullptr where an
+     *         upstream can't be recognized by it
+     */
+    std::optional<RecoveredUpstream> (*recoverUpstream)(const wire::UpstreamInfo &registered,
+                                                        const net::HttpAnswer &health) = nullptr;
+
     /**
      * Whether upstreams send heartbeats. If so, the answers to heartbeats carry the grants unless the table says
      * otherwise, and a request is cancelled by closing its connection. Otherwise the agent sends orders to the upstream
--- a/include/rpc/RaftTransport.h
+++ b/include/rpc/RaftTransport.h
@@ -49,7 +49,7 @@
     RaftTransport &operator=(const RaftTransport &) = delete;
 
     /** Queues a message; may drop it or older messages. @param address IP:port of the peer */
-    void send(const std::string &address, wire::RaftMessage message);
+    void send(const std::string &address, const wire::RaftMessage &message);
 
     /** @return the TCP port that the transport listens on */
     std::uint16_t port() const;
--- a/src/process/AgentProcess.cpp
+++ b/src/process/AgentProcess.cpp
@@ -235,6 +235,9 @@
         this->control->reportReleased();
     });
     this->runner = std::make_unique<RequestRunner>(this->loop, this->state, std::move(needs));
+    this->recovery = std::make_unique<UpstreamRecovery>(this->loop, this->state, [this](const auto &recovered) {
+        this->addRecovered(recovered);
+    });
     Log.info(this->state.settings.agentName + ": callers on port " + std::to_string(this->callers->port())
              + ", peers on " + std::to_string(this->peers->port()) + ", announcements on "
              + std::to_string(this->announcements->port()) + ", operators on "
@@ -266,6 +269,7 @@
         upstream->restoreLearnedLimit();
     }
     this->rebuildCandidates();
+    this->recovery->update();
     this->sendGrants();
     this->runner->stateChanged();
 }
--- a/src/process/AgentProcess.h
+++ b/src/process/AgentProcess.h
@@ -9,6 +9,7 @@
 #include "process/ControlLink.h"
 #include "process/LocalUpstream.h"
 #include "process/RequestRunner.h"
+#include "process/UpstreamRecovery.h"
 
 #include <map>
 #include <utility>
@@ -45,6 +46,8 @@
     void answerOperator(const std::shared_ptr<net::Exchange> &exchange);
     /** Handles a heartbeat in the deployment's protocol. */
     void handleHeartbeat(const std::shared_ptr<net::Exchange> &exchange);
+    /** Serves an upstream that was already running when this process started. */
+    void addRecovered(const RecoveredUpstream &recovered);
     /** Delays the answer to an upstream's heartbeat until it can be granted keys. */
     void holdHeartbeat(const UpstreamName &name, const std::shared_ptr<net::Exchange> &exchange, Heartbeat heartbeat);
     /** Answers the delayed heartbeats of upstreams that can be granted keys now. */
@@ -90,6 +93,7 @@
     /** Start of the newest process at each address, as Unix time of its own wall clock. */
     std::map<std::string, std::chrono::milliseconds> newestStartTimes;
     std::unique_ptr<ControlLink> control;
+    std::unique_ptr<UpstreamRecovery> recovery;
     std::unique_ptr<RequestRunner> runner;
     BootTime stopStartedAt;
     BootTime outOfRoutingAt;
--- a/src/process/AgentProcessUpstreams.cpp
+++ b/src/process/AgentProcessUpstreams.cpp
@@ -83,6 +83,20 @@
     exchange->answer(this->state.protocol->answerHeartbeat(answer));
 }
 
+void AgentProcess::addRecovered(const RecoveredUpstream &recovered)
+{
+    const Announcement &announcement = recovered.announcement;
+    const bool isKnown = this->newestStartTimes.contains(announcement.address)
+                         || this->upstreams.contains({announcement.service, announcement.name});
+    if (isKnown || this->state.stopping) {
+        // Its heartbeat came first, or that of a process which has replaced it.
+        return;
+    }
+    this->addUpstream(announcement).recover(recovered.coldFor);
+    this->sendGrants();
+    this->runner->stateChanged();
+}
+
 // Guards against an upstream that stays without keys for a whole interval of its heartbeats: control assigns keys
 // within a fraction of a second after the first heartbeat, but they are granted with the answer to a heartbeat only.
 void AgentProcess::holdHeartbeat(const UpstreamName &name,
--- a/src/process/LocalUpstream.h
+++ b/src/process/LocalUpstream.h
@@ -86,6 +86,13 @@
      */
     HeartbeatAnswer applyHeartbeat(const Heartbeat &heartbeat);
 
+    /**
+     * Serves an upstream that the previous process of this agent has granted keys: it is presumed to hold the keys that
+     * it owns, and refuses requests for those that it doesn't hold.
+     * @param coldFor how much longer the upstream is cold
+     */
+    void recover(std::chrono::milliseconds coldFor);
+
     /** @return the answer to an applied heartbeat: the keys that map and lease allow now */
     HeartbeatAnswer answerHeartbeat(const Heartbeat &heartbeat);
 
--- a/src/process/LocalUpstreamHolds.cpp
+++ b/src/process/LocalUpstreamHolds.cpp
@@ -94,6 +94,23 @@
     return this->answerHeartbeat(heartbeat);
 }
 
+void LocalUpstream::recover(milliseconds coldFor)
+{
+    agent::setCold(this->gate, coldFor.count() > 0 ? BootClock::now() + coldFor : BootTime());
+    const std::string &service = this->latestAnnouncement.service;
+    const std::uint32_t own = this->id();
+    const auto slices = this->state.map.slices.find(service);
+    if (own == 0 || slices == this->state.map.slices.end() || !this->grantsByHeartbeat()) {
+        return;
+    }
+    std::vector<agent::HeldRange> &held = this->state.ownership.held[service];
+    for (const agent::Slice &slice : slices->second) {
+        if (slice.owner == own) {
+            held.push_back({slice.begin, agent::lastHashOf(this->state.map, service, slice), slice.epoch});
+        }
+    }
+}
+
 milliseconds LocalUpstream::allowedGrantDuration() const
 {
     const auto remainingLease =
--- a/src/process/ReplicaNode.cpp
+++ b/src/process/ReplicaNode.cpp
@@ -164,7 +164,7 @@
         if (!alreadyForwarded && replica.id() == this->core->leaderId()) {
             wire::RaftMessage copy = message;
             copy.set_to(replica.id());
-            this->transport->send(replica.address(), std::move(copy));
+            this->transport->send(replica.address(), copy);
         }
     }
 }
@@ -211,7 +211,7 @@
 
 void ReplicaNode::Parts::perform(raft::SendMessage &action)
 {
-    this->transport->send(action.address, std::move(action.message));
+    this->transport->send(action.address, action.message);
 }
 
 void ReplicaNode::Parts::perform(raft::ApplyEntry &action)
--- a/src/rpc/RaftTransport.cpp
+++ b/src/rpc/RaftTransport.cpp
@@ -229,7 +229,7 @@
 
 RaftTransport::~RaftTransport() = default;
 
-void RaftTransport::send(const std::string &address, wire::RaftMessage message)
+void RaftTransport::send(const std::string &address, const wire::RaftMessage &message)
 {
     if (message.ByteSizeLong() > MaxMessageBytes) {
         return;
--- a/tests/PlatformProcessTest.cpp
+++ b/tests/PlatformProcessTest.cpp
@@ -222,6 +222,33 @@
     }));
 }
 
+// Guards against keys unserved until the upstream's next heartbeat after the restart of the agent beside it.
+TEST_CASE("platform process: a restarted agent serves the keys of its upstream before the next heartbeat", "[process]")
+{
+    Machines machines;
+    REQUIRE(Deployment::eventually(10s, [&] {
+        return machines.order(1, "PUT", "/api/config", manifest("00000003", "00000000")).status == 200;
+    }));
+    REQUIRE(Deployment::eventually(10s, [&] {
+        return keysHeld(*machines.workers[0]) > 20000 && keysHeld(*machines.workers[1]) > 20000;
+    }));
+    machines.workers.erase(machines.workers.begin());
+    machines.startWorker(11, "w11-restarted", 10s);
+    PlatformWorker &worker = *machines.workers.back();
+    REQUIRE(Deployment::eventually(3s, [&] {
+        return keysHeld(worker) > 20000;
+    }));
+    const auto key = static_cast<unsigned>(worker.held().front()[0]);
+    REQUIRE(machines.served(12, key));
+    Deployment::kill(machines.agents[0]);
+    Deployment::start(machines.agents[0]);
+    const auto startedAt = std::chrono::steady_clock::now();
+    const unsigned ranBefore = worker.ran;
+    REQUIRE(machines.served(12, key));
+    CHECK(std::chrono::steady_clock::now() - startedAt < 2500ms);
+    CHECK(worker.ran > ranBefore);
+}
+
 /*
  * Keys are granted to upstreams by calls. Guards against two holders of a key and against unserved keys: keys move
  * during rebalancing, and an agent is killed while its upstream still holds its grants.
--- a/tests/PlatformWorker.cpp
+++ b/tests/PlatformWorker.cpp
@@ -133,6 +133,10 @@
         exchange->answer(this->release(json::parse(request.body)));
         return;
     }
+    if (request.target == "/health") {
+        exchange->answer({200, {{"X-Upstream-Instance", this->settings.id}}, "ok"});
+        return;
+    }
     const std::string key = valueOf(request, "X-Shard-Key");
     net::HttpAnswer answer;
     answer.headers = {{"X-Request-Id", valueOf(request, "X-Request-Id")}};
--- a/tests/RaftTransportTest.cpp
+++ b/tests/RaftTransportTest.cpp
@@ -35,7 +35,7 @@
         wire::RaftMessage message;
         message.set_term(term);
         message.mutable_snapshot_chunk()->set_data(std::string(bytes, 'x'));
-        this->sender->send(this->address, std::move(message));
+        this->sender->send(this->address, message);
     }
 
     void runUntil(const std::function<bool()> &condition)
