--- a/src/control/LoadTracker.cpp
+++ b/src/control/LoadTracker.cpp
@@ -59,7 +59,7 @@
         rate += SmoothingFactor * (load.rate() - rate);
     }
     for (const wire::UpstreamWork &work : renew.work()) {
-        if (!(work.mean_seconds() > 0)) {
+        if (!(work.mean_seconds() > 0) || work.answers() == 0) {
             continue;
         }
         recordWork(this->services[work.service()].workTimes[work.upstream()], work, now);
