--- a/tests/PlatformProcessTest.cpp
+++ b/tests/PlatformProcessTest.cpp
@@ -1,5 +1,4 @@
-#include "Deployment.h"
-#include "PlatformWorker.h"
+#include "PlatformMachines.h"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -9,166 +8,26 @@
 #include <fstream>
 #include <set>
 #include <thread>
-#include <unistd.h>
 
 using namespace bergamotweir::test;
 using namespace std::chrono_literals;
 using nlohmann::json;
 
-namespace {
-
-constexpr const char *OrderPort = ":8620";
-
-/** Runs the real programs with settings files of the users' machines, each VM at its own loopback address. */
-struct Machines {
-    std::string net = "127." + std::to_string(20 + getpid() % 200) + "." + std::to_string(getpid() / 200 % 250) + ".";
-    std::string folder = std::string(TEST_BINARY_FOLDER) + "/machines-" + std::to_string(getpid());
-    std::vector<Process> controls;
-    std::vector<Process> agents;
-    std::vector<std::unique_ptr<PlatformWorker>> workers;
-    bool grantsByCall = false;
-
-    explicit Machines(bool grantsByCall = false)
-        : grantsByCall(grantsByCall)
-    {
-        std::filesystem::remove_all(this->folder);
-        std::filesystem::create_directories(this->folder);
-        for (int number = 1; number <= 3; ++number) {
-            this->controls.push_back(this->process("control", number, this->controlFile(number, true)));
-            Deployment::start(this->controls.back());
-        }
-        for (int number = 11; number <= 12; ++number) {
-            this->agents.push_back(this->process("agent", number, this->agentFile(number)));
-            Deployment::start(this->agents.back());
-            this->startWorker(number, "w" + std::to_string(number));
-        }
-    }
-
-    ~Machines()
-    {
-        this->workers.clear();
-        for (Process &agent : this->agents) {
-            Deployment::kill(agent);
-        }
-        for (Process &control : this->controls) {
-            Deployment::kill(control);
-        }
-    }
-
-    std::string ip(int number) const
-    {
-        return this->net + std::to_string(number);
-    }
-
-    void startWorker(int number,
-                     const std::string &id,
-                     std::chrono::milliseconds heartbeatInterval = std::chrono::milliseconds(150))
-    {
-        this->workers.push_back(
-            std::make_unique<PlatformWorker>(PlatformWorker::Settings{.id = id,
-                                                                      .service = "seats",
-                                                                      .zone = "z" + std::to_string(number),
-                                                                      .address = this->ip(number),
-                                                                      .port = 8628,
-                                                                      .control = this->ip(number) + ":8620",
-                                                                      .grantsByCall = this->grantsByCall,
-                                                                      .heartbeatInterval = heartbeatInterval}));
-    }
-
-    std::string common(int number) const
-    {
-        return "node_id=n" + std::to_string(number) + "\nip=" + this->ip(number) + "\nzone=z" + std::to_string(number)
-               + "\nlisten.control=" + this->ip(number) + ":8620\ninternal_ports=7600,7615\nseeds=" + this->ip(1)
-               + ":8620," + this->ip(2) + ":8620," + this->ip(3) + ":8620\n";
-    }
-
-    std::string controlFile(int number, bool first) const
-    {
-        return this->common(number) + "bootstrap=" + (first ? "true" : "false") + "\ndata_dir=" + this->folder + "/data"
-               + std::to_string(number) + "\nfault_tolerance.machines=1\n";
-    }
-
-    std::string agentFile(int number) const
-    {
-        return this->common(number) + "listen.inbound=" + this->ip(number)
-               + ":8624\nlisten.outbound=" + this->ip(number) + ":8629\nlisten.ready_addr=" + this->ip(number)
-               + ":8625\nservice=seats\napp_addr=" + this->ip(number) + ":8628\nbounds=grace_s=3\n";
-    }
-
-    Process process(const std::string &role, int number, const std::string &settings) const
-    {
-        const std::string name = this->folder + "/" + role + std::to_string(number);
-        std::ofstream(name + ".conf") << settings;
-        return {{std::string(TEST_BINARY_FOLDER) + "/bergamotweir", "platform", role, "--node-file", name + ".conf"},
-                name + ".log"};
-    }
-
-    /** Sends an order to a control VM and follows a redirect to the leader. */
-    Reply order(int number, const std::string &method, const std::string &path, const std::string &body = {}) const
-    {
-        const Ask ask{.method = method, .path = path, .headers = {"Content-Type: application/json"}, .body = body};
-        Reply reply = Deployment::askAt(this->ip(number) + OrderPort, ask);
-        if (reply.status == 307) {
-            const std::string location = reply.headers["location"];
-            reply = Deployment::askAt(location.substr(7, location.find('/', 7) - 7), ask);
-        }
-        return reply;
-    }
-
-    Reply ask(int number, const std::string &id, unsigned key, const std::string &method = "GET") const
-    {
-        return Deployment::askAt(this->ip(number) + ":8629",
-                                 {.method = method,
-                                  .path = "/book/x?y=1",
-                                  .headers = {"Host: shop.example",
-                                              "X-Request-Id: " + id,
-                                              "X-Deadline-Ms: 1500",
-                                              "X-Shard-Key: " + std::to_string(key)},
-                                  .body = method == "GET" ? "" : "body"});
-    }
-
-    bool served(int number, unsigned key) const
-    {
-        return Deployment::eventually(10s, [&] {
-            return this->ask(number, "warm", key).status == 200;
-        });
-    }
-};
-
-std::string manifest(const std::string &version, const std::string &base, const std::string &grants = "null")
-{
-    return R"({"version":")" + version + R"(","routes":{"columns":["name","host","prefix","kind","timeout_ms",)"
-           + R"("target_latency_ms","priority","attempts","service"],"rows":[["r","shop.example","/book/",)"
-           + R"("non_idempotent",1200,600,1,2,"seats"]]},"services":{"columns":["name","health_path","sharded",)"
-           + R"("grants"],"rows":[["seats","/health",true,)" + grants + R"(]]},"base_version":")" + base + R"("})";
-}
-
-std::uint64_t keysHeld(PlatformWorker &worker)
-{
-    std::uint64_t count = 0;
-    for (const auto &row : worker.held()) {
-        count += row[1] - row[0] + 1;
-    }
-    return count;
-}
-
-} // namespace
-
 // Runs the complete path with the settings files, heartbeats, manifests and header fields of the users' machines.
 TEST_CASE("platform process: a manifest comes into force, every key has one owner, and keys of a killed agent are "
           "served again",
           "[process]")
 {
-    Machines machines;
+    PlatformMachines machines;
     REQUIRE(Deployment::eventually(10s, [&] {
-        return machines.order(1, "PUT", "/api/config", manifest("00000003", "00000000")).status == 200;
+        return machines.order(1, "PUT", "/api/config", platformManifest("00000003", "00000000")).status == 200;
     }));
-    REQUIRE(machines.order(2, "PUT", "/api/config", manifest("00000003", "00000000")).status == 200);
-    REQUIRE(machines.order(3, "PUT", "/api/config", manifest("00000004", "00000002")).status == 412);
-    REQUIRE(machines.order(1, "PUT", "/api/config", manifest("00000002", "00000003")).status == 400);
+    REQUIRE(machines.order(2, "PUT", "/api/config", platformManifest("00000003", "00000000")).status == 200);
+    REQUIRE(machines.order(3, "PUT", "/api/config", platformManifest("00000004", "00000002")).status == 412);
+    REQUIRE(machines.order(1, "PUT", "/api/config", platformManifest("00000002", "00000003")).status == 400);
     const json read = json::parse(machines.order(2, "GET", "/api/config").body);
     REQUIRE(read["version"] == "00000003");
-    REQUIRE(read["routes"] == json::parse(manifest("1", "0"))["routes"]);
+    REQUIRE(read["routes"] == json::parse(platformManifest("1", "0"))["routes"]);
     REQUIRE(machines.served(11, 0));
     REQUIRE(Deployment::askAt(machines.ip(11) + ":8625", {.path = "/api/readiness"}).status == 200);
 
@@ -208,9 +67,9 @@
 // Guards against keys unserved for a whole heartbeat interval after the restart of an upstream that rarely sends one.
 TEST_CASE("platform process: a restarted upstream gets its keys with the answer to its first heartbeat", "[process]")
 {
-    Machines machines;
+    PlatformMachines machines;
     REQUIRE(Deployment::eventually(10s, [&] {
-        return machines.order(1, "PUT", "/api/config", manifest("00000003", "00000000")).status == 200;
+        return machines.order(1, "PUT", "/api/config", platformManifest("00000003", "00000000")).status == 200;
     }));
     REQUIRE(Deployment::eventually(10s, [&] {
         return keysHeld(*machines.workers[0]) > 20000 && keysHeld(*machines.workers[1]) > 20000;
@@ -225,9 +84,9 @@
 // Guards against keys unserved until the upstream's next heartbeat after the restart of the agent beside it.
 TEST_CASE("platform process: a restarted agent serves the keys of its upstream before the next heartbeat", "[process]")
 {
-    Machines machines;
+    PlatformMachines machines;
     REQUIRE(Deployment::eventually(10s, [&] {
-        return machines.order(1, "PUT", "/api/config", manifest("00000003", "00000000")).status == 200;
+        return machines.order(1, "PUT", "/api/config", platformManifest("00000003", "00000000")).status == 200;
     }));
     REQUIRE(Deployment::eventually(10s, [&] {
         return keysHeld(*machines.workers[0]) > 20000 && keysHeld(*machines.workers[1]) > 20000;
@@ -255,9 +114,10 @@
  */
 TEST_CASE("platform process: keys granted by calls are served, moved and held by one upstream at a time", "[process]")
 {
-    Machines machines(true);
+    PlatformMachines machines(true);
     REQUIRE(Deployment::eventually(10s, [&] {
-        return machines.order(1, "PUT", "/api/config", manifest("00000003", "00000000", "\"call\"")).status == 200;
+        return machines.order(1, "PUT", "/api/config", platformManifest("00000003", "00000000", "\"call\"")).status
+               == 200;
     }));
     REQUIRE(machines.served(11, 0));
     REQUIRE(Deployment::eventually(10s, [&] {
@@ -294,9 +154,9 @@
 // A control VM restarts at the same address with an empty disk and must rejoin without "member add".
 TEST_CASE("platform process: a control VM that lost its disk rejoins its group automatically", "[process]")
 {
-    Machines machines;
+    PlatformMachines machines;
     REQUIRE(Deployment::eventually(10s, [&] {
-        return machines.order(1, "PUT", "/api/config", manifest("00000003", "00000000")).status == 200;
+        return machines.order(1, "PUT", "/api/config", platformManifest("00000003", "00000000")).status == 200;
     }));
     Deployment::kill(machines.controls[1]);
     std::filesystem::remove_all(machines.folder + "/data2");
@@ -316,24 +176,24 @@
     }));
     Deployment::kill(machines.controls[2]);
     REQUIRE(Deployment::eventually(10s, [&] {
-        return machines.order(1, "PUT", "/api/config", manifest("00000005", "00000003")).status == 200
-               || machines.order(2, "PUT", "/api/config", manifest("00000005", "00000003")).status == 200;
+        return machines.order(1, "PUT", "/api/config", platformManifest("00000005", "00000003")).status == 200
+               || machines.order(2, "PUT", "/api/config", platformManifest("00000005", "00000003")).status == 200;
     }));
 }
 
 namespace {
 
-/** @return manifest() with two workspaces */
+/** @return platformManifest() with two workspaces */
 std::string workspaceManifest(const std::string &version, const std::string &base, const json &northKeys)
 {
-    json fullManifest = json::parse(manifest(version, base));
+    json fullManifest = json::parse(platformManifest(version, base));
     fullManifest["tenants"]["columns"] = json::array({"name", "api_keys"});
     fullManifest["tenants"]["rows"] =
         json::array({json::array({"north", northKeys}), json::array({"south", json::array({"secret-south-1"})})});
     return fullManifest.dump();
 }
 
-int statusFor(const Machines &machines, int number, const std::string &key)
+int statusFor(const PlatformMachines &machines, int number, const std::string &key)
 {
     static int asked = 0;
     return Deployment::askAt(machines.ip(number) + ":8629",
@@ -351,7 +211,7 @@
 // Guards against callers' keys in logs, metrics and reports, and in data sent to upstreams and agents.
 TEST_CASE("platform process: keys are taken away everywhere, and no key shows in any output", "[process]")
 {
-    Machines machines;
+    PlatformMachines machines;
     REQUIRE(Deployment::eventually(10s, [&] {
         return machines
                    .order(1,
@@ -406,7 +266,7 @@
     constexpr double Burst = 10;
     /** In seconds; the default window of limits, which the settings files do not change. */
     constexpr double Window = 5;
-    Machines machines;
+    PlatformMachines machines;
     json limited = json::parse(workspaceManifest("3", "0", json::array({"secret-north-1"})));
     limited["tenants"]["columns"] = json::array({"name", "api_keys", "rate_per_s", "burst"});
     limited["tenants"]["rows"][0].insert(limited["tenants"]["rows"][0].end(), {Rate, Burst});
