Notices of upstreams are read, logged and counted

An upstream states a rate limit or that it is leaving in header fields of its answers. They were passed on to callers without a trace, so that no log or metric could tell whether an agent knew of a limit, ignored it or applied it alone.

AgentProtocol::readNotice translates the header fields (platform/: Server-Limit, Server-Leaving; the project's own protocol: Upstream-Rate-Limit, Upstream-Leaving). The agent beside the upstream logs each change with the number of requests sent, and counts the requests that its gate sends. No decision depends on it yet.

--- a/include/process/AgentProtocol.h
+++ b/include/process/AgentProtocol.h
@@ -9,6 +9,7 @@
 #include "process/OrderAnswer.h"
 #include "process/ParsedRequest.h"
 #include "process/RequestMetadata.h"
+#include "process/UpstreamNotice.h"
 
 #include <pcg_random.hpp>
 
@@ -28,10 +29,6 @@
     pcg32 *random = nullptr;
 };
 
-/**
- * The protocol between an agent and the callers and upstreams of a deployment. Its functions only translate messages;
- * all decisions are made elsewhere. Instances are constants.
- */
 /** An upstream that was already running when its agent started. */
 struct RecoveredUpstream {
     Announcement announcement;
@@ -39,6 +36,10 @@
     std::chrono::milliseconds coldFor{0};
 };
 
+/**
+ * The protocol between an agent and the callers and upstreams of a deployment. Its functions only translate messages;
+ * all decisions are made elsewhere. Instances are constants.
+ */
 struct AgentProtocol {
     /** Parses a caller's request. @return the request, or the answer that refuses it */
     std::variant<ParsedRequest, net::HttpAnswer> (*readRequest)(const net::HttpRequest &request,
@@ -71,6 +72,9 @@
     /** @return current slowdown factor of the upstream's VM relative to its usual speed, if the answer states one */
     std::optional<double> (*readSlowness)(const net::HttpAnswer &answer) = nullptr;
 
+    /** @return what the upstream states about itself with its answer, or what is wrong with the statement */
+    Result<UpstreamNotice> (*readNotice)(const net::HttpAnswer &answer) = nullptr;
+
     /** Parses an upstream's heartbeat. */
     Result<Heartbeat> (*readHeartbeat)(const net::HttpRequest &request) = nullptr;
 
--- /dev/null
+++ b/include/process/UpstreamNotice.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <optional>
+
+namespace bergamotweir::process {
+
+/** What an upstream states about itself with an answer. */
+struct UpstreamNotice {
+    /** Requests per second that it accepts from all agents together; nullopt if it states no limit. */
+    std::optional<double> rateLimit;
+    /** It ends soon, and takes no new requests. */
+    bool isLeaving = false;
+
+    bool operator==(const UpstreamNotice &other) const = default;
+};
+
+} // namespace bergamotweir::process
--- a/src/process/AgentMetrics.cpp
+++ b/src/process/AgentMetrics.cpp
@@ -68,6 +68,12 @@
         family(registry, BuildGauge(), "retry_budget", "Retries that the budget allows at present, by service.");
     prometheus::Family<prometheus::Histogram> &time =
         family(registry, BuildHistogram(), "request_seconds", "Where requests spend their time, by service.");
+    prometheus::Family<prometheus::Counter> &upstreamRequests =
+        family(registry, BuildCounter(), "upstream_requests_total", "Requests sent to the upstream, by service.");
+    prometheus::Family<prometheus::Gauge> &upstreamRateLimit =
+        family(registry, BuildGauge(), "upstream_rate_limit", "Requests per second that the upstream allows; 0: any.");
+    prometheus::Family<prometheus::Gauge> &upstreamsLeaving =
+        family(registry, BuildGauge(), "upstreams_leaving", "Upstreams that are leaving, by service.");
     prometheus::Counter &connections =
         family(registry, BuildCounter(), "connections_opened_total", "Connections opened to the upstream.").Add({});
     prometheus::Counter &lateHeartbeats =
@@ -123,6 +129,18 @@
         .Observe(std::chrono::duration<double>(time).count());
 }
 
+void AgentMetrics::requestSent(const std::string &service)
+{
+    this->parts->upstreamRequests.Add({{"service", Parts::boundedLabel(this->parts->services, service)}}).Increment();
+}
+
+void AgentMetrics::upstreamNotices(const std::string &service, double rateLimit, unsigned leaving)
+{
+    const std::string name = Parts::boundedLabel(this->parts->services, service);
+    this->parts->upstreamRateLimit.Add({{"service", name}}).Set(rateLimit);
+    this->parts->upstreamsLeaving.Add({{"service", name}}).Set(leaving);
+}
+
 void AgentMetrics::connectionsOpened(std::uint64_t total)
 {
     // The counter keeps connections to upstreams that have been removed; it never decreases.
--- a/src/process/AgentMetrics.h
+++ b/src/process/AgentMetrics.h
@@ -45,6 +45,13 @@
     void refused(std::string_view reason);
     void retried(const std::string &service, double budgetLeft);
     void spent(TimeSpent where, const std::string &service, std::chrono::nanoseconds time);
+    /** Counts a request sent to the upstream beside this agent. */
+    void requestSent(const std::string &service);
+    /**
+     * Sets what the upstreams of a service beside this agent state about themselves.
+     * @param rateLimit requests per second; 0 if they state no limit
+     */
+    void upstreamNotices(const std::string &service, double rateLimit, unsigned leaving);
     void connectionsOpened(std::uint64_t total);
     void heartbeatLate();
     void recordReleasedSlices(std::uint64_t slices);
--- a/src/process/AgentProcess.cpp
+++ b/src/process/AgentProcess.cpp
@@ -327,12 +327,7 @@
     }
     if (std::optional<net::HttpAnswer> answer = this->report.answer(target, this->gauges())) {
         if (target == "/metrics") {
-            std::uint64_t connections = 0;
-            for (const auto &[name, upstream] : this->upstreams) {
-                connections += upstream->connectionsOpened();
-            }
-            this->metrics.connectionsOpened(connections);
-            this->metrics.revision(this->appliedRevision, BootClock::now() - this->revisionAppliedAt);
+            this->updateMetrics();
             answer->body += this->metrics.text();
         }
         exchange->answer(std::move(*answer));
@@ -341,6 +336,29 @@
     exchange->answer(net::problem(404, "not found", "/healthz, /metrics, /burn, /burn?json", net::RequestRan::No));
 }
 
+void AgentProcess::updateMetrics()
+{
+    struct Notices {
+        double rateLimit = 0;
+        unsigned leaving = 0;
+    };
+    std::uint64_t connections = 0;
+    std::map<std::string, Notices> notices;
+    for (const auto &[name, upstream] : this->upstreams) {
+        connections += upstream->connectionsOpened();
+        Notices &service = notices[name.first];
+        if (upstream->status() != UpstreamStatus::Crashed) {
+            service.rateLimit += upstream->notice().rateLimit.value_or(0);
+            service.leaving += upstream->notice().isLeaving ? 1 : 0;
+        }
+    }
+    for (const auto &[service, stated] : notices) {
+        this->metrics.upstreamNotices(service, stated.rateLimit, stated.leaving);
+    }
+    this->metrics.connectionsOpened(connections);
+    this->metrics.revision(this->appliedRevision, BootClock::now() - this->revisionAppliedAt);
+}
+
 std::string AgentProcess::healthJson() const
 {
     nlohmann::json health = {{"agent", this->state.settings.agentName},
--- a/src/process/AgentProcess.h
+++ b/src/process/AgentProcess.h
@@ -67,6 +67,8 @@
     bool isOutOfRouting() const;
     void continueStop();
     std::vector<report::Metric> gauges() const;
+    /** Sets the metrics that are computed when they are read. */
+    void updateMetrics();
     std::string healthJson() const;
 
     loop::EventLoop &loop;
--- a/src/process/LocalUpstream.cpp
+++ b/src/process/LocalUpstream.cpp
@@ -235,6 +235,7 @@
     entry.address = upstreamAddress(this->latestAnnouncement);
     call.address = entry.address;
     call.timeout = entry.request.deadline - now;
+    this->sentCount++;
     entry.call = this->client.send(std::move(call), [this, ticket](net::CallResult result) {
         this->answered(ticket, std::move(result));
     });
@@ -283,6 +284,7 @@
             this->slowness = *reported;
             this->slownessAt = this->lastAnswerAt;
         }
+        this->readNotice(result.answer);
         if (attempt.outcome == agent::AttemptOutcome::KeyNotHeld) {
             this->handleKeyNotHeld(found->second.request);
         }
@@ -308,6 +310,28 @@
     }
 }
 
+void LocalUpstream::readNotice(const net::HttpAnswer &answer)
+{
+    const Result<UpstreamNotice> read = this->state.protocol->readNotice(answer);
+    if (!read) {
+        Log.warn(this->latestAnnouncement.name + ": malformed notice ignored: " + toText(read.error()));
+        return;
+    }
+    const UpstreamNotice &notice = read.value();
+    if (notice == this->latestNotice) {
+        return;
+    }
+    loop::LogEvent event = Log.event(loop::LogLevel::Info, "upstream notice", loop::RoutineBound);
+    event.with("upstream", this->latestAnnouncement.name)
+        .with("leaving", notice.isLeaving)
+        .with("sent", this->sentCount)
+        .with("in_progress", this->gate.inProgress);
+    if (notice.rateLimit) {
+        event.with("rate_limit", *notice.rateLimit);
+    }
+    this->latestNotice = notice;
+}
+
 /**
  * Keeps cancelled or failed work counted, so that a key never has two owners: the request may still run at the
  * upstream, and its slice must not be released to another one meanwhile. The work counts until the upstream confirms
@@ -504,6 +528,16 @@
     return this->client.connectionsOpened();
 }
 
+std::uint64_t LocalUpstream::requestsSent() const
+{
+    return this->sentCount;
+}
+
+const UpstreamNotice &LocalUpstream::notice() const
+{
+    return this->latestNotice;
+}
+
 std::size_t LocalUpstream::inProgress() const
 {
     return this->work.size();
--- a/src/process/LocalUpstream.h
+++ b/src/process/LocalUpstream.h
@@ -8,6 +8,7 @@
 #include "net/HttpClient.h"
 #include "process/CallGrants.h"
 #include "process/Heartbeat.h"
+#include "process/UpstreamNotice.h"
 #include "process/UpstreamProtocol.h"
 
 #include <control.pb.h>
@@ -173,6 +174,12 @@
     /** @return number of connections opened to the upstream since the start */
     std::uint64_t connectionsOpened() const;
 
+    /** @return number of requests sent to the upstream since the start */
+    std::uint64_t requestsSent() const;
+
+    /** @return what the upstream stated about itself last */
+    const UpstreamNotice &notice() const;
+
     /** @return number of requests in progress, including abandoned ones that may still be running */
     std::size_t inProgress() const;
 
@@ -182,6 +189,8 @@
     void checkHealth(bool needsNewConnection);
     void healthAnswered(const net::CallResult &result);
     void answered(agent::TicketId ticket, net::CallResult result);
+    /** Reads and logs what the upstream states about itself with an answer. */
+    void readNotice(const net::HttpAnswer &answer);
     /** Marks work as abandoned; requests its cancellation where upstreams send no heartbeats. */
     void abandon(agent::TicketId ticket);
     void requestCancel(agent::TicketId ticket);
@@ -228,6 +237,8 @@
     std::optional<std::uint64_t> sequence;
     /** When a heartbeat first reported that the upstream is draining. */
     BootTime drainStartedAt;
+    UpstreamNotice latestNotice;
+    std::uint64_t sentCount = 0;
     /** Slowdown factor that the upstream's VM reported last, and when. */
     double slowness = 1;
     BootTime slownessAt;
--- a/src/process/OwnProtocol.cpp
+++ b/src/process/OwnProtocol.cpp
@@ -34,6 +34,11 @@
     return std::nullopt;
 }
 
+Result<UpstreamNotice> readOwnNotice(const net::HttpAnswer &answer)
+{
+    return readNotice(answer);
+}
+
 net::HttpCall ownHealthCall(const std::string &address, const std::string &, std::chrono::milliseconds timeout)
 {
     return healthCall(address, timeout);
@@ -52,6 +57,7 @@
         .addRequestMetadata = addRequestMetadata,
         .readAttemptResult = readAttemptResult,
         .readSlowness = readNoSlowness,
+        .readNotice = readOwnNotice,
         .readHeartbeat = nullptr,
         .answerHeartbeat = nullptr,
         .healthCall = ownHealthCall,
--- a/src/process/RequestRunner.cpp
+++ b/src/process/RequestRunner.cpp
@@ -392,6 +392,9 @@
     order.deadline = request.state.facts.deadline;
     order.originService = request.parsed.originService;
     order.workspace = request.parsed.workspace;
+    if (this->needs.metrics != nullptr) {
+        this->needs.metrics->requestSent(order.service);
+    }
     const RequestNumber number = request.number;
     const unsigned id = action.attempt;
     upstream->dispatch(attempt.ticket, std::move(order), [this, number, id](DispatchResult result) {
--- a/src/process/UpstreamProtocol.cpp
+++ b/src/process/UpstreamProtocol.cpp
@@ -2,6 +2,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <charconv>
+#include <cmath>
+
 namespace bergamotweir::process {
 
 namespace {
@@ -148,6 +151,25 @@
     return result.outcome == net::CallOutcome::Answered ? readAnswer(result.answer) : readUnanswered(result);
 }
 
+Result<UpstreamNotice> readNotice(const net::HttpAnswer &answer, const NoticeHeaders &names)
+{
+    UpstreamNotice notice;
+    const std::string *const leaving = net::findHeader(answer.headers, names.leaving);
+    notice.isLeaving = leaving != nullptr && *leaving == "1";
+    const std::string *const limit = net::findHeader(answer.headers, names.rateLimit);
+    if (limit == nullptr) {
+        return notice;
+    }
+    double perSecond = 0;
+    const char *const last = limit->data() + limit->size();
+    const auto [end, error] = std::from_chars(limit->data(), last, perSecond, std::chars_format::fixed);
+    if (error != std::errc() || end != last || !std::isfinite(perSecond) || perSecond < 0) {
+        return oneFinding(names.rateLimit, "is not a decimal number of 0 or more: " + *limit);
+    }
+    notice.rateLimit = perSecond;
+    return notice;
+}
+
 AttemptResult readUnanswered(const net::CallResult &result)
 {
     switch (result.outcome) {
--- a/src/process/UpstreamProtocol.h
+++ b/src/process/UpstreamProtocol.h
@@ -5,6 +5,7 @@
 #include "net/HttpCall.h"
 #include "process/Announcement.h"
 #include "process/RequestMetadata.h"
+#include "process/UpstreamNotice.h"
 
 #include <cstdint>
 #include <string>
@@ -54,6 +55,19 @@
  */
 AttemptResult readAttemptResult(const net::CallResult &result);
 
+/** Names of the header fields by which an upstream states a notice. */
+struct NoticeHeaders {
+    const char *rateLimit = "Upstream-Rate-Limit";
+    const char *leaving = "Upstream-Leaving";
+};
+
+/**
+ * Reads what an upstream states about itself with an answer.
+ * @param names the header fields; the defaults are those of the project's own protocol
+ * @return the notice, or a finding if the limit isn't a decimal number of 0 or more
+ */
+Result<UpstreamNotice> readNotice(const net::HttpAnswer &answer, const NoticeHeaders &names = {});
+
 /** @return how a request without a complete answer ended; the same in every protocol */
 AttemptResult readUnanswered(const net::CallResult &result);
 
--- a/tests/AgentMetricsTest.cpp
+++ b/tests/AgentMetricsTest.cpp
@@ -15,6 +15,8 @@
     metrics.connectionsOpened(5);
     metrics.connectionsOpened(3);
     metrics.revision(9, 2s);
+    metrics.requestSent("catalogue");
+    metrics.upstreamNotices("catalogue", 12.5, 1);
     const std::string text = metrics.text();
     CHECK(text.find("bergamotweir_requests_total{kind=\"idempotent\",outcome=\"answered\",route=\"browse\","
                     "status=\"200\"} 2")
@@ -26,6 +28,9 @@
           != std::string::npos);
     CHECK(text.find("bergamotweir_connections_opened_total 5") != std::string::npos);
     CHECK(text.find("bergamotweir_routes_revision 9") != std::string::npos);
+    CHECK(text.find("bergamotweir_upstream_requests_total{service=\"catalogue\"} 1") != std::string::npos);
+    CHECK(text.find("bergamotweir_upstream_rate_limit{service=\"catalogue\"} 12.5") != std::string::npos);
+    CHECK(text.find("bergamotweir_upstreams_leaving{service=\"catalogue\"} 1") != std::string::npos);
 }
 
 TEST_CASE("metrics: thousands of routes make a bounded number of series")
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -316,6 +316,22 @@
     REQUIRE(readResult(200, {signedBy, {"X-Not-Executed", "1"}}).mayHaveRun);
 }
 
+TEST_CASE("platform: the rate limit and the leaving notice of a worker are read from its answers")
+{
+    const auto read = [](std::vector<net::Header> headers) {
+        return platform::agentProtocol().readNotice({200, std::move(headers), ""});
+    };
+    CHECK(read({}).value() == process::UpstreamNotice{});
+    CHECK(read({{"server-limit", "12.7"}}).value() == process::UpstreamNotice{.rateLimit = 12.7});
+    CHECK(read({{"Server-Limit", "0"}, {"Server-Leaving", "1"}}).value()
+          == process::UpstreamNotice{.rateLimit = 0, .isLeaving = true});
+    CHECK_FALSE(read({{"Server-Leaving", "0"}}).value().isLeaving);
+    for (const char *malformed : {"", "many", "-1", "nan", "inf", "1e3", "12.7 "}) {
+        CAPTURE(malformed);
+        CHECK_FALSE(read({{"Server-Limit", malformed}}));
+    }
+}
+
 TEST_CASE("platform: a refusal promises that the request didn't run only if that is certain")
 {
     pcg32 random(1);
