Failing tests: rate limit and leaving notice of an upstream

What was seen on this commit: 3,015 requests in 4 s at an upstream that states 10 a second (allowed 65); 1,093 requests to a leaving upstream after its drain time from agents cut off from control, and 1,568 after a restart of the agent beside it.

--- a/tests/PlatformWorker.cpp
+++ b/tests/PlatformWorker.cpp
@@ -74,6 +74,12 @@
     return this->rows;
 }
 
+std::vector<std::chrono::steady_clock::time_point> PlatformWorker::arrivals()
+{
+    const std::lock_guard guard(this->mutex);
+    return this->arrivalTimes;
+}
+
 bool PlatformWorker::holds(std::uint64_t key)
 {
     const auto rows = this->held();
@@ -137,9 +143,19 @@
         exchange->answer({200, {{"X-Upstream-Instance", this->settings.id}}, "ok"});
         return;
     }
+    {
+        const std::lock_guard guard(this->mutex);
+        this->arrivalTimes.push_back(std::chrono::steady_clock::now());
+    }
     const std::string key = valueOf(request, "X-Shard-Key");
     net::HttpAnswer answer;
     answer.headers = {{"X-Request-Id", valueOf(request, "X-Request-Id")}};
+    if (this->rateLimit >= 0) {
+        answer.headers.push_back({"Server-Limit", std::to_string(this->rateLimit)});
+    }
+    if (this->isLeaving) {
+        answer.headers.push_back({"Server-Leaving", "1"});
+    }
     if (valueOf(request, "X-Expected-Instance") != this->settings.id
         || (!key.empty() && !this->holds(std::stoull(key)))) {
         ++this->misdirected;
--- a/tests/PlatformWorker.h
+++ b/tests/PlatformWorker.h
@@ -46,6 +46,14 @@
     /** @return rows of first key, last key and epoch that are held now */
     std::vector<std::array<std::uint64_t, 3>> held();
 
+    /** @return when each request arrived, refused ones included */
+    std::vector<std::chrono::steady_clock::time_point> arrivals();
+
+    /** Stated in each answer as the rate limit; none if below 0. */
+    std::atomic<double> rateLimit{-1};
+    /** Whether each answer states that the worker is leaving. Heartbeats don't report it. */
+    std::atomic<bool> isLeaving{false};
+
     /** Number of requests served. */
     std::atomic<unsigned> ran{0};
     /** Number of requests refused because the key was not held or the request was for another process. */
@@ -69,6 +77,7 @@
     std::mutex mutex;
     std::vector<std::array<std::uint64_t, 3>> rows;
     std::vector<GrantedRange> grantedRanges;
+    std::vector<std::chrono::steady_clock::time_point> arrivalTimes;
     nlohmann::json releasedRows = nlohmann::json::array();
     std::chrono::steady_clock::time_point heldUntil;
     std::uint64_t sequence = 0;
