Gates apply the rate limit that an upstream states

What callers and upstreams saw: an upstream that stated 12.1 requests a second got 89 in 4 s, one that stated 5.3 got 142; allowed were 78 and 37. Cause: the limit came in a header field of answers, which agents passed on like any other; nothing acted on it. The class of fault: a statement of the other side that is relayed and not obeyed. Ruled out: agents that apply the limit one by one (the rate did not fall), and ways to the upstream beside its gate (upstream_requests_total equals the arrivals).

Change: the gate beside the upstream, which all requests pass, holds a token bucket at the stated rate (agent::StatedRateLimit). It needs no other agent and no control. Requests that any upstream can run are diverted, twice at most and without using up a try; a request for a key waits if its token comes in time and is refused at once otherwise, with the reason rate-limited.

--- a/include/agent/AttemptOutcome.h
+++ b/include/agent/AttemptOutcome.h
@@ -19,6 +19,8 @@
     Slow,
     /** Shed by the gate at the limit set in the table. */
     OverLimit,
+    /** Not sent because of the rate limit that the upstream states. */
+    RateLimited,
     Quarantined,
     /** No connection could be made; no byte was sent. */
     NotSent,
--- a/include/agent/Gate.h
+++ b/include/agent/Gate.h
@@ -3,6 +3,7 @@
 #include "agent/AdaptiveLimit.h"
 #include "agent/GateSettings.h"
 #include "agent/QueuePriority.h"
+#include "agent/StatedRateLimit.h"
 
 #include <cstdint>
 #include <deque>
@@ -28,6 +29,8 @@
     Overloaded,
     /** As Overloaded, while the limit set in the table is reached. */
     OverLimit,
+    /** As Overloaded, because of the rate limit that the upstream states. */
+    RateLimited,
     /** The upstream accepts no requests at present; set by the gate's owner. */
     NotServing
 };
@@ -76,6 +79,7 @@
     BootTime coldUntil;
     /** No further request is dispatched to a cold upstream before this point. */
     BootTime nextColdDispatchAt;
+    StatedRateLimit rateLimit;
     /** Smoothed mean time that the upstream works on a request; 0 when not known. */
     std::chrono::nanoseconds serviceTime{0};
 };
@@ -86,7 +90,7 @@
 /** Applies a changed table or announcement; requests in progress are not affected. */
 void configure(Gate &gate, const GateSettings &settings);
 
-/** Resets the gate for a new incarnation of the upstream, which is cold and has no connections. */
+/** Resets the gate for a new incarnation of the upstream, which is cold, has no connections and states no limit. */
 void restart(Gate &gate, BootTime now);
 
 /**
@@ -96,6 +100,9 @@
  */
 void setCold(Gate &gate, BootTime until);
 
+/** Records that a request was admitted but will not be sent, before finish() ends it. */
+void returnUnsent(Gate &gate, BootTime now);
+
 /**
  * Decides about an arriving request. It is refused at once when it can't be served in time, or when the queue is full
  * of requests that have priority over it. A request with priority displaces the last one of a full queue.
--- a/include/agent/RequestState.h
+++ b/include/agent/RequestState.h
@@ -47,7 +47,7 @@
 /** Maximum number of attempts of one request, hedges and retries included; waiting for an owner isn't counted. */
 constexpr unsigned MaxTries = 3;
 
-/** Maximum number of slow upstreams that one request avoids. */
+/** Maximum number of slow or rate-limited upstreams that one request avoids. */
 constexpr unsigned MaxDiversions = 2;
 
 /** Properties of a request that are known when it is accepted. */
@@ -86,7 +86,7 @@
     unsigned lastAttempt = 0;
     /** Number of attempts begun, hedges included. */
     unsigned tries = 0;
-    /** Number of attempts that ended because the upstream was slow; they don't count as tries. */
+    /** Number of attempts that ended because the upstream was slow or rate-limited; they don't count as tries. */
     unsigned diversions = 0;
     bool hedged = false;
     /** Whether the next routed attempt is the hedge. */
@@ -97,7 +97,7 @@
     AttemptOutcome lastOutcome = AttemptOutcome::NotOwner;
 };
 
-/** @return whether a slow upstream should leave the request to another one */
+/** @return whether a slow or rate-limited upstream should leave the request to another one */
 bool mayDivert(const RequestState &state);
 
 /** @return whether the request may be sent again after an earlier send that may have run */
--- a/src/agent/AttemptOutcome.cpp
+++ b/src/agent/AttemptOutcome.cpp
@@ -13,12 +13,13 @@
     std::string_view name;
 };
 
-constexpr std::array<NamedOutcome, 13> NamedOutcomes{{{AttemptOutcome::Answered, "answered"},
+constexpr std::array<NamedOutcome, 14> NamedOutcomes{{{AttemptOutcome::Answered, "answered"},
                                                       {AttemptOutcome::NotOwner, "not-owner"},
                                                       {AttemptOutcome::KeyNotHeld, "disowned"},
                                                       {AttemptOutcome::Overloaded, "no-room"},
                                                       {AttemptOutcome::Slow, "slow"},
                                                       {AttemptOutcome::OverLimit, "over-limit"},
+                                                      {AttemptOutcome::RateLimited, "rate-limited"},
                                                       {AttemptOutcome::Quarantined, "quarantined"},
                                                       {AttemptOutcome::NotSent, "not-sent"},
                                                       {AttemptOutcome::ConnectionLost, "broken"},
--- a/src/agent/Gate.cpp
+++ b/src/agent/Gate.cpp
@@ -49,7 +49,8 @@
 
 bool isPaced(const Gate &gate, BootTime now)
 {
-    return coldInterval(gate, now).count() > 0 && now < gate.nextColdDispatchAt;
+    const bool isColdPaced = coldInterval(gate, now).count() > 0 && now < gate.nextColdDispatchAt;
+    return isColdPaced || now < nextSendAt(gate.rateLimit, 0);
 }
 
 bool canDispatch(const Gate &gate, BootTime now)
@@ -62,11 +63,15 @@
     takeConnection(gate, now);
     const nanoseconds interval = coldInterval(gate, now);
     gate.nextColdDispatchAt = std::max(gate.nextColdDispatchAt + interval, now + interval);
+    takeToken(gate.rateLimit, now);
     gate.inProgress++;
 }
 
-Admission shedReason(const Gate &gate)
+Admission shedReason(const Gate &gate, bool isRateLimited)
 {
+    if (isRateLimited) {
+        return Admission::RateLimited;
+    }
     const bool atTableLimit = gate.settings.ceilingIsTableLimit && gate.inProgress >= gate.settings.ceiling;
     return atTableLimit ? Admission::OverLimit : Admission::Overloaded;
 }
@@ -82,6 +87,12 @@
            + interval * static_cast<nanoseconds::rep>(ahead);
 }
 
+/** @return the time that a request arriving now would wait because of the upstream's stated rate limit */
+nanoseconds expectedRateWait(const Gate &gate, std::size_t ahead, BootTime now)
+{
+    return std::max<nanoseconds>(nextSendAt(gate.rateLimit, ahead) - now, nanoseconds(0));
+}
+
 /** @return when processQueue() will shed a waiting request because of its dispatch deadline */
 BootTime expiresAt(const Ticket &waiting)
 {
@@ -124,6 +135,8 @@
         return "no-room";
     case Admission::OverLimit:
         return "over-limit";
+    case Admission::RateLimited:
+        return "rate-limited";
     case Admission::NotServing:
         break;
     }
@@ -148,6 +161,7 @@
 {
     startCold(gate.limit, now);
     gate.idleConnections = 0;
+    clearStatement(gate.rateLimit);
 }
 
 void setCold(Gate &gate, BootTime until)
@@ -155,16 +169,22 @@
     gate.coldUntil = until;
 }
 
+void returnUnsent(Gate &gate, BootTime now)
+{
+    returnToken(gate.rateLimit, now);
+}
+
 Admission previewAdmission(const Gate &gate, const Ticket &ticket, BootTime now)
 {
     if (gate.queue.empty() && canDispatch(gate, now)) {
         return Admission::Admitted;
     }
     const std::size_t ahead = queuePosition(gate, ticket);
-    const nanoseconds wait = std::max(expectedWait(gate, ahead), expectedColdWait(gate, ahead, now));
+    const nanoseconds rateWait = expectedRateWait(gate, ahead, now);
+    const nanoseconds wait = std::max({expectedWait(gate, ahead), expectedColdWait(gate, ahead, now), rateWait});
     if ((isFull(gate) && ahead == gate.queue.size()) || wait > gate.settings.maxWait
         || now + wait > ticket.queuePriority.dispatchDeadline || !isInTime(gate, ticket.deadline, now + wait)) {
-        return shedReason(gate);
+        return shedReason(gate, rateWait.count() > 0 && wait == rateWait);
     }
     return Admission::Queued;
 }
@@ -275,7 +295,7 @@
     const BootTime connection = gate.idleConnections > 0 ? BootTime() : gate.nextConnection;
     const BootTime coldDispatchAt =
         gate.settings.maxColdRate > 0 ? std::min(gate.nextColdDispatchAt, gate.coldUntil) : BootTime();
-    return std::min(expiry, std::max(connection, coldDispatchAt));
+    return std::min(expiry, std::max({connection, coldDispatchAt, nextSendAt(gate.rateLimit, 0)}));
 }
 
 std::chrono::nanoseconds expectedWait(const Gate &gate, std::size_t ahead)
--- a/src/agent/RequestStep.cpp
+++ b/src/agent/RequestStep.cpp
@@ -58,6 +58,7 @@
     case AttemptOutcome::KeyNotHeld:
     case AttemptOutcome::Overloaded:
     case AttemptOutcome::Slow:
+    case AttemptOutcome::RateLimited:
     case AttemptOutcome::NotSent:
         return 503;
     default:
@@ -240,7 +241,12 @@
         refuseAttempt(state, actions);
         return;
     }
-    if (state.lastOutcome == AttemptOutcome::Slow) {
+    if (state.lastOutcome == AttemptOutcome::RateLimited && !mayDivert(state)) {
+        // The gate has counted how long the request would wait for its turn; asking again would not shorten that.
+        refuseAttempt(state, actions);
+        return;
+    }
+    if (state.lastOutcome == AttemptOutcome::Slow || state.lastOutcome == AttemptOutcome::RateLimited) {
         --state.tries;
         ++state.diversions;
         route(state, actions);
--- a/src/process/BodyIntake.cpp
+++ b/src/process/BodyIntake.cpp
@@ -70,6 +70,8 @@
         return this->refusal(agent::AttemptOutcome::NotOwner);
     case agent::Admission::Overloaded:
         return this->refusal(agent::AttemptOutcome::Overloaded);
+    case agent::Admission::RateLimited:
+        return this->refusal(agent::AttemptOutcome::RateLimited);
     case agent::Admission::OverLimit:
         return this->refusal(agent::AttemptOutcome::OverLimit);
     }
--- a/src/process/LocalUpstream.cpp
+++ b/src/process/LocalUpstream.cpp
@@ -210,7 +210,8 @@
         .with("service_time_ms", this->gate.serviceTime)
         .with("slowness", this->slowness)
         .with("slowness_age_ms", BootClock::now() - this->slownessAt)
-        .with("cold", BootClock::now() < this->gate.coldUntil);
+        .with("cold", BootClock::now() < this->gate.coldUntil)
+        .with("rate_limit", this->gate.rateLimit.perSecond.value_or(0));
 }
 
 void LocalUpstream::dispatch(agent::TicketId ticket, Dispatch request, std::function<void(DispatchResult)> done)
@@ -246,7 +247,9 @@
 
 void LocalUpstream::giveBack(agent::TicketId)
 {
-    agent::finish(this->gate, agent::WorkOutcome::Lost, {}, BootClock::now());
+    const BootTime now = BootClock::now();
+    agent::returnUnsent(this->gate, now);
+    agent::finish(this->gate, agent::WorkOutcome::Lost, {}, now);
     this->dispatchQueue();
 }
 
@@ -284,7 +287,7 @@
             this->slowness = *reported;
             this->slownessAt = this->lastAnswerAt;
         }
-        this->readNotice(result.answer);
+        this->readNotice(result.answer, found->second.dispatchedAt);
         if (attempt.outcome == agent::AttemptOutcome::KeyNotHeld) {
             this->handleKeyNotHeld(found->second.request);
         }
@@ -310,7 +313,7 @@
     }
 }
 
-void LocalUpstream::readNotice(const net::HttpAnswer &answer)
+void LocalUpstream::readNotice(const net::HttpAnswer &answer, BootTime sentAt)
 {
     const Result<UpstreamNotice> read = this->state.protocol->readNotice(answer);
     if (!read) {
@@ -318,6 +321,7 @@
         return;
     }
     const UpstreamNotice &notice = read.value();
+    agent::recordStatement(this->gate.rateLimit, notice.rateLimit, sentAt, BootClock::now());
     if (notice == this->latestNotice) {
         return;
     }
@@ -499,7 +503,8 @@
 double LocalUpstream::load() const
 {
     const bool isFresh = BootClock::now() - this->slownessAt < MaxSlownessAge;
-    return agent::load(this->gate) * (isFresh ? this->slowness : 1);
+    const double slotLoad = agent::load(this->gate) * (isFresh ? this->slowness : 1);
+    return std::max(slotLoad, agent::rateLoad(this->gate.rateLimit, this->gate.queue.size(), BootClock::now()));
 }
 
 bool LocalUpstream::countArrival(agent::RouteTag route)
@@ -518,6 +523,11 @@
            && agent::isSlowNow(this->workTime, isFresh ? this->slowness : 1, service->second, now);
 }
 
+bool LocalUpstream::isRateLimitedNow() const
+{
+    return agent::nextSendAt(this->gate.rateLimit, this->gate.queue.size()) > BootClock::now();
+}
+
 const agent::AdaptiveLimit &LocalUpstream::limit() const
 {
     return this->gate.limit;
--- a/src/process/LocalUpstream.h
+++ b/src/process/LocalUpstream.h
@@ -103,6 +103,9 @@
     /** @return whether a request that another upstream can run is better sent there; see agent::isSlowNow() */
     bool isSlowNow() const;
 
+    /** @return whether a request would wait now because of the rate limit that the upstream states */
+    bool isRateLimitedNow() const;
+
     /** @return whether answerHeartbeat() would grant any keys now */
     bool canGrantKeys() const;
 
@@ -189,8 +192,8 @@
     void checkHealth(bool needsNewConnection);
     void healthAnswered(const net::CallResult &result);
     void answered(agent::TicketId ticket, net::CallResult result);
-    /** Reads and logs what the upstream states about itself with an answer. */
-    void readNotice(const net::HttpAnswer &answer);
+    /** Applies what the upstream states about itself with the answer to a request sent at @p sentAt. */
+    void readNotice(const net::HttpAnswer &answer, BootTime sentAt);
     /** Marks work as abandoned; requests its cancellation where upstreams send no heartbeats. */
     void abandon(agent::TicketId ticket);
     void requestCancel(agent::TicketId ticket);
--- a/src/process/RequestRunner.cpp
+++ b/src/process/RequestRunner.cpp
@@ -289,8 +289,9 @@
     this->tickets[ticket] = {request.number, action.attempt};
     agent::recordSent(this->state.services[request.state.facts.service].routing, action.upstream, BootClock::now());
     const bool mayDivert = request.origin == Origin::Peer ? request.parsed.mayDivert : agent::mayDivert(request.state);
-    if (mayDivert && upstream != nullptr && upstream->isSlowNow()) {
-        this->attemptEnded(request.number, action.attempt, AttemptOutcome::Slow, false, {});
+    if (mayDivert && upstream != nullptr && (upstream->isSlowNow() || upstream->isRateLimitedNow())) {
+        const AttemptOutcome reason = upstream->isSlowNow() ? AttemptOutcome::Slow : AttemptOutcome::RateLimited;
+        this->attemptEnded(request.number, action.attempt, reason, false, {});
         return;
     }
     agent::QueuePriority queuePriority = request.state.facts.queuePriority;
@@ -324,6 +325,9 @@
     case agent::Admission::OverLimit:
         this->attemptEnded(request.number, action.attempt, AttemptOutcome::OverLimit, false, {});
         break;
+    case agent::Admission::RateLimited:
+        this->attemptEnded(request.number, action.attempt, AttemptOutcome::RateLimited, false, {});
+        break;
     }
 }
 
--- a/src/process/RequestRunnerAnswers.cpp
+++ b/src/process/RequestRunnerAnswers.cpp
@@ -65,6 +65,7 @@
     case AttemptOutcome::Overloaded:
     case AttemptOutcome::Slow:
     case AttemptOutcome::OverLimit:
+    case AttemptOutcome::RateLimited:
     case AttemptOutcome::NotOwner:
     case AttemptOutcome::KeyNotHeld:
     case AttemptOutcome::Quarantined:
--- a/src/process/RequestText.cpp
+++ b/src/process/RequestText.cpp
@@ -112,6 +112,8 @@
         return {"no room", "the upstream can't serve this request in time"};
     case agent::AttemptOutcome::OverLimit:
         return {"over the limit", "the upstream is at the limit that the table sets"};
+    case agent::AttemptOutcome::RateLimited:
+        return {"no room", "the upstream states a rate limit, which is used up"};
     case agent::AttemptOutcome::Quarantined:
         return {"quarantined", "this request crashed upstreams"};
     case agent::AttemptOutcome::NotSent:
--- a/tests/RequestStepTest.cpp
+++ b/tests/RequestStepTest.cpp
@@ -462,8 +462,9 @@
 
 // Guards against retries spent on slow upstreams: a diverted request was not sent to an upstream, so it neither counts
 // as a try nor takes from the budget.
-TEST_CASE("a request that slow upstreams divert is routed again, twice at most, without counting tries")
+TEST_CASE("a request that slow or rate-limited upstreams divert is routed again, twice at most, without counting tries")
 {
+    const AttemptOutcome outcome = GENERATE(AttemptOutcome::Slow, AttemptOutcome::RateLimited);
     RequestState state;
     state.facts = {.service = "bookings", .method = "POST", .deadline = Start + 1s, .maxTries = 1};
     RetryBudget retries;
@@ -476,11 +477,10 @@
         CHECK(mayDivert(state));
         const auto sent = step(state, {.kind = EventKind::Routed, .upstream = upstream}, Start, context);
         REQUIRE(sent.front().kind == ActionKind::Forward);
-        const auto next =
-            step(state,
-                 {.kind = EventKind::AttemptEnded, .attempt = sent.front().attempt, .outcome = AttemptOutcome::Slow},
-                 Start,
-                 context);
+        const auto next = step(state,
+                               {.kind = EventKind::AttemptEnded, .attempt = sent.front().attempt, .outcome = outcome},
+                               Start,
+                               context);
         REQUIRE(next.front().kind == ActionKind::Route);
     }
     CHECK_FALSE(mayDivert(state));
@@ -491,3 +491,25 @@
     state.diversions = 0;
     CHECK_FALSE(mayDivert(state));
 }
+
+// Guards against a key's request that asks its owner again although the gate knows that no token comes in time.
+TEST_CASE("a keyed request that its owner's rate limit refuses is refused at once")
+{
+    RequestState state;
+    state.facts = {.service = "seats", .method = "GET", .keyed = true, .deadline = Start + 1s};
+    RetryBudget retries;
+    RetryBudget hedges;
+    pcg32 random{7};
+    const RequestContext context{&retries, &hedges, &random};
+    step(state, {.kind = EventKind::Accepted}, Start, context);
+    const auto sent = step(state, {.kind = EventKind::Routed, .upstream = 1}, Start, context);
+    const auto ended =
+        step(state,
+             {.kind = EventKind::AttemptEnded, .attempt = sent.front().attempt, .outcome = AttemptOutcome::RateLimited},
+             Start,
+             context);
+    REQUIRE(ended.front().kind == ActionKind::Refuse);
+    CHECK(ended.front().refusal.status == 503);
+    CHECK(ended.front().refusal.ran == Ran::No);
+    CHECK(ended.front().refusal.retryAfter);
+}
