A leaving upstream gets no requests, cut off from control and after restarts too

What callers and upstreams saw: an upstream that states in its answers that it is leaving got 1,093 requests in the 1.5 s after the 2 s in which it may get any, from agents cut off from control, and 1,568 in 5 s once the agent beside it had been restarted. Cause: the statement was relayed and not read; only heartbeats took an upstream out of use, and only as long as its agent lived. Same class of fault as the rate limit.

Change: the agent beside the upstream treats the statement as it treats a draining heartbeat; each agent that has passed on such an answer keeps its own record (agent::LeavingUpstreams), avoids the upstream at once where another can run the request and sends it nothing after a second; control keeps the fact for the incarnation, so that a restarted agent can't bring the upstream back. Weighed: one of the three places alone; each fails under one of the troubles above. A malformed limit no longer hides a leaving notice in the same answer.

Tests: 'platform process: a leaving upstream...' (two) failed before and pass; LeavingUpstreamsTest.

--- a/include/process/AgentProtocol.h
+++ b/include/process/AgentProtocol.h
@@ -72,8 +72,8 @@
     /** @return current slowdown factor of the upstream's VM relative to its usual speed, if the answer states one */
     std::optional<double> (*readSlowness)(const net::HttpAnswer &answer) = nullptr;
 
-    /** @return what the upstream states about itself with its answer, or what is wrong with the statement */
-    Result<UpstreamNotice> (*readNotice)(const net::HttpAnswer &answer) = nullptr;
+    /** @return what the upstream states about itself with its answer */
+    UpstreamNotice (*readNotice)(const net::HttpAnswer &answer) = nullptr;
 
     /** Parses an upstream's heartbeat. */
     Result<Heartbeat> (*readHeartbeat)(const net::HttpRequest &request) = nullptr;
--- a/include/process/UpstreamNotice.h
+++ b/include/process/UpstreamNotice.h
@@ -8,6 +8,8 @@
 struct UpstreamNotice {
     /** Requests per second that it accepts from all agents together; nullopt if it states no limit. */
     std::optional<double> rateLimit;
+    /** It states a limit that can't be read. */
+    bool hasMalformedLimit = false;
     /** It ends soon, and takes no new requests. */
     bool isLeaving = false;
 
--- a/src/control/CoordinatorAgents.cpp
+++ b/src/control/CoordinatorAgents.cpp
@@ -97,6 +97,12 @@
     upstream.set_agent(agent.name);
     upstream.set_failure_domain(agent.failureDomain);
     upstream.set_agent_incarnation(agent.incarnation);
+    const wire::UpstreamInfo *const registered = this->state.upstreams().find(upstream.service(), upstream.name());
+    if (registered != nullptr && registered->leaving() && registered->incarnation() == upstream.incarnation()) {
+        // Announced by an agent that has restarted since the upstream stated it.
+        upstream.set_leaving(true);
+        upstream.set_serving(false);
+    }
     agent.announced[{upstream.service(), upstream.name()}] = std::move(upstream);
     this->unsettledAgents.insert(agent.name);
 }
--- a/src/process/AgentProcess.cpp
+++ b/src/process/AgentProcess.cpp
@@ -267,6 +267,7 @@
     for (const auto &[name, upstream] : this->upstreams) {
         upstream->applyTable();
         upstream->restoreLearnedLimit();
+        upstream->restoreLeaving();
     }
     this->rebuildCandidates();
     this->recovery->update();
@@ -349,7 +350,7 @@
         Notices &service = notices[name.first];
         if (upstream->status() != UpstreamStatus::Crashed) {
             service.rateLimit += upstream->notice().rateLimit.value_or(0);
-            service.leaving += upstream->notice().isLeaving ? 1 : 0;
+            service.leaving += upstream->takesWork() ? 0 : 1;
         }
     }
     for (const auto &[service, stated] : notices) {
--- a/src/process/AgentState.h
+++ b/src/process/AgentState.h
@@ -2,6 +2,7 @@
 
 #include "agent/CrashTracker.h"
 #include "agent/Lease.h"
+#include "agent/LeavingUpstreams.h"
 #include "agent/LimitShares.h"
 #include "agent/LoadSketch.h"
 #include "agent/Ownership.h"
@@ -35,6 +36,7 @@
     agent::CrashTracker crashes;
     agent::LoadSketch load;
     agent::LimitShares limits;
+    agent::LeavingUpstreams leaving;
     std::map<std::string, ServiceState, std::less<>> services;
     /** Control's reports of the services' work times. */
     std::map<std::string, agent::ServiceWork, std::less<>> serviceWork;
--- a/src/process/LocalUpstream.cpp
+++ b/src/process/LocalUpstream.cpp
@@ -19,8 +19,6 @@
 /** Time past its deadline for which abandoned work counts if its end isn't confirmed. */
 constexpr milliseconds AbandonedWorkGrace{1000};
 constexpr milliseconds SilenceCheckInterval{500};
-/** Time for which a draining upstream still gets requests: those in flight while other agents are notified. */
-constexpr milliseconds DrainServeTime{1000};
 /** Time for which an upstream in a failure domain marked out still gets requests in flight or without alternative. */
 constexpr milliseconds MarkedOutServeTime{3500};
 /** Maximum age of a reported slowness: a VM's speed changes several times a second. */
@@ -134,6 +132,8 @@
         this->processEnded();
         agent::restart(this->gate, now);
         this->canRestoreLimit = false;
+        this->latestNotice = {};
+        this->leavingSince = BootTime();
     }
     const bool differs = announcement != this->latestAnnouncement;
     this->latestAnnouncement = announcement;
@@ -172,6 +172,30 @@
         BootClock::now());
 }
 
+void LocalUpstream::restoreLeaving()
+{
+    const wire::UpstreamInfo *const known = agent::findUpstream(this->state.map, this->id());
+    if (known == nullptr || !known->leaving() || known->incarnation() != this->latestAnnouncement.incarnation) {
+        return;
+    }
+    // Nothing tells when the upstream stated it, so it gets no more requests at all.
+    if (this->recordLeaving("control", BootClock::now() - agent::LeavingServeTime)) {
+        this->events.changed();
+    }
+}
+
+bool LocalUpstream::recordLeaving(const char *source, BootTime now)
+{
+    if (this->leavingSince != BootTime()) {
+        return false;
+    }
+    this->leavingSince = now;
+    Log.event(loop::LogLevel::Info, "upstream is leaving")
+        .with("upstream", this->latestAnnouncement.name)
+        .with("stated_in", source);
+    return true;
+}
+
 agent::Admission LocalUpstream::enter(const agent::Ticket &ticket)
 {
     if (!this->isServing()) {
@@ -315,19 +339,21 @@
 
 void LocalUpstream::readNotice(const net::HttpAnswer &answer, BootTime sentAt)
 {
-    const Result<UpstreamNotice> read = this->state.protocol->readNotice(answer);
-    if (!read) {
-        Log.warn(this->latestAnnouncement.name + ": malformed notice ignored: " + toText(read.error()));
-        return;
+    const UpstreamNotice notice = this->state.protocol->readNotice(answer);
+    // A limit that can't be read neither changes nor ends the one in force.
+    if (!notice.hasMalformedLimit) {
+        agent::recordStatement(this->gate.rateLimit, notice.rateLimit, sentAt, BootClock::now());
+    }
+    if (notice.isLeaving && this->recordLeaving("answer", BootClock::now())) {
+        this->events.changed();
     }
-    const UpstreamNotice &notice = read.value();
-    agent::recordStatement(this->gate.rateLimit, notice.rateLimit, sentAt, BootClock::now());
     if (notice == this->latestNotice) {
         return;
     }
     loop::LogEvent event = Log.event(loop::LogLevel::Info, "upstream notice", loop::RoutineBound);
     event.with("upstream", this->latestAnnouncement.name)
         .with("leaving", notice.isLeaving)
+        .with("malformed_limit", notice.hasMalformedLimit)
         .with("sent", this->sentCount)
         .with("in_progress", this->gate.inProgress);
     if (notice.rateLimit) {
@@ -399,7 +425,7 @@
 /** @return whether it gets no more work: the serve time since its drain or its failure domain's mark out has passed */
 bool LocalUpstream::isOutOfService(BootTime now) const
 {
-    const bool isDrained = this->drainStartedAt != BootTime() && now - this->drainStartedAt >= DrainServeTime;
+    const bool isDrained = this->leavingSince != BootTime() && now - this->leavingSince >= agent::LeavingServeTime;
     const bool isMarkedOut =
         this->state.domainMarkedOutAt != BootTime() && now - this->state.domainMarkedOutAt >= MarkedOutServeTime;
     return isDrained || isMarkedOut;
@@ -407,7 +433,7 @@
 
 bool LocalUpstream::takesWork() const
 {
-    return this->currentStatus == UpstreamStatus::Serving && this->drainStartedAt == BootTime();
+    return this->currentStatus == UpstreamStatus::Serving && this->leavingSince == BootTime();
 }
 
 void LocalUpstream::setStatus(UpstreamStatus status)
@@ -466,6 +492,7 @@
     info.set_connections(this->latestAnnouncement.connections);
     info.set_checks_grants(this->latestAnnouncement.checksGrants);
     info.set_serving(this->takesWork() && !this->state.stopping);
+    info.set_leaving(this->leavingSince != BootTime());
     info.set_operator_address(this->state.operatorAddress);
     info.set_address(this->latestAnnouncement.address);
     info.set_started_unix_ms(static_cast<std::uint64_t>(this->latestAnnouncement.startedAt.count()));
--- a/src/process/LocalUpstream.h
+++ b/src/process/LocalUpstream.h
@@ -124,6 +124,9 @@
     /** Restores the limit that the previous agent process had learned, once, as soon as control's state is known. */
     void restoreLearnedLimit();
 
+    /** Takes the upstream out of service if the previous agent process has reported that it is leaving. */
+    void restoreLeaving();
+
     /** Issues the grants and releases that map and lease require, by calls; to be called after each change. */
     void updateCallGrants();
 
@@ -202,6 +205,8 @@
     void endAbandoned();
     bool isUnresponsive(BootTime now) const;
     bool isOutOfService(BootTime now) const;
+    /** Records that the upstream is leaving. @param source what stated it, for the log. @return whether this is new */
+    bool recordLeaving(const char *source, BootTime now);
     bool isServing() const;
     void recordReportedKeys(const Heartbeat &heartbeat);
     /** @return how long keys granted now may be held; 0 if none may be granted */
@@ -238,8 +243,8 @@
     BootTime grantSentAt;
     /** Sequence of the newest heartbeat. */
     std::optional<std::uint64_t> sequence;
-    /** When a heartbeat first reported that the upstream is draining. */
-    BootTime drainStartedAt;
+    /** When the upstream first reported that it is leaving, in a heartbeat or an answer. */
+    BootTime leavingSince;
     UpstreamNotice latestNotice;
     std::uint64_t sentCount = 0;
     /** Slowdown factor that the upstream's VM reported last, and when. */
--- a/src/process/LocalUpstreamHolds.cpp
+++ b/src/process/LocalUpstreamHolds.cpp
@@ -64,11 +64,7 @@
     }
     this->sequence = heartbeat.sequence;
     agent::setCold(this->gate, heartbeat.coldFor.count() > 0 ? now + heartbeat.coldFor : BootTime());
-    const bool startsDraining = heartbeat.isDraining && this->drainStartedAt == BootTime();
-    if (startsDraining) {
-        Log.info(this->latestAnnouncement.name + ": draining");
-        this->drainStartedAt = now;
-    }
+    const bool startsLeaving = heartbeat.isDraining && this->recordLeaving("heartbeat", now);
     const bool differs = heartbeat.announcement != this->latestAnnouncement;
     this->latestAnnouncement = heartbeat.announcement;
     if (!heartbeat.isDeregistration && this->grantsByHeartbeat()) {
@@ -84,7 +80,7 @@
     if (differs) {
         this->applyTable();
     }
-    if (differs || startsDraining) {
+    if (differs || startsLeaving) {
         this->events.changed();
     }
     if (!this->grantsByHeartbeat()) {
--- a/src/process/OwnProtocol.cpp
+++ b/src/process/OwnProtocol.cpp
@@ -34,7 +34,7 @@
     return std::nullopt;
 }
 
-Result<UpstreamNotice> readOwnNotice(const net::HttpAnswer &answer)
+UpstreamNotice readOwnNotice(const net::HttpAnswer &answer)
 {
     return readNotice(answer);
 }
--- a/src/process/RequestRunner.cpp
+++ b/src/process/RequestRunner.cpp
@@ -477,6 +477,9 @@
             .with("retry_budget", service.retries.tokens)
             .with("deadline_left_ms", request.state.facts.deadline - BootClock::now());
     }
+    if (outcome == AttemptOutcome::Answered && request.origin == Origin::Caller) {
+        this->recordLeaving(live->second.upstream, live->second.answer);
+    }
     this->tickets.erase(live->second.ticket);
     this->recordRouting(request, live->second, outcome);
     if (outcome == AttemptOutcome::Crashed || outcome == AttemptOutcome::ConnectionLost) {
--- a/src/process/RequestRunner.h
+++ b/src/process/RequestRunner.h
@@ -85,6 +85,8 @@
     void recordTime(const RunningRequest &request, const LiveAttempt &attempt);
     std::uint32_t routeKeyed(const RunningRequest &request) const;
     std::uint32_t routeUnkeyed(RunningRequest &request);
+    /** Records that the upstream is leaving if its answer, which is passed on to a caller, says so. */
+    void recordLeaving(std::uint32_t upstream, const net::HttpAnswer &answer);
     std::uint32_t routeForwarded(const RunningRequest &request) const;
     void wait(RunningRequest &request, std::chrono::nanoseconds delay);
     void armHedge(RunningRequest &request);
--- a/src/process/UpstreamProtocol.cpp
+++ b/src/process/UpstreamProtocol.cpp
@@ -151,7 +151,7 @@
     return result.outcome == net::CallOutcome::Answered ? readAnswer(result.answer) : readUnanswered(result);
 }
 
-Result<UpstreamNotice> readNotice(const net::HttpAnswer &answer, const NoticeHeaders &names)
+UpstreamNotice readNotice(const net::HttpAnswer &answer, const NoticeHeaders &names)
 {
     UpstreamNotice notice;
     const std::string *const leaving = net::findHeader(answer.headers, names.leaving);
@@ -163,10 +163,10 @@
     double perSecond = 0;
     const char *const last = limit->data() + limit->size();
     const auto [end, error] = std::from_chars(limit->data(), last, perSecond, std::chars_format::fixed);
-    if (error != std::errc() || end != last || !std::isfinite(perSecond) || perSecond < 0) {
-        return oneFinding(names.rateLimit, "is not a decimal number of 0 or more: " + *limit);
+    notice.hasMalformedLimit = error != std::errc() || end != last || !std::isfinite(perSecond) || perSecond < 0;
+    if (!notice.hasMalformedLimit) {
+        notice.rateLimit = perSecond;
     }
-    notice.rateLimit = perSecond;
     return notice;
 }
 
--- a/src/process/UpstreamProtocol.h
+++ b/src/process/UpstreamProtocol.h
@@ -64,9 +64,9 @@
 /**
  * Reads what an upstream states about itself with an answer.
  * @param names the header fields; the defaults are those of the project's own protocol
- * @return the notice, or a finding if the limit isn't a decimal number of 0 or more
+ * @return the notice; a limit that isn't a decimal number of 0 or more is malformed
  */
-Result<UpstreamNotice> readNotice(const net::HttpAnswer &answer, const NoticeHeaders &names = {});
+UpstreamNotice readNotice(const net::HttpAnswer &answer, const NoticeHeaders &names = {});
 
 /** @return how a request without a complete answer ended; the same in every protocol */
 AttemptResult readUnanswered(const net::CallResult &result);
