Keys of an upstream that states a rate limit move to others; a restarted agent applies the limit at once

What callers saw after the gate applies a limit: the owner of their keys refuses what exceeds it for as long as the limit holds, while the other upstreams of the service have room. And an agent that restarts doesn't know the limit before the first answer, and fills all slots of an upstream in need.

The leader caps the upstream's target load at 0.8 of the limit (capWeights). A restarted agent gets the limit back with control's state; until then it reports 'not known', and control keeps what it has.

Tests: 'keys of a rate-limited upstream move...', 'control guard: what an upstream has stated...', 'platform process: a restarted agent applies the rate limit...'.

--- a/include/control/Assignment.h
+++ b/include/control/Assignment.h
@@ -59,6 +59,20 @@
  */
 double toleratedImbalance(double minimum, double headroom);
 
+/** Limits a member's load to what its upstream accepts. */
+struct LoadCap {
+    std::uint32_t id = 0;
+    /** Largest share of the service's load; greater than 0. */
+    double maxShare = 1;
+};
+
+/**
+ * Reduces the weights of members whose target load would exceed their cap by more than the tolerance allows; the others
+ * keep their weights relative to one another. Where all are capped, the caps alone decide.
+ * @param tolerance accepted imbalance that assign() is called with
+ */
+std::vector<Member> capWeights(std::vector<Member> members, const std::vector<LoadCap> &caps, double tolerance);
+
 /**
  * Computes the minimum load that any assignment must move to reach the tolerance, assuming that slices can be split
  * anywhere.
--- a/include/control/Coordinator.h
+++ b/include/control/Coordinator.h
@@ -22,6 +22,7 @@
 class SliceMap;
 class State;
 struct Applied;
+struct LoadCap;
 struct Member;
 struct SliceMove;
 
@@ -173,6 +174,8 @@
     void recordMembers(ServicePlan &servicePlan, const std::vector<Member> &members, BootTime now) const;
     /** @return how much more load the members could take before they are busy; see LoadTracker::headroom() */
     double headroomOf(const std::string &service, const std::vector<Member> &members, BootTime now) const;
+    /** @return the largest shares of the service's load for the members whose upstreams state a rate limit */
+    std::vector<LoadCap> loadCaps(const std::string &service, const std::vector<Member> &members) const;
     /** Summarizes the work of all services for the agents. */
     void summarizeWork(BootTime now);
     bool
--- a/include/control/LoadTracker.h
+++ b/include/control/LoadTracker.h
@@ -59,6 +59,9 @@
      */
     double headroom(const std::string &service, double slots, BootTime now) const;
 
+    /** @return requests per second to all keys of the service; 0 if too few were counted to place load by them */
+    double requestRate(const std::string &service) const;
+
     /** @return mean over the service's upstreams of the time that each works on a request; 0 if not known */
     double meanWorkSeconds(const std::string &service) const;
 
--- a/src/control/Assignment.cpp
+++ b/src/control/Assignment.cpp
@@ -214,6 +214,56 @@
     return std::max(minimum, std::min(headroom - 1, MaxTolerance));
 }
 
+namespace {
+
+using CapsInForce = std::unordered_map<std::uint32_t, double>;
+
+/** What the members without a cap in force share. */
+struct Remainder {
+    double weight = 0;
+    double share = 1;
+};
+
+Remainder remainderOf(const std::vector<Member> &members, const CapsInForce &inForce)
+{
+    Remainder rest;
+    for (const Member &member : members) {
+        const auto cap = inForce.find(member.id);
+        rest.weight += cap == inForce.end() ? member.weight : 0;
+        rest.share -= cap == inForce.end() ? 0 : cap->second;
+    }
+    return rest;
+}
+
+} // namespace
+
+std::vector<Member> capWeights(std::vector<Member> members, const std::vector<LoadCap> &caps, double tolerance)
+{
+    CapsInForce inForce;
+    std::size_t known = 0;
+    // Each cap in force leaves more load to the others, which may then exceed theirs.
+    do {
+        known = inForce.size();
+        const Remainder rest = remainderOf(members, inForce);
+        for (const LoadCap &cap : caps) {
+            const double target = cap.maxShare / (1 + tolerance);
+            const auto member = std::find_if(members.begin(), members.end(), [&](const Member &candidate) {
+                return candidate.id == cap.id;
+            });
+            if (member != members.end() && member->weight * rest.share > target * rest.weight) {
+                inForce.emplace(cap.id, target);
+            }
+        }
+    } while (inForce.size() > known && inForce.size() < members.size());
+    const Remainder rest = remainderOf(members, inForce);
+    const double weightPerShare = rest.weight > 0 ? rest.weight / rest.share : 1;
+    for (Member &member : members) {
+        const auto cap = inForce.find(member.id);
+        member.weight = cap == inForce.end() ? member.weight : cap->second * weightPerShare;
+    }
+    return members;
+}
+
 double minChurn(const std::vector<Member> &members, const std::vector<LoadedSlice> &slices, double tolerance)
 {
     if (members.empty()) {
--- a/src/control/CoordinatorAgents.cpp
+++ b/src/control/CoordinatorAgents.cpp
@@ -98,11 +98,15 @@
     upstream.set_failure_domain(agent.failureDomain);
     upstream.set_agent_incarnation(agent.incarnation);
     const wire::UpstreamInfo *const registered = this->state.upstreams().find(upstream.service(), upstream.name());
-    if (registered != nullptr && registered->leaving() && registered->incarnation() == upstream.incarnation()) {
-        // Announced by an agent that has restarted since the upstream stated it.
+    const bool isKnown = registered != nullptr && registered->incarnation() == upstream.incarnation();
+    // An agent that has restarted doesn't know what the upstream stated before.
+    if (isKnown && registered->leaving()) {
         upstream.set_leaving(true);
         upstream.set_serving(false);
     }
+    if (upstream.rate_limit() < 0) {
+        upstream.set_rate_limit(isKnown ? registered->rate_limit() : 0);
+    }
     agent.announced[{upstream.service(), upstream.name()}] = std::move(upstream);
     this->unsettledAgents.insert(agent.name);
 }
--- a/src/control/CoordinatorMoves.cpp
+++ b/src/control/CoordinatorMoves.cpp
@@ -14,6 +14,8 @@
 
 /** Minimum share of an upstream's target load at which a key gets a slice of its own. */
 constexpr double MinHotKeyShare = 0.25;
+/** Part of a stated rate limit that is planned for: requests arrive unevenly, and those above the limit are refused. */
+constexpr double RateLimitUse = 0.8;
 
 wire::SliceRef makeSliceRef(const SliceName &slice, std::uint64_t epoch)
 {
@@ -174,6 +176,19 @@
     return this->loadTracker.headroom(service, slots, now);
 }
 
+std::vector<LoadCap> Coordinator::loadCaps(const std::string &service, const std::vector<Member> &members) const
+{
+    std::vector<LoadCap> caps;
+    const double rate = this->loadTracker.requestRate(service);
+    for (const Member &member : members) {
+        const double limit = this->state.upstreams().find(member.id)->rate_limit();
+        if (limit > 0 && rate > 0) {
+            caps.push_back({member.id, RateLimitUse * limit / rate});
+        }
+    }
+    return caps;
+}
+
 void Coordinator::summarizeWork(BootTime now)
 {
     this->workSummarizedAt = now;
@@ -270,7 +285,8 @@
     // Until the members have settled only orphans move, so any imbalance is tolerated.
     constexpr double AnyImbalance = 1e9;
     const double tolerance = toleratedImbalance(this->settings.tolerance, this->headroomOf(service, members, now));
-    return assign(members, slices, isSettled ? tolerance : AnyImbalance);
+    return isSettled ? assign(capWeights(members, this->loadCaps(service, members), tolerance), slices, tolerance)
+                     : assign(members, slices, AnyImbalance);
 }
 
 std::uint32_t Coordinator::successorOf(std::uint32_t ended, BootTime now) const
--- a/src/control/LoadTracker.cpp
+++ b/src/control/LoadTracker.cpp
@@ -153,6 +153,13 @@
     return rate < MinMeasuredRate ? 1 : std::max(1.0, BusyUtilization * slots / slotsInUse);
 }
 
+double LoadTracker::requestRate(const std::string &service) const
+{
+    const auto found = this->services.find(service);
+    const double rate = found == this->services.end() ? 0 : this->totalRate(found->second);
+    return rate < MinMeasuredRate ? 0 : rate;
+}
+
 double LoadTracker::meanWorkSeconds(const std::string &service) const
 {
     const auto found = this->services.find(service);
--- a/src/control/UpstreamRegistry.cpp
+++ b/src/control/UpstreamRegistry.cpp
@@ -73,7 +73,8 @@
            && left.slots() == right.slots() && left.connections() == right.connections()
            && left.checks_grants() == right.checks_grants() && left.serving() == right.serving()
            && left.operator_address() == right.operator_address()
-           && left.agent_incarnation() == right.agent_incarnation() && left.leaving() == right.leaving();
+           && left.agent_incarnation() == right.agent_incarnation() && left.leaving() == right.leaving()
+           && left.rate_limit() == right.rate_limit();
 }
 
 } // namespace bergamotweir::control
--- a/src/process/AgentProcess.cpp
+++ b/src/process/AgentProcess.cpp
@@ -267,7 +267,7 @@
     for (const auto &[name, upstream] : this->upstreams) {
         upstream->applyTable();
         upstream->restoreLearnedLimit();
-        upstream->restoreLeaving();
+        upstream->restoreNotice();
     }
     this->rebuildCandidates();
     this->recovery->update();
@@ -349,8 +349,8 @@
         connections += upstream->connectionsOpened();
         Notices &service = notices[name.first];
         if (upstream->status() != UpstreamStatus::Crashed) {
-            service.rateLimit += upstream->notice().rateLimit.value_or(0);
-            service.leaving += upstream->takesWork() ? 0 : 1;
+            service.rateLimit += upstream->rateLimit().value_or(0);
+            service.leaving += upstream->isLeaving() ? 1 : 0;
         }
     }
     for (const auto &[service, stated] : notices) {
--- a/src/process/AgentProcessUpstreams.cpp
+++ b/src/process/AgentProcessUpstreams.cpp
@@ -205,7 +205,7 @@
     Log.info(announcement.name + ": announced for " + announcement.service);
     this->control->sendReport(upstream->info());
     LocalUpstream &added = *this->upstreams.emplace(name, std::move(upstream)).first->second;
-    added.restoreLeaving();
+    added.restoreNotice();
     this->rebuildCandidates();
     return added;
 }
--- a/src/process/LocalUpstream.cpp
+++ b/src/process/LocalUpstream.cpp
@@ -132,8 +132,7 @@
         this->processEnded();
         agent::restart(this->gate, now);
         this->canRestoreLimit = false;
-        this->latestNotice = {};
-        this->leavingSince = BootTime();
+        this->forgetNotice();
     }
     const bool differs = announcement != this->latestAnnouncement;
     this->latestAnnouncement = announcement;
@@ -172,30 +171,6 @@
         BootClock::now());
 }
 
-void LocalUpstream::restoreLeaving()
-{
-    const wire::UpstreamInfo *const known = agent::findUpstream(this->state.map, this->id());
-    if (known == nullptr || !known->leaving() || known->incarnation() != this->latestAnnouncement.incarnation) {
-        return;
-    }
-    // Nothing tells when the upstream stated it, so it gets no more requests at all.
-    if (this->recordLeaving("control", BootClock::now() - agent::LeavingServeTime)) {
-        this->events.changed();
-    }
-}
-
-bool LocalUpstream::recordLeaving(const char *source, BootTime now)
-{
-    if (this->leavingSince != BootTime()) {
-        return false;
-    }
-    this->leavingSince = now;
-    Log.event(loop::LogLevel::Info, "upstream is leaving")
-        .with("upstream", this->latestAnnouncement.name)
-        .with("stated_in", source);
-    return true;
-}
-
 agent::Admission LocalUpstream::enter(const agent::Ticket &ticket)
 {
     if (!this->isServing()) {
@@ -337,31 +312,6 @@
     }
 }
 
-void LocalUpstream::readNotice(const net::HttpAnswer &answer, BootTime sentAt)
-{
-    const UpstreamNotice notice = this->state.protocol->readNotice(answer);
-    // A limit that can't be read neither changes nor ends the one in force.
-    if (!notice.hasMalformedLimit) {
-        agent::recordStatement(this->gate.rateLimit, notice.rateLimit, sentAt, BootClock::now());
-    }
-    if (notice.isLeaving && this->recordLeaving("answer", BootClock::now())) {
-        this->events.changed();
-    }
-    if (notice == this->latestNotice) {
-        return;
-    }
-    loop::LogEvent event = Log.event(loop::LogLevel::Info, "upstream notice", loop::RoutineBound);
-    event.with("upstream", this->latestAnnouncement.name)
-        .with("leaving", notice.isLeaving)
-        .with("malformed_limit", notice.hasMalformedLimit)
-        .with("sent", this->sentCount)
-        .with("in_progress", this->gate.inProgress);
-    if (notice.rateLimit) {
-        event.with("rate_limit", *notice.rateLimit);
-    }
-    this->latestNotice = notice;
-}
-
 /**
  * Keeps cancelled or failed work counted, so that a key never has two owners: the request may still run at the
  * upstream, and its slice must not be released to another one meanwhile. The work counts until the upstream confirms
@@ -425,7 +375,7 @@
 /** @return whether it gets no more work: the serve time since its drain or its failure domain's mark out has passed */
 bool LocalUpstream::isOutOfService(BootTime now) const
 {
-    const bool isDrained = this->leavingSince != BootTime() && now - this->leavingSince >= agent::LeavingServeTime;
+    const bool isDrained = this->isLeaving() && now - this->leavingSince >= agent::LeavingServeTime;
     const bool isMarkedOut =
         this->state.domainMarkedOutAt != BootTime() && now - this->state.domainMarkedOutAt >= MarkedOutServeTime;
     return isDrained || isMarkedOut;
@@ -433,7 +383,7 @@
 
 bool LocalUpstream::takesWork() const
 {
-    return this->currentStatus == UpstreamStatus::Serving && this->leavingSince == BootTime();
+    return this->currentStatus == UpstreamStatus::Serving && !this->isLeaving();
 }
 
 void LocalUpstream::setStatus(UpstreamStatus status)
@@ -492,7 +442,8 @@
     info.set_connections(this->latestAnnouncement.connections);
     info.set_checks_grants(this->latestAnnouncement.checksGrants);
     info.set_serving(this->takesWork() && !this->state.stopping);
-    info.set_leaving(this->leavingSince != BootTime());
+    info.set_leaving(this->isLeaving());
+    info.set_rate_limit(this->reportedRateLimit.value_or(-1));
     info.set_operator_address(this->state.operatorAddress);
     info.set_address(this->latestAnnouncement.address);
     info.set_started_unix_ms(static_cast<std::uint64_t>(this->latestAnnouncement.startedAt.count()));
@@ -550,11 +501,6 @@
            && agent::isSlowNow(this->workTime, isFresh ? this->slowness : 1, service->second, now);
 }
 
-bool LocalUpstream::isRateLimitedNow() const
-{
-    return agent::nextSendAt(this->gate.rateLimit, this->gate.queue.size()) > BootClock::now();
-}
-
 const agent::AdaptiveLimit &LocalUpstream::limit() const
 {
     return this->gate.limit;
@@ -570,11 +516,6 @@
     return this->sentCount;
 }
 
-const UpstreamNotice &LocalUpstream::notice() const
-{
-    return this->latestNotice;
-}
-
 std::size_t LocalUpstream::inProgress() const
 {
     return this->work.size();
--- a/src/process/LocalUpstream.h
+++ b/src/process/LocalUpstream.h
@@ -124,8 +124,9 @@
     /** Restores the limit that the previous agent process had learned, once, as soon as control's state is known. */
     void restoreLearnedLimit();
 
-    /** Takes the upstream out of service if the previous agent process has reported that it is leaving. */
-    void restoreLeaving();
+    /** Applies what the previous agent process has reported about this upstream: a rate limit, or that it is leaving.
+     */
+    void restoreNotice();
 
     /** Issues the grants and releases that map and lease require, by calls; to be called after each change. */
     void updateCallGrants();
@@ -183,8 +184,11 @@
     /** @return number of requests sent to the upstream since the start */
     std::uint64_t requestsSent() const;
 
-    /** @return what the upstream stated about itself last */
-    const UpstreamNotice &notice() const;
+    /** @return requests per second that the upstream states it takes; nullopt if it states no limit */
+    std::optional<double> rateLimit() const;
+
+    /** @return whether the upstream has reported that it is leaving */
+    bool isLeaving() const;
 
     /** @return number of requests in progress, including abandoned ones that may still be running */
     std::size_t inProgress() const;
@@ -205,6 +209,10 @@
     void endAbandoned();
     bool isUnresponsive(BootTime now) const;
     bool isOutOfService(BootTime now) const;
+    /** Forgets what the previous incarnation of the upstream has stated. */
+    void forgetNotice();
+    /** Tells control of a rate limit that differs clearly from the one reported last. */
+    void reportRateLimit(BootTime now);
     /** Records that the upstream is leaving. @param source what stated it, for the log. @return whether this is new */
     bool recordLeaving(const char *source, BootTime now);
     bool isServing() const;
@@ -246,6 +254,9 @@
     /** When the upstream first reported that it is leaving, in a heartbeat or an answer. */
     BootTime leavingSince;
     UpstreamNotice latestNotice;
+    /** Rate limit that control was told last, and when; unset before the first answer, 0 if there is no limit. */
+    std::optional<double> reportedRateLimit;
+    BootTime rateLimitReportedAt;
     std::uint64_t sentCount = 0;
     /** Slowdown factor that the upstream's VM reported last, and when. */
     double slowness = 1;
--- a/tests/AssignmentTest.cpp
+++ b/tests/AssignmentTest.cpp
@@ -116,3 +116,50 @@
         REQUIRE(imbalance(all, slices) <= before + 1e-9);
     }
 }
+
+TEST_CASE("caps lower the weights of the members over them, and leave the others as they were to one another")
+{
+    std::vector<Member> all = members(4);
+    all[1].weight = 2;
+    CHECK(capWeights(all, {}, 0.05)[0].weight == 1);
+    CHECK(capWeights(all, {{.id = 3, .maxShare = 0.3}}, 0)[2].weight == 1);
+    const std::vector<Member> capped = capWeights(all, {{.id = 1, .maxShare = 0.06}}, 0.2);
+    CHECK(capped[0].weight == Approx(4 * 0.05 / 0.95));
+    CHECK(capped[1].weight == 2);
+    CHECK(capped[3].weight == 1);
+    // The cap of the first leaves the second with more than its own cap.
+    const std::vector<Member> both =
+        capWeights(members(3), {{.id = 1, .maxShare = 0.1}, {.id = 2, .maxShare = 0.4}}, 0);
+    CHECK(both[0].weight == Approx(0.2));
+    CHECK(both[1].weight == Approx(0.8));
+    const std::vector<Member> every =
+        capWeights(members(2), {{.id = 1, .maxShare = 0.1}, {.id = 2, .maxShare = 0.3}}, 0);
+    CHECK(every[1].weight == Approx(3 * every[0].weight));
+}
+
+// Guards against callers who are refused for as long as the owner of their keys states a limit below its load.
+TEST_CASE("keys of a rate-limited upstream move to others, so that its callers are served, and little else moves")
+{
+    constexpr double Rate = 127;
+    constexpr double Limit = 12.7;
+    constexpr double Use = 0.8;
+    const double tolerance = GENERATE(0.05, 0.8);
+    const std::vector<Member> all = members(4);
+    std::vector<LoadedSlice> slices = uniformSlices(128);
+    applyMoves(slices, assign(all, slices));
+    const auto servedShare = [&] {
+        double limited = 0;
+        for (const LoadedSlice &slice : slices) {
+            limited += slice.owner == 1 ? slice.load : 0;
+        }
+        return 1 - limited + std::min(limited, Limit / Rate);
+    };
+    const double before = servedShare();
+    const std::vector<Member> capped = capWeights(all, {{.id = 1, .maxShare = Use * Limit / Rate}}, tolerance);
+    const double moved = applyMoves(slices, assign(capped, slices, tolerance));
+    WARN("tolerance " << tolerance << ": served " << before << " without moves, " << servedShare() << " with; moved "
+                      << moved);
+    CHECK(before < 0.9);
+    CHECK(servedShare() == Approx(1));
+    CHECK(moved <= 0.25 - Use * Limit / Rate + 0.02);
+}
--- a/tests/CoordinatorGuardTest.cpp
+++ b/tests/CoordinatorGuardTest.cpp
@@ -415,3 +415,41 @@
         CHECK(reassigned.at(begin) == epoch + 1);
     }
 }
+
+// Guards against an upstream that is overrun, or used while it leaves, because the agent beside it has restarted.
+TEST_CASE("control guard: what an upstream has stated stays registered when the agent beside it restarts")
+{
+    LeaderFixture leader;
+    const auto announce = [&](control::SessionId session, double rateLimit, bool isLeaving) {
+        wire::AgentMessage message;
+        wire::UpstreamInfo &upstream = *message.mutable_upstream();
+        upstream.set_service("catalogue");
+        upstream.set_name("upstream-a");
+        upstream.set_serving(!isLeaving);
+        upstream.set_leaving(isLeaving);
+        upstream.set_rate_limit(rateLimit);
+        leader.coordinator.received(session, message, leader.now);
+        // A restarted agent may change the record only once its predecessor can hold no lease.
+        for (int round = 0; round < 10; ++round) {
+            leader.advance(200ms, {session});
+            leader.commitAll();
+        }
+    };
+    const auto registered = [&] {
+        return *leader.state.upstreams().find("catalogue", "upstream-a");
+    };
+    announce(1, 12.5, false);
+    REQUIRE(registered().rate_limit() == 12.5);
+    leader.coordinator.closed(1);
+    leader.sendHello(3, "a", "second", 10s);
+    announce(3, -1, false);
+    CHECK(registered().rate_limit() == 12.5);
+    CHECK(registered().serving());
+    announce(3, 0, true);
+    CHECK(registered().rate_limit() == 0);
+    leader.coordinator.closed(3);
+    leader.sendHello(4, "a", "third", 10s);
+    announce(4, -1, false);
+    CHECK(registered().leaving());
+    CHECK_FALSE(registered().serving());
+}
--- a/tests/PlatformWorker.cpp
+++ b/tests/PlatformWorker.cpp
@@ -168,7 +168,14 @@
         answer.body = this->settings.id + " " + request.method + " " + request.target + " " + request.body + " from "
                       + valueOf(request, "X-Downstream-Service");
     }
-    exchange->answer(std::move(answer));
+    const std::chrono::milliseconds workTime = this->workTime;
+    if (workTime.count() == 0) {
+        exchange->answer(std::move(answer));
+        return;
+    }
+    this->loop->after(workTime, [exchange, answer = std::move(answer)]() mutable {
+        exchange->answer(std::move(answer));
+    });
 }
 
 void PlatformWorker::sendHeartbeat()
--- a/tests/PlatformWorker.h
+++ b/tests/PlatformWorker.h
@@ -51,6 +51,8 @@
 
     /** Stated in each answer as the rate limit; none if below 0. */
     std::atomic<double> rateLimit{-1};
+    /** How long the worker works on a request. */
+    std::atomic<std::chrono::milliseconds> workTime{std::chrono::milliseconds(0)};
     /** Whether each answer states that the worker is leaving. Heartbeats don't report it. */
     std::atomic<bool> isLeaving{false};
 
--- a/tests/UpstreamNoticeProcessTest.cpp
+++ b/tests/UpstreamNoticeProcessTest.cpp
@@ -48,16 +48,17 @@
     unsigned key = 0;
 };
 
-/** Sends requests for one key to agents, one after the other at each, until it is destroyed. */
+/** Sends requests for one key to agents, from one thread for each entry, until it is destroyed. */
 class Callers
 {
 public:
     Callers(const PlatformMachines &machines, const std::vector<int> &agents, unsigned key)
     {
         for (const int agent : agents) {
-            this->threads.emplace_back([this, &machines, agent, key] {
+            const std::string prefix = "n" + std::to_string(agent) + "-" + std::to_string(this->threads.size()) + "-";
+            this->threads.emplace_back([this, &machines, agent, key, prefix] {
                 for (unsigned number = 0; !this->stopped; ++number) {
-                    const std::string id = "n" + std::to_string(agent) + "-" + std::to_string(number);
+                    const std::string id = prefix + std::to_string(number);
                     const Reply reply = machines.ask(agent, id, key);
                     this->served += reply.status == 200 ? 1 : 0;
                     this->refused += reply.status == 503 && reply.headers.contains("retry-after") ? 1 : 0;
@@ -140,6 +141,27 @@
     }));
 }
 
+// Guards against a restarted agent that fills all slots of an upstream in need before the first answer states the
+// limit.
+TEST_CASE("platform process: a restarted agent applies the rate limit that the upstream has stated before", "[process]")
+{
+    constexpr double LowLimit = 2;
+    ServingMachines machines;
+    machines.upstream().rateLimit = LowLimit;
+    REQUIRE(machines.served(11, machines.key));
+    std::this_thread::sleep_for(500ms);
+    machines.upstream().workTime = 900ms;
+    Deployment::kill(machines.agents[0]);
+    Deployment::start(machines.agents[0]);
+    const auto restartedAt = Clock::now();
+    const Callers callers(machines, std::vector<int>(10, 12), machines.key);
+    REQUIRE(Deployment::eventually(10s, [&] {
+        return countBetween(machines.upstream().arrivals(), restartedAt, Clock::now()) > 0;
+    }));
+    std::this_thread::sleep_for(1s);
+    CHECK(countBetween(machines.upstream().arrivals(), restartedAt, Clock::now()) <= 2 + LowLimit * 2);
+}
+
 // Guards against requests sent to a leaving upstream by agents that can't reach control.
 TEST_CASE("platform process: a leaving upstream gets no more requests from agents that are cut off from control",
           "[process]")
