--- a/tests/UpstreamNoticeProcessTest.cpp
+++ b/tests/UpstreamNoticeProcessTest.cpp
@@ -197,3 +197,31 @@
         return callers.served > servedBefore;
     }));
 }
+
+// Guards against callers refused by an upstream at its limit while another upstream of the service has room.
+TEST_CASE("process: requests that any upstream can run are served by others when one is at its stated rate limit",
+          "[process]")
+{
+    constexpr double LowLimit = 5;
+    constexpr unsigned Requests = 400;
+    Deployment deployment(
+        {.name = "rate-limit",
+         .table = "service,failure_domain,upstream,weight,limit,keyed,timeout_ms\ncatalogue,*,*,1,12,no,2000\n",
+         .upstreams = {{"catalogue", {"bne-a"}, {"--rate-limit", std::to_string(LowLimit)}},
+                       {"catalogue", {"bne-b"}, {}}}});
+    const std::string limited = "\"upstream\":\"" + deployment.vms[0].name + "\"";
+    const auto startedAt = Clock::now();
+    unsigned served = 0;
+    unsigned servedByLimited = 0;
+    for (unsigned number = 0; number < Requests; ++number) {
+        const Reply reply = Deployment::ask(deployment.vms[number % 2], {.path = "/s/catalogue/x"});
+        served += reply.status == 200 ? 1 : 0;
+        servedByLimited += reply.body.find(limited) != std::string::npos ? 1 : 0;
+        std::this_thread::sleep_for(5ms);
+    }
+    const double seconds = std::chrono::duration<double>(Clock::now() - startedAt).count();
+    CAPTURE(servedByLimited, seconds);
+    CHECK(served == Requests);
+    CHECK(servedByLimited > 0);
+    CHECK(servedByLimited <= LowLimit * seconds + 2 * LowLimit);
+}
--- a/tools/upstream/StandIn.cpp
+++ b/tools/upstream/StandIn.cpp
@@ -312,6 +312,9 @@
     if (testId != nullptr) {
         answer.headers.push_back({"Test-Id", *testId});
     }
+    if (this->settings.rateLimit > 0) {
+        answer.headers.push_back({"Upstream-Rate-Limit", std::to_string(this->settings.rateLimit)});
+    }
     return answer;
 }
 
--- a/tools/upstream/UpstreamSettings.cpp
+++ b/tools/upstream/UpstreamSettings.cpp
@@ -27,6 +27,7 @@
   --cold-ms N           cold after the start for so long (0)
   --cold-slots N        requests it bears at once while cold (2)
   --cold-strain N       falls over after so many requests beyond its cold slots; 0 never (0)
+  --rate-limit X        stated in each answer, requests per second; 0 states none (0)
   --seed N              (1)
 
 Tests: POST /test with JSON {slow_factor, slow_ms, lie_load, load_lag_ms, cold_ms, freeze_ms, crash}.
@@ -58,7 +59,7 @@
         return number(flag, text, maximum, findings);
     };
     using FlagHandler = std::function<void(const char *)>;
-    const std::array<std::pair<const char *, FlagHandler>, 16> handlers = {{
+    const std::array<std::pair<const char *, FlagHandler>, 17> handlers = {{
         {"service",
          [&](const char *text) {
              settings.service = text;
@@ -115,6 +116,10 @@
          [&](const char *text) {
              settings.maxColdExcess = static_cast<unsigned>(read(text));
          }},
+        {"rate-limit",
+         [&](const char *text) {
+             settings.rateLimit = read(text);
+         }},
         {"seed",
          [&](const char *text) {
              settings.seed = static_cast<std::uint64_t>(read(text));
--- a/tools/upstream/UpstreamSettings.h
+++ b/tools/upstream/UpstreamSettings.h
@@ -34,6 +34,8 @@
     unsigned coldSlots = 2;
     /** Requests beyond the cold slots before the process exits as if crashed; 0 for never. */
     unsigned maxColdExcess = 0;
+    /** Requests per second, stated in each answer; 0 states no limit. */
+    double rateLimit = 0;
     std::uint64_t seed = 1;
 };
 
