--- a/src/process/AgentMetrics.cpp
+++ b/src/process/AgentMetrics.cpp
@@ -58,6 +58,7 @@
     prometheus::Registry registry;
     std::set<std::string> routes;
     std::set<std::string> services;
+    std::set<std::string> servicesWithNotices;
     prometheus::Family<prometheus::Counter> &requests =
         family(registry, BuildCounter(), "requests_total", "Callers' requests by route, kind and outcome.");
     prometheus::Family<prometheus::Counter> &refusals =
@@ -137,10 +138,18 @@
 void AgentMetrics::upstreamNotices(const std::string &service, double rateLimit, unsigned leaving)
 {
     const std::string name = Parts::boundedLabel(this->parts->services, service);
+    this->parts->servicesWithNotices.insert(name);
     this->parts->upstreamRateLimit.Add({{"service", name}}).Set(rateLimit);
     this->parts->upstreamsLeaving.Add({{"service", name}}).Set(leaving);
 }
 
+void AgentMetrics::clearUpstreamNotices()
+{
+    for (const std::string &service : this->parts->servicesWithNotices) {
+        this->upstreamNotices(service, 0, 0);
+    }
+}
+
 void AgentMetrics::connectionsOpened(std::uint64_t total)
 {
     // The counter keeps connections to upstreams that have been removed; it never decreases.
--- a/src/process/AgentMetrics.h
+++ b/src/process/AgentMetrics.h
@@ -52,6 +52,8 @@
      * @param rateLimit requests per second; 0 if they state no limit
      */
     void upstreamNotices(const std::string &service, double rateLimit, unsigned leaving);
+    /** Sets the notices of all services to none, before upstreamNotices() is called for those that have upstreams. */
+    void clearUpstreamNotices();
     void connectionsOpened(std::uint64_t total);
     void heartbeatLate();
     void recordReleasedSlices(std::uint64_t slices);
--- a/src/process/AgentProcess.cpp
+++ b/src/process/AgentProcess.cpp
@@ -353,6 +353,7 @@
             service.leaving += upstream->isLeaving() ? 1 : 0;
         }
     }
+    this->metrics.clearUpstreamNotices();
     for (const auto &[service, stated] : notices) {
         this->metrics.upstreamNotices(service, stated.rateLimit, stated.leaving);
     }
--- a/tests/AgentMetricsTest.cpp
+++ b/tests/AgentMetricsTest.cpp
@@ -48,3 +48,13 @@
     CHECK(series == AgentMetrics::MaxNames + 1);
     CHECK(text.find("route=\"other\"") != std::string::npos);
 }
+
+// Guards against a limit that stays in the metrics after the upstream that stated it has ended.
+TEST_CASE("metrics: notices of services without upstreams are cleared")
+{
+    AgentMetrics metrics;
+    metrics.upstreamNotices("catalogue", 12.5, 1);
+    metrics.clearUpstreamNotices();
+    CHECK(metrics.text().find("bergamotweir_upstream_rate_limit{service=\"catalogue\"} 0") != std::string::npos);
+    CHECK(metrics.text().find("bergamotweir_upstreams_leaving{service=\"catalogue\"} 0") != std::string::npos);
+}
--- a/tests/PlatformWorker.cpp
+++ b/tests/PlatformWorker.cpp
@@ -74,10 +74,10 @@
     return this->rows;
 }
 
-std::vector<std::chrono::steady_clock::time_point> PlatformWorker::arrivals()
+std::vector<PlatformWorker::Arrival> PlatformWorker::arrivals()
 {
     const std::lock_guard guard(this->mutex);
-    return this->arrivalTimes;
+    return this->arrived;
 }
 
 bool PlatformWorker::holds(std::uint64_t key)
@@ -145,7 +145,7 @@
     }
     {
         const std::lock_guard guard(this->mutex);
-        this->arrivalTimes.push_back(std::chrono::steady_clock::now());
+        this->arrived.push_back({std::chrono::steady_clock::now(), valueOf(request, "X-Request-Id")});
     }
     const std::string key = valueOf(request, "X-Shard-Key");
     net::HttpAnswer answer;
--- a/tests/PlatformWorker.h
+++ b/tests/PlatformWorker.h
@@ -46,8 +46,14 @@
     /** @return rows of first key, last key and epoch that are held now */
     std::vector<std::array<std::uint64_t, 3>> held();
 
-    /** @return when each request arrived, refused ones included */
-    std::vector<std::chrono::steady_clock::time_point> arrivals();
+    /** A request that arrived. */
+    struct Arrival {
+        std::chrono::steady_clock::time_point time;
+        std::string requestId;
+    };
+
+    /** @return all requests that arrived, refused ones included */
+    std::vector<Arrival> arrivals();
 
     /** Stated in each answer as the rate limit; none if below 0. */
     std::atomic<double> rateLimit{-1};
@@ -79,7 +85,7 @@
     std::mutex mutex;
     std::vector<std::array<std::uint64_t, 3>> rows;
     std::vector<GrantedRange> grantedRanges;
-    std::vector<std::chrono::steady_clock::time_point> arrivalTimes;
+    std::vector<Arrival> arrived;
     nlohmann::json releasedRows = nlohmann::json::array();
     std::chrono::steady_clock::time_point heldUntil;
     std::uint64_t sequence = 0;
--- a/tests/UpstreamNoticeProcessTest.cpp
+++ b/tests/UpstreamNoticeProcessTest.cpp
@@ -95,19 +95,21 @@
     return found == std::string::npos ? 0 : static_cast<unsigned>(std::stoul(text.substr(found + name.size())));
 }
 
-unsigned countBetween(const std::vector<Clock::time_point> &arrivals, Clock::time_point from, Clock::time_point to)
+unsigned
+countBetween(const std::vector<PlatformWorker::Arrival> &arrivals, Clock::time_point from, Clock::time_point to)
 {
-    return static_cast<unsigned>(std::count_if(arrivals.begin(), arrivals.end(), [&](Clock::time_point arrival) {
-        return from <= arrival && arrival < to;
-    }));
+    const auto isBetween = [&](const PlatformWorker::Arrival &arrival) {
+        return from <= arrival.time && arrival.time < to;
+    };
+    return static_cast<unsigned>(std::count_if(arrivals.begin(), arrivals.end(), isBetween));
 }
 
 /** @return the largest number of arrivals within any Window that starts at @p from or later */
-unsigned maxInWindow(const std::vector<Clock::time_point> &arrivals, Clock::time_point from)
+unsigned maxInWindow(const std::vector<PlatformWorker::Arrival> &arrivals, Clock::time_point from)
 {
     unsigned most = 0;
-    for (const Clock::time_point start : arrivals) {
-        most = std::max(most, start < from ? 0 : countBetween(arrivals, start, start + Window));
+    for (const PlatformWorker::Arrival &first : arrivals) {
+        most = std::max(most, first.time < from ? 0 : countBetween(arrivals, first.time, first.time + Window));
     }
     return most;
 }
@@ -174,7 +176,7 @@
     const auto leavingAt = Clock::now();
     const Callers callers(machines, {11, 12}, machines.key);
     std::this_thread::sleep_for(DrainTime + 1500ms);
-    const std::vector<Clock::time_point> arrivals = machines.upstream().arrivals();
+    const std::vector<PlatformWorker::Arrival> arrivals = machines.upstream().arrivals();
     CHECK(countBetween(arrivals, leavingAt, leavingAt + DrainTime) > 0);
     CHECK(countBetween(arrivals, leavingAt + DrainTime, Clock::now()) == 0);
     CHECK(callers.failed == 0);
