--- a/tests/LeavingUpstreamsTest.cpp
+++ b/tests/LeavingUpstreamsTest.cpp
@@ -13,6 +13,7 @@
 std::vector<std::uint32_t> idsOf(const std::vector<Candidate> &candidates)
 {
     std::vector<std::uint32_t> ids;
+    ids.reserve(candidates.size());
     for (const Candidate &candidate : candidates) {
         ids.push_back(candidate.upstream);
     }
