Review case 1: a control group never gets a quorum again after losses that it is to bear

One core machine is replaced, and after catch_up_s two others lose their disks: six voters, one of them gone for good.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,8 +1,11 @@
-"""Consumers leave early; a worker whose queue gets long resets further connections while it works on."""
+"""Core machines are replaced or lose their disks one after the other, never more than two of five at a time."""
 
 import asyncio
+import json
 import os
+import shutil
 import sys
+import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(FOLDER))
@@ -10,53 +13,135 @@
 import standins  # noqa: E402
 
 SERVICE = "huvo11a"
-TIMEOUT_MS = 2500
-DEADLINE_MS = 5000
-WORK_S = 2.0
-"""Time that the busy worker takes for a request."""
-ROUNDS = 4
-ROUND_S = 0.35
-LEAVES_AFTER_S = 0.3
-"""When the consumers leave: well before their time limit."""
-
-
-async def press(consumers, worker, leaves_after_s):
-    """Sends as many requests a round as the worker has slots, all for keys of its first row."""
-    first, last, _ = worker.held()[0]
-    keys = [first + number % (last - first + 1) for number in range(worker.slots)]
-    for _ in range(ROUNDS):
-        for number, key in enumerate(keys):
-            standins.spawn(consumers[number % len(consumers)].send(key, leaves_after_s))
-        await asyncio.sleep(ROUND_S)
-    return keys
+CATCH_UP_S = 4.0
+"""Bound of the site: for so long a machine that is back, or new, still counts as lost."""
+MARGIN_S = 0.5
+RECOVERY_S = 15.0
+"""Bound of the site: the operator reads the manifest back after this time."""
+MORE_ROUTES = 700
+
+
+def manifest(version, more_routes):
+    """Returns a manifest; each version has another timeout."""
+    made = standins.manifest(f"{version:08x}", f"{version - 1:08x}", SERVICE, timeout_ms=1000 + version)
+    rows = made["routes"]["rows"]
+    for number in range(more_routes):
+        row = list(rows[0])
+        row[0] = f"r-more{number}"
+        row[2] = f"/more{number}/"
+        rows.append(row)
+    return made
+
+
+class Operator:
+    def __init__(self, deployment):
+        self.deployment = deployment
+        self.version = 0
+
+    async def change(self, more_routes=0):
+        self.version += 1
+        status, answer = await self.deployment.order("PUT", "/api/config", manifest(self.version, more_routes))
+        if status != 200:
+            raise standins.CannotRun(f"manifest {self.version}: {status} {answer}")
+
+    async def read_back(self):
+        """Reads the manifest at each core machine in turn for eight seconds. Returns its version, or nothing."""
+        try:
+            _, answer = await self.deployment.order("GET", "/api/config", timeout=8.0)
+        except standins.CannotRun as error:
+            self.deployment.record(f"the manifest does not come: {error}")
+            return ""
+        return json.loads(answer).get("version", "")
+
+
+def lose_disk(machine):
+    """The machine loses power and its disk."""
+    machine.kill()
+    shutil.rmtree(machine.fields["data_dir"])
+    machine.deployment.record(f"{machine.name} loses power and its disk")
+
+
+async def replace_core(deployment, _):
+    """One core machine is gone for good and replaced; after catch_up_s two others lose their disks."""
+    third, fourth, fifth = deployment.cores[2:5]
+    fifth.kill()
+    deployment.record(f"{fifth.name} is gone for good")
+    await asyncio.sleep(1)
+    deployment.cores[4] = deployment.core(6)
+    deployment.cores[4].start()
+    await asyncio.sleep(CATCH_UP_S + MARGIN_S)
+    deployment.record("lost: none; the successor has been there for longer than catch_up_s")
+    for machine in (third, fourth):
+        lose_disk(machine)
+    deployment.record("lost: core-3 and core-4")
+    await asyncio.sleep(0.5)
+    for machine in (third, fourth):
+        machine.start()
+    deployment.record("all machines are back")
+
+
+async def stall_learner(deployment, operator):
+    """Two core machines lose their disks; one is down again soon after it is back; then a third loses its disk."""
+    for _ in range(150):
+        await operator.change(MORE_ROUTES)
+        await asyncio.sleep(0.06)
+    await asyncio.sleep(CATCH_UP_S)
+    third, fourth, fifth = deployment.cores[2:5]
+    for machine in (fourth, fifth):
+        lose_disk(machine)
+    await asyncio.sleep(0.5)
+    fourth.start()
+    await asyncio.sleep(0.25)
+    fifth.start()
+    fifth_is_back = time.monotonic()
+    await asyncio.sleep(0.2)
+    fourth.kill()
+    deployment.record("lost: core-4, which is down again, and core-5")
+    await asyncio.sleep(fifth_is_back + CATCH_UP_S + MARGIN_S - time.monotonic())
+    deployment.record("lost: core-4; core-5 has been back for longer than catch_up_s")
+    lose_disk(third)
+    deployment.record("lost: core-3 and core-4")
+    await asyncio.sleep(0.5)
+    third.start()
+    fourth.start()
+    deployment.record("all machines are back")
 
 
 async def case(record, disturb):
-    deployment = standins.Deployment(record, [SERVICE] * 4)
+    trouble = stall_learner if sys.argv[1:] == ["learner"] else replace_core
+    deployment = standins.Deployment(record, [SERVICE] * 2)
+    operator = Operator(deployment)
     workers = []
     consumers = []
     try:
-        workers = await standins.start_service(deployment, SERVICE, timeout_ms=TIMEOUT_MS)
-        busy = workers[0]
-        consumers = [standins.Consumer(record, machine, deadline_ms=DEADLINE_MS) for machine in deployment.sides]
-        await asyncio.sleep(8)
-        owner = standins.Owner(record, workers)
-        for consumer in consumers:
-            consumer.task.cancel()
-        await asyncio.sleep(1)
-        busy.work_s = WORK_S
-        busy.drops_closed = False
-        keys = await press(consumers, busy, LEAVES_AFTER_S if disturb else None)
-        await asyncio.sleep(0.3)
-        # From now on other consumers ask for the same keys, a few times a second.
-        for number, consumer in enumerate(consumers):
-            consumer.keys = lambda number=number: keys[number]
-            consumer.task = standins.spawn(consumer.send_always())
-        await asyncio.sleep(8)
-        for consumer in consumers:
-            record(f"consumer {consumer.machine.name}: {consumer.statuses}")
-        record(f"{busy.identity} has reset {busy.resets} connections")
-        return owner.report()
+        deployment.start()
+        for number, machine in enumerate(deployment.sides):
+            worker = standins.Worker(record, machine, SERVICE, f"i-{number}a7f3")
+            await worker.start()
+            workers.append(worker)
+        await operator.change()
+        for machine in deployment.cores + deployment.sides:
+            machine.fields["bootstrap"] = "false"
+        await standins.until(lambda: standins.keys_held(workers) == 65536, 30, "all keys held")
+        consumers = [standins.Consumer(record, machine) for machine in deployment.sides]
+        await asyncio.sleep(CATCH_UP_S + 1)
+        await operator.change()
+        before = standins.share_served(consumers)
+        if disturb:
+            await trouble(deployment, operator)
+        await asyncio.sleep(RECOVERY_S)
+        standins.forget_statuses(consumers)
+        await asyncio.sleep(4)
+        expected = f"{operator.version:08x}"
+        read = await operator.read_back()
+        after = standins.share_served(consumers)
+        for line in (
+            f"acknowledged last: {expected}; read back: {read or 'nothing'}",
+            f"served before: {before:.2f}; served later than recovery_s after all machines were back: {after:.2f}",
+        ):
+            record(line)
+            print(line)
+        return read != expected
     finally:
         for consumer in consumers:
             consumer.task.cancel()
--- a/review/standins.py
+++ b/review/standins.py
@@ -185,7 +185,8 @@
         self.folder = tempfile.mkdtemp(prefix="bergamotweir-review-")
         self.net = self.free_net()
         self.seeds = ",".join(f"{self.net}.{number}:{CONTROL_PORT}" for number in (1, 2, 3))
-        self.cores = [self.core(number, cores) for number in range(1, cores + 1)]
+        self.first_cores = cores
+        self.cores = [self.core(number) for number in range(1, cores + 1)]
         self.sides = [self.side(11 + number, service) for number, service in enumerate(services)]
 
     @staticmethod
@@ -230,8 +231,8 @@
             "bounds": BOUNDS,
         }
 
-    def core(self, number, count):
-        del count
+    def core(self, number):
+        """Returns a core machine that has not been started."""
         zone = ZONES[(number - 1) % len(ZONES)]
         ip = f"{self.net}.{number}"
         fields = self.common(f"core-{number}", "control", ip, zone, "core", "control_plane")
@@ -239,6 +240,7 @@
         fields["limits.cpu_share"] = "0.6"
         fields["limits.disk_mb"] = "256"
         fields["data_dir"] = os.path.join(self.folder, f"disk-{number}")
+        fields["bootstrap"] = "true" if number <= self.first_cores else "false"
         return Machine(self, f"core-{number}", "control", ip, zone, fields)
 
     def side(self, number, service):
@@ -716,6 +718,17 @@
         return status
 
 
+def share_served(consumers):
+    """Returns the share of the consumers' requests that were answered with success."""
+    total = sum(sum(consumer.statuses.values()) for consumer in consumers)
+    return sum(consumer.statuses.get(200, 0) for consumer in consumers) / max(total, 1)
+
+
+def forget_statuses(consumers):
+    for consumer in consumers:
+        consumer.statuses.clear()
+
+
 async def until(condition, timeout, what):
     end = time.monotonic() + timeout
     while time.monotonic() < end:
