--- a/review/1/case.py
+++ b/review/1/case.py
@@ -44,6 +44,17 @@
         if status != 200:
             raise standins.CannotRun(f"manifest {self.version}: {status} {answer}")
 
+    async def leader(self):
+        """Returns the core machine that answers a read itself."""
+        for machine in self.deployment.cores:
+            try:
+                status, _, _ = await standins.call(f"{machine.ip}:{standins.CONTROL_PORT}", "GET", "/api/config")
+            except standins.HttpError:
+                continue
+            if status == 200:
+                return machine
+        raise standins.CannotRun("no core machine leads")
+
     async def read_back(self):
         """Reads the manifest at each core machine in turn for eight seconds. Returns its version, or nothing."""
         try:
@@ -61,21 +72,28 @@
     machine.deployment.record(f"{machine.name} loses power and its disk")
 
 
-async def replace_core(deployment, _):
-    """One core machine is gone for good and replaced; after catch_up_s two others lose their disks."""
-    third, fourth, fifth = deployment.cores[2:5]
-    fifth.kill()
-    deployment.record(f"{fifth.name} is gone for good")
+async def replace_core(deployment, operator):
+    """One core machine is replaced, the leader's process restarts, and later two others lose their disks."""
+    gone = deployment.cores[4]
+    gone.kill()
+    deployment.record(f"{gone.name} is gone for good")
     await asyncio.sleep(1)
     deployment.cores[4] = deployment.core(6)
     deployment.cores[4].start()
-    await asyncio.sleep(CATCH_UP_S + MARGIN_S)
-    deployment.record("lost: none; the successor has been there for longer than catch_up_s")
-    for machine in (third, fourth):
+    await asyncio.sleep(2)
+    leader = await operator.leader()
+    leader.kill()
+    deployment.record(f"the process of {leader.name}, which leads, is killed")
+    await asyncio.sleep(0.5)
+    leader.start()
+    await asyncio.sleep(CATCH_UP_S + MARGIN_S + 1)
+    deployment.record("lost: none; both have been back for longer than catch_up_s")
+    leader = await operator.leader()
+    losing = [machine for machine in deployment.cores[:4] if machine is not leader][:2]
+    for machine in losing:
         lose_disk(machine)
-    deployment.record("lost: core-3 and core-4")
     await asyncio.sleep(0.5)
-    for machine in (third, fourth):
+    for machine in losing:
         machine.start()
     deployment.record("all machines are back")
 
