--- a/review/standins.py
+++ b/review/standins.py
@@ -625,8 +625,8 @@
             self.broken(f"{pair} hold the same keys for over {self.BOUND_S} s")
 
     def report(self):
-        text = f"longest time for which two workers held the same keys: {self.longest:.3f} s; breaks: {len(self.breaks)}"
-        for line in [text, *self.breaks]:
+        longest = f"longest time for which two workers held the same keys: {self.longest:.3f} s"
+        for line in (f"{longest}; breaks: {len(self.breaks)}", *self.breaks):
             self.record(line)
             print(line)
         return bool(self.breaks)
@@ -782,6 +782,8 @@
     record = Record(os.path.join(folder, "record.txt"))
     disturb = os.environ.get("TROUBLE", "1") != "0"
     record(f"trouble: {'yes' if disturb else 'no'}")
+    # Ends the processes that were started also when the script itself is told to stop.
+    signal.signal(signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGINT))
     try:
         broken = asyncio.run(asyncio.wait_for(case(record, disturb), MAX_RUN_S))
     except (Exception, KeyboardInterrupt) as error:  # pylint: disable=broad-except
