--- a/review/3/case.py
+++ b/review/3/case.py
@@ -12,6 +12,8 @@
 import standins  # noqa: E402
 
 SERVICE = "huvo11a"
+WORK_S = 1.5
+"""Time that the worker at the address of the foreign report takes for a request; the others are fast."""
 
 
 async def send_foreign_report(record, worker):
@@ -37,8 +39,10 @@
     workers = []
     consumers = []
     try:
-        workers = await standins.start_service(deployment, SERVICE)
-        consumers = [standins.Consumer(record, machine) for machine in deployment.sides]
+        workers = await standins.start_service(deployment, SERVICE, timeout_ms=2500)
+        workers[0].work_s = WORK_S
+        workers[0].drops_closed = False
+        consumers = [standins.Consumer(record, machine, deadline_ms=5000) for machine in deployment.sides]
         await asyncio.sleep(8)
         owner = standins.Owner(record, workers)
         await asyncio.sleep(1)
