Logs and metrics that tell a silent replica from an agent that reads late

What could not be told apart: a session closed as silent because nothing was sent, and one whose messages lay unread in the socket. No logic changed.

--- a/include/loop/EventLoop.h
+++ b/include/loop/EventLoop.h
@@ -63,6 +63,9 @@
     /** Stops watching a descriptor; does nothing if it is not watched. */
     void unwatch(int descriptor);
 
+    /** @return the longest delay of a timer beyond its due time since the last call */
+    std::chrono::nanoseconds takeMaxTimerDelay();
+
     /** Runs @p task on the loop's thread when the process receives @p signal. */
     void onSignal(int signal, std::function<void()> task);
 
--- a/include/rpc/ControlSession.h
+++ b/include/rpc/ControlSession.h
@@ -95,6 +95,9 @@
     /** @return whether the session is open, that is, the leader has answered on the current one */
     bool isOpen() const;
 
+    /** @return when a message from a replica was last handled; the time of creation if none has been */
+    BootTime lastMessageAt() const;
+
 private:
     void askNextReplica();
     void followRedirect(const std::string &leader);
@@ -141,6 +144,7 @@
     std::string avoidedAddress;
     BootTime avoidedUntil{};
     BootTime lastReceivedAt{};
+    BootTime handledMessageAt;
     /** When the current replica was asked for a session. */
     BootTime searchStartedAt{};
     loop::TimerId silenceTimer = 0;
--- a/include/rpc/FrameSocket.h
+++ b/include/rpc/FrameSocket.h
@@ -80,7 +80,10 @@
     std::size_t queuedBytes() const;
     std::size_t queuedFrames() const;
 
-    /** @return when bytes last arrived; the time of creation if none have */
+    /** @return size in bytes of what has arrived and has not been read; 0 once closed */
+    std::size_t unreadBytes() const;
+
+    /** @return when bytes were last read; the time of creation if none have been */
     BootTime lastReceivedAt() const;
 
 private:
--- a/src/loop/EventLoop.cpp
+++ b/src/loop/EventLoop.cpp
@@ -250,6 +250,11 @@
     this->parts->timers.cancel(timer);
 }
 
+std::chrono::nanoseconds EventLoop::takeMaxTimerDelay()
+{
+    return this->parts->timers.takeMaxDelay();
+}
+
 void EventLoop::watch(int descriptor, Readiness interest, std::function<void(Readiness)> ready)
 {
     this->unwatch(descriptor);
--- a/src/loop/TimerQueue.cpp
+++ b/src/loop/TimerQueue.cpp
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace bergamotweir::loop {
 
@@ -47,6 +48,9 @@
     [[maybe_unused]] const auto size = read(this->timer, &expirations, sizeof expirations);
     this->wakeAt.reset();
     const BootTime now = BootClock::now();
+    if (!this->timersByDueTime.empty()) {
+        this->maxDelay = std::max(this->maxDelay, now - this->timersByDueTime.begin()->first);
+    }
     while (!this->timersByDueTime.empty() && this->timersByDueTime.begin()->first <= now) {
         const TimerId id = this->timersByDueTime.begin()->second;
         this->timersByDueTime.erase(this->timersByDueTime.begin());
@@ -68,6 +72,11 @@
     this->arm();
 }
 
+std::chrono::nanoseconds TimerQueue::takeMaxDelay()
+{
+    return std::exchange(this->maxDelay, std::chrono::nanoseconds(0));
+}
+
 void TimerQueue::arm()
 {
     if (this->timersByDueTime.empty() || (this->wakeAt && *this->wakeAt <= this->timersByDueTime.begin()->first)) {
--- a/src/loop/TimerQueue.h
+++ b/src/loop/TimerQueue.h
@@ -37,6 +37,9 @@
     /** Runs the timers that are due, in the order of their due times, but none added meanwhile. */
     void run();
 
+    /** @return the longest delay of a timer beyond its due time since the last call */
+    std::chrono::nanoseconds takeMaxDelay();
+
 private:
     struct Timer {
         BootTime dueAt;
@@ -52,6 +55,7 @@
     std::set<std::pair<BootTime, TimerId>> timersByDueTime;
     /** When the descriptor becomes readable; may be earlier than the first timer after a cancellation. */
     std::optional<BootTime> wakeAt;
+    std::chrono::nanoseconds maxDelay{0};
 };
 
 } // namespace bergamotweir::loop
--- a/src/process/AgentProcess.cpp
+++ b/src/process/AgentProcess.cpp
@@ -98,6 +98,7 @@
 
 AgentProcess::AgentProcess(loop::EventLoop &loop, const AgentSettings &settings)
     : loop(loop)
+    , loopMonitor(loop)
     , report(this->state)
     , bodies(this->loop, this->state, [this](std::uint32_t id) {
         return this->localUpstream(id);
@@ -400,7 +401,19 @@
         load.samples.push_back({labels, upstream->load()});
         inProgress.samples.push_back({labels, static_cast<double>(upstream->inProgress())});
     }
-    return {gauge("bergamotweir_lease_valid",
+    const auto seconds = [](std::chrono::nanoseconds time) {
+        return std::chrono::duration<double>(time).count();
+    };
+    return {gauge("bergamotweir_control_session_open",
+                  "1 while this agent has a session with control.",
+                  this->control->isOpen() ? 1 : 0),
+            gauge("bergamotweir_control_silence_seconds",
+                  "Time since a message from control was last handled.",
+                  seconds(this->control->silence())),
+            gauge("bergamotweir_loop_delay_seconds",
+                  "Longest delay of a timer of the event loop within the last second.",
+                  seconds(this->loopMonitor.maxDelay())),
+            gauge("bergamotweir_lease_valid",
                   "1 while this agent may give orders to its upstreams.",
                   agent::isValidAt(this->state.lease, BootClock::now()) ? 1 : 0),
             gauge("bergamotweir_table_version",
--- a/src/process/AgentProcess.h
+++ b/src/process/AgentProcess.h
@@ -8,6 +8,7 @@
 #include "process/BodyIntake.h"
 #include "process/ControlLink.h"
 #include "process/LocalUpstream.h"
+#include "process/LoopMonitor.h"
 #include "process/RequestRunner.h"
 #include "process/UpstreamRecovery.h"
 
@@ -72,6 +73,7 @@
     std::string healthJson() const;
 
     loop::EventLoop &loop;
+    LoopMonitor loopMonitor;
     AgentState state;
     AgentReport report;
     AgentMetrics metrics;
--- a/src/process/ControlLink.cpp
+++ b/src/process/ControlLink.cpp
@@ -225,6 +225,11 @@
     return this->session->isOpen();
 }
 
+std::chrono::nanoseconds ControlLink::silence() const
+{
+    return BootClock::now() - this->session->lastMessageAt();
+}
+
 rpc::ClaimClient &ControlLink::claims()
 {
     return this->claimClient;
--- a/src/process/ControlLink.h
+++ b/src/process/ControlLink.h
@@ -43,6 +43,8 @@
     void reportDemand();
 
     bool isOpen() const;
+    /** @return time since a message from control was last handled */
+    std::chrono::nanoseconds silence() const;
     rpc::ClaimClient &claims();
 
 private:
--- a/src/process/ControlProcess.cpp
+++ b/src/process/ControlProcess.cpp
@@ -28,6 +28,7 @@
 
 ControlProcess::ControlProcess(loop::EventLoop &loop, const ControlSettings &settings)
     : loop(loop)
+    , loopMonitor(loop)
     , settings(settings)
     , coordinator(settings.coordinator, this->state)
 {
--- a/src/process/ControlProcess.h
+++ b/src/process/ControlProcess.h
@@ -4,6 +4,7 @@
 #include "control/Coordinator.h"
 #include "control/State.h"
 #include "process/ControlSettings.h"
+#include "process/LoopMonitor.h"
 #include "process/MembershipManager.h"
 #include "process/ReplicaNode.h"
 #include "rpc/ControlService.h"
@@ -83,6 +84,7 @@
     void answerHttp(net::Exchange &exchange) const;
 
     loop::EventLoop &loop;
+    const LoopMonitor loopMonitor;
     const ControlSettings settings;
     control::State state;
     control::Coordinator coordinator;
--- a/src/rpc/ControlSession.cpp
+++ b/src/rpc/ControlSession.cpp
@@ -37,7 +37,8 @@
     , connections(std::make_unique<ReplicaConnections>(loop))
     , random(timeouts.seed)
     , firstAddress(this->random(static_cast<std::uint32_t>(this->addresses.size())))
-    , searchBegunAt(BootClock::now())
+    , handledMessageAt(BootClock::now())
+    , searchBegunAt(this->handledMessageAt)
     , alive(std::make_shared<bool>(true))
 {
     this->silenceTimer = this->loop.every(this->timeouts.silenceTimeout / 4, [this] {
@@ -87,6 +88,11 @@
     return this->opened;
 }
 
+BootTime ControlSession::lastMessageAt() const
+{
+    return this->handledMessageAt;
+}
+
 bool ControlSession::isAvoided(const std::string &address) const
 {
     return address == this->avoidedAddress && BootClock::now() < this->avoidedUntil;
@@ -257,6 +263,7 @@
 void ControlSession::handleMessage(wire::ControlMessage message)
 {
     this->lastReceivedAt = BootClock::now();
+    this->handledMessageAt = this->lastReceivedAt;
     this->unansweredRequests = 0;
     if (message.has_redirect()) {
         const std::string leader = message.redirect().leader_address();
@@ -293,6 +300,7 @@
         .with("opened", this->opened)
         .with("accepted", this->accepted)
         .with("silent_ms", BootClock::now() - this->lastReceivedAt)
+        .with("unread_bytes", static_cast<std::uint64_t>(this->socket ? this->socket->unreadBytes() : 0))
         .with("took_ms", BootClock::now() - this->searchStartedAt);
 }
 
--- a/src/rpc/FrameSocket.cpp
+++ b/src/rpc/FrameSocket.cpp
@@ -5,6 +5,7 @@
 #include <ace/SOCK_Connector.h>
 
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
 
@@ -163,6 +164,15 @@
     return this->queue.size();
 }
 
+std::size_t FrameSocket::unreadBytes() const
+{
+    int size = 0;
+    if (!this->isOpen || ::ioctl(this->stream.get_handle(), FIONREAD, &size) != 0 || size < 0) {
+        return 0;
+    }
+    return static_cast<std::size_t>(size);
+}
+
 BootTime FrameSocket::lastReceivedAt() const
 {
     return this->receivedAt;
