Failing tests: an overloaded agent serves its session and its timers after everything else

With 600 connections that are always ready and 2 ms of work each, a timer of 100 ms runs after 1.3 s and no session opens within 4 s. With the programs as processes, an agent that is stopped for nine tenths of the time and has 2,000 callers' connections has changes in force 2.4 and 2.9 s after their acknowledgement, where 2 s are allowed.

--- /dev/null
+++ b/tests/BusyLoopTest.cpp
@@ -0,0 +1,172 @@
+#include "FakeReplica.h"
+#include "PlatformMachines.h"
+#include "RequestFlood.h"
+#include "rpc/ControlSession.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <fstream>
+#include <thread>
+
+using namespace bergamotweir;
+using namespace std::chrono_literals;
+using std::chrono::steady_clock;
+
+namespace {
+
+/** Descriptors that are always ready for reading; each event takes a fixed time to handle. */
+class BusyDescriptors
+{
+public:
+    BusyDescriptors(loop::EventLoop &loop, std::size_t count, std::chrono::microseconds workPerEvent)
+        : loop(loop)
+    {
+        for (std::size_t index = 0; index < count; ++index) {
+            const int descriptor = eventfd(1, EFD_NONBLOCK | EFD_CLOEXEC);
+            this->descriptors.push_back(descriptor);
+            loop.watch(descriptor, {.readable = true}, [workPerEvent](loop::Readiness) {
+                const auto end = steady_clock::now() + workPerEvent;
+                while (steady_clock::now() < end) { }
+            });
+        }
+    }
+
+    ~BusyDescriptors()
+    {
+        for (const int descriptor : this->descriptors) {
+            this->loop.unwatch(descriptor);
+            close(descriptor);
+        }
+    }
+
+    BusyDescriptors(const BusyDescriptors &) = delete;
+    BusyDescriptors &operator=(const BusyDescriptors &) = delete;
+
+private:
+    loop::EventLoop &loop;
+    std::vector<int> descriptors;
+};
+
+/** One event of each takes 1.2 s in all. */
+constexpr std::size_t BusyCount = 600;
+constexpr auto WorkPerEvent = 2ms;
+
+/** @return when an agent logged that the routes of a revision, or of a later one, are in force */
+std::optional<std::chrono::system_clock::time_point> inForceAt(const std::string &logFile, std::uint64_t revision)
+{
+    std::ifstream log(logFile);
+    for (std::string line; std::getline(log, line);) {
+        const auto event = nlohmann::json::parse(line, nullptr, false);
+        if (!event.is_object() || event.value("event", "") != "routes in force" || event["revision"] < revision) {
+            continue;
+        }
+        const std::string time = event["time"];
+        std::tm date{};
+        strptime(time.c_str(), "%Y-%m-%dT%H:%M:%S", &date);
+        return std::chrono::system_clock::from_time_t(timegm(&date))
+               + std::chrono::milliseconds(std::stoi(time.substr(time.find('.') + 1, 3)));
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+// Guards against renewals and time-outs that are late by a round of all busy connections.
+TEST_CASE("a timer of a loop with 600 busy connections runs in time")
+{
+    auto loop = loop::EventLoop::create().value();
+    const BusyDescriptors busy(*loop, BusyCount, WorkPerEvent);
+    const auto startedAt = steady_clock::now();
+    loop->after(100ms, [&] {
+        loop->stop();
+    });
+    loop->run();
+    CHECK(steady_clock::now() - startedAt < 300ms);
+}
+
+// Guards against an agent that loses its session, or acts on old routes, because it reads the session after everything
+// else.
+TEST_CASE("an agent with 600 busy connections opens a session at once and keeps it")
+{
+    test::FakeReplica leader;
+    auto loop = loop::EventLoop::create().value();
+    const BusyDescriptors busy(*loop, BusyCount, WorkPerEvent);
+    std::unique_ptr<rpc::ControlSession> session;
+    std::uint64_t renewals = 0;
+    std::uint64_t answered = 0;
+    unsigned opened = 0;
+    unsigned closed = 0;
+    rpc::ControlSessionEvents events;
+    events.hello = [] {
+        return wire::Hello();
+    };
+    events.opened = [&](rpc::SessionId) {
+        ++opened;
+    };
+    events.message = [&](rpc::SessionId, const wire::ControlMessage &message) {
+        answered = std::max(answered, message.renewed().sequence());
+    };
+    events.closed = [&](rpc::SessionId) {
+        ++closed;
+    };
+    session = std::make_unique<rpc::ControlSession>(
+        *loop, std::vector{leader.address()}, events, rpc::ControlSessionTimeouts{.silenceTimeout = 600ms});
+    loop->every(100ms, [&] {
+        wire::AgentMessage renew;
+        renew.mutable_renew()->set_sequence(++renewals);
+        session->send(renew);
+    });
+    loop->after(1s, [&] {
+        CHECK(opened == 1);
+    });
+    loop->after(4s, [&] {
+        loop->stop();
+    });
+    loop->run();
+    CHECK(opened == 1);
+    CHECK(closed == 0);
+    CHECK(renewals >= 30);
+    CHECK(answered + 3 >= renewals);
+}
+
+// Guards against old routes at an agent that gets more requests than it can handle.
+TEST_CASE("platform process: an agent that is overloaded by requests has each change in force within two seconds",
+          "[process]")
+{
+    test::PlatformMachines machines;
+    const auto put = [&](unsigned version) {
+        std::array<char, 9> text{};
+        std::array<char, 9> base{};
+        std::snprintf(text.data(), text.size(), "%08x", version);
+        std::snprintf(base.data(), base.size(), "%08x", version - 1);
+        return machines.order(1, "PUT", "/api/config", test::platformManifest(text.data(), base.data())).status == 200;
+    };
+    REQUIRE(test::Deployment::eventually(10s, [&] {
+        return put(1);
+    }));
+    REQUIRE(machines.served(11, 0));
+    const test::Throttle throttle(machines.agents[0].pid);
+    const test::RequestFlood flood(machines.ip(11) + ":8629",
+                                   2000,
+                                   "GET /book/x HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: flood\r\n"
+                                   "X-Deadline-Ms: 2000\r\nX-Shard-Key: 7\r\n\r\n");
+    REQUIRE(test::Deployment::eventually(15s, [&] {
+        return flood.answers() > 2000;
+    }));
+    std::map<unsigned, std::chrono::system_clock::time_point> acknowledgedAt;
+    for (unsigned version = 2; version <= 11; ++version) {
+        REQUIRE(put(version));
+        acknowledgedAt[version] = std::chrono::system_clock::now();
+        std::this_thread::sleep_for(500ms);
+    }
+    std::this_thread::sleep_for(2s);
+    for (const auto &[version, acknowledged] : acknowledgedAt) {
+        const auto inForce = inForceAt(machines.agents[0].logFile, version);
+        INFO("revision " << version);
+        CHECK(inForce.value_or(std::chrono::system_clock::time_point::max()) - acknowledged <= 2s);
+    }
+}
