The loop serves sessions, replicas, heartbeats and timers ahead of requests

Cause: one event loop serves all descriptors one at a time in the order in which they became ready. An agent with more requests than its processor can handle reads its session once in a round of all busy connections. Changes wait, timers are late, and the time without a message, counted from when a frame is read, ends a session whose messages lie unread in the socket. Finding the next one takes several rounds; meanwhile the agent acts on the table that it has, and its lease runs out.

Change: descriptors have a priority. Every 10 ms the loop asks poll() for those of high priority, and runs the timers that are due, before the next event of any other. High: connections to control and between replicas, the port of the upstreams' heartbeats. Timers that are late by more than that run after what has arrived was read, so that a resumed process doesn't end a working session. Considered: a second epoll for high priority (one more object to keep in step with the reactor, not measured), a thread for the session (the core would need locks).

--- a/include/loop/EventLoop.h
+++ b/include/loop/EventLoop.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Result.h"
+#include "loop/WatchPriority.h"
 
 #include <chrono>
 #include <cstdint>
@@ -21,12 +22,17 @@
 /**
  * Dispatches socket events, timers, signals and tasks posted by other threads on a single thread, on which a process
  * runs its core.
- * Built on the ACE reactor. Owned by the process's main function and outlives everything registered with it.
- * All methods except post() and stop() may be called only on the loop's own thread or before run().
+ * Built on the ACE reactor, which serves ready descriptors one at a time in the order in which they became ready.
+ * Timers and descriptors of high priority don't wait for that order. Owned by the process's main function and outlives
+ * everything registered with it. All methods except post() and stop() may be called only on the loop's own thread or
+ * before run().
  */
 class EventLoop
 {
 public:
+    /** Time after which timers that are due and ready descriptors of high priority are served before all others. */
+    static constexpr std::chrono::milliseconds MaxPriorityDelay{10};
+
     /** @return a loop that is ready to run, or the reason why the reactor could not be opened */
     static Result<std::unique_ptr<EventLoop>> create();
 
@@ -57,8 +63,12 @@
      * @param descriptor remains owned by the caller, which calls unwatch() before closing it
      * @param interest the events to watch for
      * @param ready called on the loop's thread; may call watch() and unwatch()
+     * @param priority order among descriptors that are ready at the same time
      */
-    void watch(int descriptor, Readiness interest, std::function<void(Readiness)> ready);
+    void watch(int descriptor,
+               Readiness interest,
+               std::function<void(Readiness)> ready,
+               WatchPriority priority = WatchPriority::Normal);
 
     /** Stops watching a descriptor; does nothing if it is not watched. */
     void unwatch(int descriptor);
--- a/include/net/HttpServerSettings.h
+++ b/include/net/HttpServerSettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Result.h"
+#include "loop/WatchPriority.h"
 
 #include <chrono>
 #include <cstddef>
@@ -28,6 +29,8 @@
     unsigned maxConnections = 4096;
     /** A connection on which no byte was transferred for this long, and no answer is outstanding, is closed. */
     std::chrono::seconds idleTimeout{60};
+    /** Order in which the loop serves an HttpServer; a PipelineServer is always served in normal order. */
+    loop::WatchPriority priority = loop::WatchPriority::Normal;
 };
 
 /** Collects and checks the settings of an HttpServer. */
@@ -41,6 +44,7 @@
     HttpServerSettingsBuilder &maxDiscardedBytes(std::size_t value);
     HttpServerSettingsBuilder &maxConnections(unsigned value);
     HttpServerSettingsBuilder &idleTimeout(std::chrono::seconds value);
+    HttpServerSettingsBuilder &priority(loop::WatchPriority value);
 
     /** @return the settings, or a finding for each invalid one */
     Result<HttpServerSettings> build() const;
--- a/include/rpc/FrameServer.h
+++ b/include/rpc/FrameServer.h
@@ -25,6 +25,8 @@
     std::size_t maxFrameBytes = 0;
     /** Maximum number of connections that have sent no preface yet; further ones wait in the kernel's backlog. */
     std::size_t maxUnidentified = 1024;
+    /** Order in which the loop serves the server and its connections. */
+    loop::WatchPriority priority = loop::WatchPriority::Normal;
 };
 
 /** Callbacks of a FrameServer, on the loop's thread. */
--- a/include/rpc/FrameSocket.h
+++ b/include/rpc/FrameSocket.h
@@ -44,7 +44,7 @@
 {
 public:
     /**
-     * Starts to connect.
+     * Starts to connect. The loop serves the socket with high priority.
      * @param loop outlives the socket
      * @param address IP:port of the peer
      * @param maxFrameBytes maximum size of a received payload
@@ -53,9 +53,15 @@
     static std::shared_ptr<FrameSocket>
     connect(loop::EventLoop &loop, const std::string &address, std::size_t maxFrameBytes);
 
-    /** Takes over an accepted connection. @param stream connected and non-blocking */
-    static std::shared_ptr<FrameSocket>
-    accept(loop::EventLoop &loop, const ACE_SOCK_Stream &stream, std::size_t maxFrameBytes);
+    /**
+     * Takes over an accepted connection.
+     * @param stream connected and non-blocking
+     * @param priority order in which the loop serves the socket
+     */
+    static std::shared_ptr<FrameSocket> accept(loop::EventLoop &loop,
+                                               const ACE_SOCK_Stream &stream,
+                                               std::size_t maxFrameBytes,
+                                               loop::WatchPriority priority);
 
     ~FrameSocket();
     FrameSocket(const FrameSocket &) = delete;
@@ -87,7 +93,7 @@
     BootTime lastReceivedAt() const;
 
 private:
-    FrameSocket(loop::EventLoop &loop, std::size_t maxFrameBytes);
+    FrameSocket(loop::EventLoop &loop, std::size_t maxFrameBytes, loop::WatchPriority priority);
     void watch(bool writable);
     void onReady(loop::Readiness ready);
     void scheduleFlush();
@@ -98,6 +104,7 @@
     void fail();
 
     loop::EventLoop &loop;
+    const loop::WatchPriority priority;
     ACE_SOCK_Stream stream;
     FrameReader reader;
     FrameSocketEvents events;
--- a/src/loop/EventLoop.cpp
+++ b/src/loop/EventLoop.cpp
@@ -1,5 +1,6 @@
 #include "loop/EventLoop.h"
 
+#include "base/BootClock.h"
 #include "loop/TimerQueue.h"
 
 #include <ace/Dev_Poll_Reactor.h>
@@ -7,6 +8,7 @@
 #include <ace/Reactor.h>
 #include <ace/Signal.h>
 
+#include <poll.h>
 #include <sys/resource.h>
 
 #include <algorithm>
@@ -15,8 +17,10 @@
 #include <deque>
 #include <map>
 #include <mutex>
+#include <set>
 #include <thread>
 #include <unordered_map>
+#include <vector>
 
 namespace bergamotweir::loop {
 
@@ -26,8 +30,9 @@
 class Watch : public ACE_Event_Handler
 {
 public:
-    Watch(ACE_HANDLE descriptor, std::function<void(Readiness)> ready)
+    Watch(ACE_HANDLE descriptor, Readiness interest, std::function<void(Readiness)> ready)
         : descriptor(descriptor)
+        , interest(interest)
         , ready(std::move(ready))
     {
     }
@@ -53,6 +58,7 @@
     }
 
     ACE_HANDLE descriptor;
+    Readiness interest;
     std::function<void(Readiness)> ready;
     bool isActive = true;
 
@@ -165,15 +171,72 @@
 } // namespace
 
 struct EventLoop::Parts {
+    void serveOverdue();
+    void servePriority();
+    void serveTimers();
+
     ACE_Dev_Poll_Reactor implementation{maxReactorDescriptors(), true};
     ACE_Reactor reactor{&implementation};
     TaskQueue tasks;
     std::unordered_map<int, std::unique_ptr<Watch>> watches;
+    /** The watches of high priority, which are among @c watches too. */
+    std::set<Watch *> priorityWatches;
+    /** When the timers and the watches of high priority were last served ahead of others. */
+    BootTime priorityServedAt{};
     std::vector<std::unique_ptr<Watch>> endedWatches;
     TimerQueue timers;
     std::map<int, std::unique_ptr<SignalHandler>> signals;
 };
 
+/** Serves timers that are due and watches of high priority, if they may have waited for MaxPriorityDelay. */
+void EventLoop::Parts::serveOverdue()
+{
+    const BootTime now = BootClock::now();
+    if (now - this->priorityServedAt < MaxPriorityDelay) {
+        return;
+    }
+    this->priorityServedAt = now;
+    this->servePriority();
+    if (this->timers.isDue(now)) {
+        this->timers.run();
+    }
+}
+
+void EventLoop::Parts::servePriority()
+{
+    std::vector<pollfd> polled;
+    std::vector<Watch *> polledWatches;
+    for (Watch *const watch : this->priorityWatches) {
+        const int events = (watch->interest.readable ? POLLIN : 0) | (watch->interest.writable ? POLLOUT : 0);
+        polled.push_back({watch->descriptor, static_cast<short>(events), 0});
+        polledWatches.push_back(watch);
+    }
+    if (polled.empty() || poll(polled.data(), polled.size(), 0) <= 0) {
+        return;
+    }
+    // Watches that end meanwhile are kept until the end of the iteration, and are not active any more.
+    for (std::size_t index = 0; index < polled.size(); ++index) {
+        if ((polled[index].revents & POLLOUT) != 0) {
+            polledWatches[index]->handle_output(polled[index].fd);
+        }
+        if ((polled[index].revents & ~POLLOUT) != 0) {
+            polledWatches[index]->handle_input(polled[index].fd);
+        }
+    }
+}
+
+/**
+ * Guards against timeouts that end working connections after the process was suspended: what has arrived meanwhile is
+ * read first.
+ */
+void EventLoop::Parts::serveTimers()
+{
+    if (this->timers.isDue(BootClock::now() - MaxPriorityDelay)) {
+        this->servePriority();
+    }
+    this->timers.run();
+}
+
 Result<std::unique_ptr<EventLoop>> EventLoop::create()
 {
     auto parts = std::make_unique<Parts>();
@@ -181,10 +244,10 @@
         return oneFinding("event loop", "the ACE reactor could not be opened");
     }
     parts->tasks.reactor(&parts->reactor);
-    TimerQueue &timers = parts->timers;
+    Parts *const self = parts.get();
     std::unique_ptr<EventLoop> loop(new EventLoop(std::move(parts)));
-    loop->watch(timers.descriptor(), {.readable = true}, [&timers](Readiness) {
-        timers.run();
+    loop->watch(self->timers.descriptor(), {.readable = true}, [self](Readiness) {
+        self->serveTimers();
     });
     return loop;
 }
@@ -219,6 +282,7 @@
             ACE_Time_Value noWait = ACE_Time_Value::zero;
             this->parts->reactor.handle_events(noWait);
         }
+        this->parts->serveOverdue();
         this->parts->endedWatches.clear();
     }
 }
@@ -255,10 +319,10 @@
     return this->parts->timers.takeMaxDelay();
 }
 
-void EventLoop::watch(int descriptor, Readiness interest, std::function<void(Readiness)> ready)
+void EventLoop::watch(int descriptor, Readiness interest, std::function<void(Readiness)> ready, WatchPriority priority)
 {
     this->unwatch(descriptor);
-    auto watch = std::make_unique<Watch>(descriptor, std::move(ready));
+    auto watch = std::make_unique<Watch>(descriptor, interest, std::move(ready));
     ACE_Reactor_Mask mask = ACE_Event_Handler::NULL_MASK;
     if (interest.readable) {
         mask |= ACE_Event_Handler::READ_MASK;
@@ -267,6 +331,9 @@
         mask |= ACE_Event_Handler::WRITE_MASK;
     }
     this->parts->reactor.register_handler(watch.get(), mask);
+    if (priority == WatchPriority::High) {
+        this->parts->priorityWatches.insert(watch.get());
+    }
     this->parts->watches.emplace(descriptor, std::move(watch));
 }
 
@@ -277,6 +344,7 @@
         return;
     }
     found->second->isActive = false;
+    this->parts->priorityWatches.erase(found->second.get());
     this->parts->reactor.remove_handler(found->second.get(),
                                         ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
     // The reactor may be inside a call of this watch, so it is freed only after the call has returned.
--- a/src/loop/TimerQueue.cpp
+++ b/src/loop/TimerQueue.cpp
@@ -42,6 +42,11 @@
     }
 }
 
+bool TimerQueue::isDue(BootTime moment) const
+{
+    return !this->timersByDueTime.empty() && this->timersByDueTime.begin()->first <= moment;
+}
+
 void TimerQueue::run()
 {
     std::uint64_t expirations = 0;
--- a/src/loop/TimerQueue.h
+++ b/src/loop/TimerQueue.h
@@ -34,6 +34,9 @@
     /** Cancels a timer; does nothing if the timer has fired or is unknown. */
     void cancel(TimerId timer);
 
+    /** @return whether a timer is due at a moment */
+    bool isDue(BootTime moment) const;
+
     /** Runs the timers that are due, in the order of their due times, but none added meanwhile. */
     void run();
 
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -238,9 +238,13 @@
     };
     this->daemonEpollFd = MHD_get_daemon_info(this->daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
     this->hangUpEpollFd = epoll_create1(EPOLL_CLOEXEC);
-    this->loop.watch(this->daemonEpollFd, {.readable = true}, [this](loop::Readiness) {
-        this->run();
-    });
+    this->loop.watch(
+        this->daemonEpollFd,
+        {.readable = true},
+        [this](loop::Readiness) {
+            this->run();
+        },
+        this->settings.priority);
     this->loop.watch(this->hangUpEpollFd, {.readable = true}, [this](loop::Readiness) {
         this->onHangUps();
     });
--- a/src/net/HttpServerSettings.cpp
+++ b/src/net/HttpServerSettings.cpp
@@ -54,6 +54,12 @@
     return *this;
 }
 
+HttpServerSettingsBuilder &HttpServerSettingsBuilder::priority(loop::WatchPriority value)
+{
+    this->settings.priority = value;
+    return *this;
+}
+
 Result<HttpServerSettings> HttpServerSettingsBuilder::build() const
 {
     Findings findings;
--- a/src/process/AgentProcess.cpp
+++ b/src/process/AgentProcess.cpp
@@ -147,7 +147,9 @@
         findings);
     this->announcements = bindServer(
         this->loop,
-        settingsFor(settings.announceAddress, settings.announcePort).maxBodyBytes(MaxAnnouncementBytes),
+        settingsFor(settings.announceAddress, settings.announcePort)
+            .maxBodyBytes(MaxAnnouncementBytes)
+            .priority(loop::WatchPriority::High),
         "--announce-port",
         [this](const std::shared_ptr<net::Exchange> &exchange) {
             if (this->state.protocol->usesHeartbeats) {
--- a/src/rpc/FrameServer.cpp
+++ b/src/rpc/FrameServer.cpp
@@ -85,9 +85,13 @@
         this->loop.unwatch(this->acceptor.get_handle());
         return;
     }
-    this->loop.watch(this->acceptor.get_handle(), {.readable = true}, [this](loop::Readiness) {
-        this->accept();
-    });
+    this->loop.watch(
+        this->acceptor.get_handle(),
+        {.readable = true},
+        [this](loop::Readiness) {
+            this->accept();
+        },
+        this->settings.priority);
 }
 
 void FrameServer::accept()
@@ -104,9 +108,13 @@
             this->release(descriptor).close();
         });
         this->unidentified[descriptor] = {.stream = stream, .timer = timer};
-        this->loop.watch(descriptor, {.readable = true}, [this, descriptor](loop::Readiness) {
-            this->identify(descriptor);
-        });
+        this->loop.watch(
+            descriptor,
+            {.readable = true},
+            [this, descriptor](loop::Readiness) {
+                this->identify(descriptor);
+            },
+            this->settings.priority);
         this->watchAcceptor();
     }
 }
@@ -133,7 +141,8 @@
     }
     const std::string_view received(start.data(), static_cast<std::size_t>(size));
     if (FramePreface.starts_with(received)) {
-        this->events.accepted(FrameSocket::accept(this->loop, this->release(descriptor), this->settings.maxFrameBytes));
+        this->events.accepted(FrameSocket::accept(
+            this->loop, this->release(descriptor), this->settings.maxFrameBytes, this->settings.priority));
     } else if (received == Http2Preface && this->events.http2) {
         this->events.http2(this->release(descriptor).get_handle());
     } else {
--- a/src/rpc/FrameSocket.cpp
+++ b/src/rpc/FrameSocket.cpp
@@ -50,8 +50,9 @@
     return std::make_shared<const std::string>(std::move(bytes));
 }
 
-FrameSocket::FrameSocket(loop::EventLoop &loop, std::size_t maxFrameBytes)
+FrameSocket::FrameSocket(loop::EventLoop &loop, std::size_t maxFrameBytes, loop::WatchPriority priority)
     : loop(loop)
+    , priority(priority)
     , receivedAt(BootClock::now())
 {
     this->reader.maxBytes = maxFrameBytes;
@@ -60,7 +61,7 @@
 std::shared_ptr<FrameSocket>
 FrameSocket::connect(loop::EventLoop &loop, const std::string &address, std::size_t maxFrameBytes)
 {
-    std::shared_ptr<FrameSocket> socket(new FrameSocket(loop, maxFrameBytes));
+    std::shared_ptr<FrameSocket> socket(new FrameSocket(loop, maxFrameBytes, loop::WatchPriority::High));
     const std::optional<ACE_INET_Addr> target = net::parseAddress(address);
     if (!target) {
         return socket;
@@ -80,10 +81,12 @@
     return socket;
 }
 
-std::shared_ptr<FrameSocket>
-FrameSocket::accept(loop::EventLoop &loop, const ACE_SOCK_Stream &stream, std::size_t maxFrameBytes)
+std::shared_ptr<FrameSocket> FrameSocket::accept(loop::EventLoop &loop,
+                                                 const ACE_SOCK_Stream &stream,
+                                                 std::size_t maxFrameBytes,
+                                                 loop::WatchPriority priority)
 {
-    std::shared_ptr<FrameSocket> socket(new FrameSocket(loop, maxFrameBytes));
+    std::shared_ptr<FrameSocket> socket(new FrameSocket(loop, maxFrameBytes, priority));
     socket->stream = stream;
     socket->isOpen = true;
     socket->isConnected = true;
@@ -181,13 +184,15 @@
 void FrameSocket::watch(bool writable)
 {
     this->watchesWritable = writable;
-    this->loop.watch(this->stream.get_handle(),
-                     {.readable = true, .writable = writable},
-                     [weak = this->weak_from_this()](loop::Readiness ready) {
-                         if (const std::shared_ptr<FrameSocket> self = weak.lock(); self != nullptr) {
-                             self->onReady(ready);
-                         }
-                     });
+    this->loop.watch(
+        this->stream.get_handle(),
+        {.readable = true, .writable = writable},
+        [weak = this->weak_from_this()](loop::Readiness ready) {
+            if (const std::shared_ptr<FrameSocket> self = weak.lock(); self != nullptr) {
+                self->onReady(ready);
+            }
+        },
+        this->priority);
 }
 
 void FrameSocket::onReady(loop::Readiness ready)
--- a/src/rpc/RaftTransport.cpp
+++ b/src/rpc/RaftTransport.cpp
@@ -203,7 +203,10 @@
     auto parts = std::make_unique<Parts>(loop, std::move(received));
     Result<std::unique_ptr<FrameServer>> server =
         FrameServer::listen(loop,
-                            {.address = settings.address, .port = settings.port, .maxFrameBytes = MaxMessageBytes},
+                            {.address = settings.address,
+                             .port = settings.port,
+                             .maxFrameBytes = MaxMessageBytes,
+                             .priority = loop::WatchPriority::High},
                             {.accepted =
                                  [parts = parts.get()](std::shared_ptr<FrameSocket> socket) {
                                      parts->accepted(std::move(socket));
