Each part of a manifest, a change and a report has its stated type or is refused

Cause: fieldOf() found no field in a value that is no object, so the part counted as absent; the same held for limits and for parts of a traffic_split. A liveness report without zone or version was taken, too.

A value of another type is now refused with the path of the field, such as upsert.routes[3].timeout_ms, and with the types expected and found; values are not shown, as they may be callers' keys. Findings of a manifest name paths where they named routes and services before: the tests expect the more precise place.

No fuzz target yet.

--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -103,7 +103,7 @@
     REQUIRE(upload->kind == table::RouteKind::Upload);
     REQUIRE_FALSE(table::canRetry(upload->kind));
     text.replace(text.find("\"upload\""), std::string("\"upload\"").size(), "\"download\"");
-    REQUIRE(platform::readManifest(text, false).error().front().place == "route r2");
+    REQUIRE(platform::readManifest(text, false).error().front().place == "routes[1].kind");
 }
 
 TEST_CASE("platform: a service states whether keys are granted by calls or in heartbeats")
@@ -120,7 +120,7 @@
     REQUIRE(wayOf("\"heartbeat\"") == wire::GRANT_WAY_HEARTBEAT);
     REQUIRE(wayOf("\"call\"") == wire::GRANT_WAY_CALL);
     const auto unknown = platform::readManifest(manifestWith("\"pigeon\""), false);
-    REQUIRE(unknown.error().front().place == "service s");
+    REQUIRE(unknown.error().front().place == "services[0].grants");
     REQUIRE_FALSE(platform::readManifest(manifestWith("7"), false));
 }
 
@@ -149,12 +149,37 @@
         platform::readManifest(R"({"version":"1","base_version":"0","services":{"columns":[],"rows":[]},)"
                                R"("routes":{"columns":["name"],"rows":[["r",1]]}})",
                                false);
-    REQUIRE(shortRow.error().front().place == "routes");
+    REQUIRE(shortRow.error().front().place == "routes[0]");
     const auto wrongType =
         platform::readManifest(R"({"version":"1","base_version":"0","services":{"columns":[],"rows":[]},)"
                                R"("routes":{"columns":["name","kind","timeout_ms"],"rows":[["r","idempotent","x"]]}})",
                                false);
-    REQUIRE(wrongType.error().front().place == "timeout_ms");
+    REQUIRE(wrongType.error().front().place == "routes[0].timeout_ms");
+    REQUIRE(wrongType.error().front().message == "expected a number, got string");
+}
+
+// Guards against changes that are acknowledged though they could not be read.
+TEST_CASE("platform: a change of which a part has another type than stated is refused with the part's path")
+{
+    const auto placeOf = [](const std::string &part) {
+        const auto read = platform::readManifest(R"({"version":"2","base_version":"1",)" + part + "}", true);
+        return read ? std::string("read") : read.error().front().place;
+    };
+    CHECK(placeOf(R"("remove":["r-main"])") == "remove");
+    CHECK(placeOf(R"("remove":5)") == "remove");
+    CHECK(placeOf(R"("remove":{"routes":"r-main"})") == "remove.routes");
+    CHECK(placeOf(R"("remove":{"routes":["r-main",7]})") == "remove.routes[1]");
+    CHECK(placeOf(R"("upsert":"x")") == "upsert");
+    CHECK(placeOf(R"("upsert":[])") == "upsert");
+    CHECK(placeOf(R"("upsert":{"routes":[]})") == "upsert.routes");
+    CHECK(placeOf(R"("upsert":{"routes":{"columns":["name"],"rows":5}})") == "upsert.routes.rows");
+    CHECK(placeOf(R"("upsert":{"limits":5})") == "upsert.limits");
+    CHECK(placeOf(R"("upsert":{"routes":{"columns":["name","kind","traffic_split"],)"
+                  R"("rows":[["a","idempotent",[{"service":"s","weight":1},"s"]]]}})")
+          == "upsert.routes[0].traffic_split[1]");
+    CHECK(placeOf(R"("upsert":{"tenants":{"columns":["name","api_keys"],"rows":[["a",["k"]],["b",[5]]]}})")
+          == "upsert.tenants[1].api_keys[0]");
+    CHECK(placeOf(R"("upsert":{},"remove":{})") == "read");
 }
 
 TEST_CASE("platform: operators' calls are translated to requests, and replies to HTTP statuses")
@@ -226,6 +251,13 @@
     REQUIRE_FALSE(platform::readHeartbeat(heartbeat(body.dump())));
     body["holds"] = {{0, 70000, 1}};
     REQUIRE_FALSE(platform::readHeartbeat(heartbeat(body.dump())));
+    for (const char *field : {"version", "zone"}) {
+        body = json::parse(HeartbeatBody);
+        body["info"][field] = 7;
+        CHECK_FALSE(platform::readHeartbeat(heartbeat(body.dump())));
+        body["info"].erase(field);
+        CHECK_FALSE(platform::readHeartbeat(heartbeat(body.dump())));
+    }
 }
 
 TEST_CASE("platform: an answer without grants is empty, one with grants has rows and duration")
