Only a refused connection proves the end of an upstream's process

Cause: a health probe that was not sent counted as the end of the process. That holds for a refused connection; a reset one, or one for which this process had no descriptor, proves nothing. CallResult now says whether the peer's VM refused the connection (ECONNREFUSED), and only that ends a hold before its time. After a reset one more probe follows 50 ms later, as the end of a process resets the connections in its backlog before the next is refused; lost requests stay suspects of a crash until then.

Ruled out: waiting for requests that callers gave up, which would delay every true end by the time limit of the latest of them; upstreams here keep their listening socket until they exit.

--- a/include/net/CallResult.h
+++ b/include/net/CallResult.h
@@ -35,6 +35,11 @@
     CallOutcome outcome = CallOutcome::NotSent;
     /** False only if provably no byte of the request was sent. */
     bool mayHaveRun = false;
+    /**
+     * Whether the peer's VM refused the connection, so that no process listens at the address. A connection that was
+     * reset, or could not be opened for want of descriptors, is not refused.
+     */
+    bool isRefused = false;
     /** Set only if the outcome is Answered. */
     HttpAnswer answer;
     /** Time since send(). */
--- a/src/net/ClientCall.cpp
+++ b/src/net/ClientCall.cpp
@@ -290,11 +290,19 @@
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call.headers);
 }
 
+bool isRefused(const ClientCall &call, CURLcode code)
+{
+    long error = 0;
+    return code == CURLE_COULDNT_CONNECT && call.easy != nullptr
+           && curl_easy_getinfo(call.easy, CURLINFO_OS_ERRNO, &error) == CURLE_OK && error == ECONNREFUSED;
+}
+
 CallResult takeResult(ClientCall &call, CURLcode code)
 {
     CallResult result;
     result.outcome = outcomeOf(call, code);
     result.mayHaveRun = call.sent;
+    result.isRefused = !call.sent && isRefused(call, code);
     result.elapsed = BootClock::now() - call.startedAt;
     if (result.outcome == CallOutcome::Answered) {
         const bool head = call.call.method == "HEAD";
--- a/src/process/LocalUpstream.h
+++ b/src/process/LocalUpstream.h
@@ -196,8 +196,8 @@
 private:
     struct Work;
     /** Sends a health check, unless one is in flight, and updates the status from its result. */
-    void checkHealth(bool needsNewConnection);
-    void healthAnswered(const net::CallResult &result);
+    void checkHealth(bool needsNewConnection, bool isSecondProbe = false);
+    void healthAnswered(const net::CallResult &result, bool isSecondProbe);
     void answered(agent::TicketId ticket, net::CallResult result);
     /** Applies what the upstream states about itself with the answer to a request sent at @p sentAt. */
     void readNotice(const net::HttpAnswer &answer, BootTime sentAt);
@@ -205,6 +205,7 @@
     void abandon(agent::TicketId ticket);
     void requestCancel(agent::TicketId ticket);
     void endWork(agent::TicketId ticket, agent::WorkOutcome outcome, bool answeredInFull);
+    void probeAgain();
     void processEnded();
     void endAbandoned();
     bool isUnresponsive(BootTime now) const;
@@ -246,6 +247,8 @@
     BootTime lastAnnouncedAt;
     BootTime lastAnswerAt;
     bool isProbing = false;
+    /** A probe met a reset connection, and another one follows. */
+    bool isSecondProbePending = false;
     bool isGrantInFlight = false;
     bool needsAnotherGrant = false;
     BootTime grantSentAt;
--- a/src/process/LocalUpstreamHealth.cpp
+++ b/src/process/LocalUpstreamHealth.cpp
@@ -4,6 +4,8 @@
 #include "process/LocalUpstream.h"
 #include "process/LocalWork.h"
 
+#include <utility>
+
 namespace bergamotweir::process {
 
 namespace {
@@ -12,6 +14,8 @@
 
 /** An upstream that has not answered for this long counts as frozen. */
 constexpr milliseconds FrozenTimeout{500};
+/** Well below a second, within which the end of a process must be noticed. */
+constexpr milliseconds SecondProbeDelay{50};
 /** An upstream that has not announced itself for this long counts as frozen. */
 constexpr milliseconds AnnouncementTimeout{3000};
 
@@ -24,7 +28,7 @@
 
 } // namespace
 
-void LocalUpstream::checkHealth(bool needsNewConnection)
+void LocalUpstream::checkHealth(bool needsNewConnection, bool isSecondProbe)
 {
     const BootTime now = BootClock::now();
     if (this->currentStatus == UpstreamStatus::Crashed) {
@@ -43,14 +47,16 @@
     net::HttpCall call = this->state.protocol->healthCall(
         upstreamAddress(this->latestAnnouncement), routed == nullptr ? "/health" : routed->healthPath, FrozenTimeout);
     call.needsNewConnection = needsNewConnection;
-    this->client.send(std::move(call), [this](const net::CallResult &result) {
+    this->client.send(std::move(call), [this, isSecondProbe](const net::CallResult &result) {
         this->isProbing = false;
-        this->healthAnswered(result);
-        this->endAbandoned();
+        this->healthAnswered(result, isSecondProbe);
+        if (!this->isSecondProbePending) {
+            this->endAbandoned();
+        }
     });
 }
 
-void LocalUpstream::healthAnswered(const net::CallResult &result)
+void LocalUpstream::healthAnswered(const net::CallResult &result, bool isSecondProbe)
 {
     if (result.outcome == net::CallOutcome::Answered) {
         this->lastAnswerAt = BootClock::now();
@@ -60,14 +66,32 @@
         }
         return;
     }
-    const bool refused = result.outcome == net::CallOutcome::NotSent && result.elapsed < FrozenTimeout;
-    if (refused) {
+    if (result.isRefused && result.elapsed < FrozenTimeout) {
         this->processEnded();
+    } else if (result.outcome == net::CallOutcome::NotSent && !isSecondProbe) {
+        this->probeAgain();
     } else if (result.outcome == net::CallOutcome::ConnectionLost && !this->state.protocol->usesHeartbeats) {
         this->checkHealth(true);
     }
 }
 
+/**
+ * Probes once more after a connection that was reset: a process that is full resets connections, and so does the end of
+ * one, after which the next connection is refused.
+ */
+void LocalUpstream::probeAgain()
+{
+    if (std::exchange(this->isSecondProbePending, true)) {
+        return;
+    }
+    this->loop.after(SecondProbeDelay, [this, alive = this->alive] {
+        if (*alive) {
+            this->isSecondProbePending = false;
+            this->checkHealth(true, true);
+        }
+    });
+}
+
 /**
  * Ends the work whose connections were lost, and marks it suspect of the crash.
  * A graceful stop must not count as a crash: a stopping upstream closes its listening socket first and refuses
--- a/tests/HttpClientTest.cpp
+++ b/tests/HttpClientTest.cpp
@@ -1,3 +1,4 @@
+#include "ResettingListener.h"
 #include "ScriptedPeer.h"
 
 #include "net/HttpClient.h"
@@ -100,9 +101,21 @@
     }
     const CallResult result = sendSequentially(bench, {callTo(address, "POST")}).front();
     CHECK(result.outcome == CallOutcome::NotSent);
+    CHECK(result.isRefused);
     CHECK_FALSE(result.mayHaveRun);
 }
 
+TEST_CASE("a call whose connection is reset does not count as refused")
+{
+    Bench bench;
+    test::ResettingListener listener;
+    const std::vector<HttpCall> calls(20, callTo(listener.address(), "GET"));
+    for (const CallResult &result : sendSequentially(bench, calls)) {
+        CHECK(result.outcome != CallOutcome::Answered);
+        CHECK_FALSE(result.isRefused);
+    }
+}
+
 /*
  * Failure: the peer crashes after any number of bytes of its answer. A truncated answer is taken for a complete one, or
  * a POST is executed twice, because libcurl retries a request by itself when a reused connection closes without an
--- a/tests/LocalUpstreamTest.cpp
+++ b/tests/LocalUpstreamTest.cpp
@@ -1,5 +1,7 @@
 #include "process/LocalUpstream.h"
 
+#include "ResettingListener.h"
+
 #include "platform/Requests.h"
 #include "process/AgentProtocol.h"
 #include "process/AgentState.h"
@@ -21,7 +23,7 @@
     std::unique_ptr<LocalUpstream> upstream;
     agent::TicketId lastTicket = 0;
 
-    UpstreamFixture()
+    explicit UpstreamFixture(const std::string &address = "127.0.0.1:1")
     {
         this->state.protocol = &platform::agentProtocol();
         this->state.ownership.upstreamsHoldGrants = true;
@@ -33,8 +35,10 @@
         events.heldKeysChanged = [] {};
         events.heartbeatLate = [] {};
         events.decided = [](agent::TicketId, bool) {};
+        Announcement announcement = heartbeat(0).announcement;
+        announcement.address = address;
         this->upstream =
-            std::make_unique<LocalUpstream>(*this->loop, this->state, heartbeat(0).announcement, std::move(events));
+            std::make_unique<LocalUpstream>(*this->loop, this->state, std::move(announcement), std::move(events));
     }
 
     static Heartbeat heartbeat(std::uint64_t sequence)
@@ -67,6 +71,38 @@
         return admission;
     }
 
+    /** Sends requests one after the other until a time has passed. */
+    void sendFor(std::chrono::milliseconds duration)
+    {
+        this->loop->after(duration, [this] {
+            this->loop->stop();
+        });
+        this->sendNext();
+        this->loop->run();
+    }
+
+    void sendNext()
+    {
+        Dispatch request;
+        request.call.method = "GET";
+        request.call.target = "/x";
+        request.service = "seats";
+        request.requestId = "r-" + std::to_string(++this->lastTicket);
+        request.deadline = BootClock::now() + 1s;
+        if (this->upstream->enter({this->lastTicket, request.deadline, {}}) != agent::Admission::Admitted) {
+            this->upstream->cancel(this->lastTicket);
+            this->loop->after(20ms, [this] {
+                this->sendNext();
+            });
+            return;
+        }
+        this->upstream->dispatch(this->lastTicket, std::move(request), [this](const DispatchResult &) {
+            this->loop->after(20ms, [this] {
+                this->sendNext();
+            });
+        });
+    }
+
     void putTable(wire::GrantWay way)
     {
         wire::RouteTable routes;
@@ -136,3 +172,27 @@
     fixture.state.domainMarkedOutAt = BootTime();
     REQUIRE(fixture.takesRequest());
 }
+
+// Guards against keys of a live upstream that are granted to another one because it resets connections while it is
+// full.
+TEST_CASE("an upstream that resets connections keeps its keys, and loses them once its connections are refused")
+{
+    test::ResettingListener listener;
+    UpstreamFixture fixture(listener.address());
+    fixture.putTable(wire::GRANT_WAY_HEARTBEAT);
+    Heartbeat heartbeat = UpstreamFixture::heartbeat(1);
+    heartbeat.announcement.address = listener.address();
+    heartbeat.held = {{{0, 4095}, 7}};
+    fixture.upstream->applyHeartbeat(heartbeat);
+    REQUIRE_FALSE(fixture.state.ownership.held["seats"].empty());
+
+    fixture.sendFor(1500ms);
+    CHECK(listener.resets() > 20);
+    CHECK(fixture.upstream->status() == UpstreamStatus::Serving);
+    CHECK_FALSE(fixture.state.ownership.held["seats"].empty());
+
+    listener.stop();
+    fixture.sendFor(300ms);
+    CHECK(fixture.upstream->status() == UpstreamStatus::Crashed);
+    CHECK(fixture.state.ownership.held["seats"].empty());
+}
