A batch of timers or tasks is interrupted for descriptors of high priority

Timers and posted tasks now stop after 10 ms; what is left runs in the next iterations, after the descriptors of high priority.

--- a/src/loop/EventLoop.cpp
+++ b/src/loop/EventLoop.cpp
@@ -123,23 +123,28 @@
         return 0;
     }
 
-    /** Runs the tasks posted so far, but not those that are posted meanwhile. */
+    /** Runs the tasks posted so far, but not those that are posted meanwhile; stops early after MaxPriorityDelay. */
     void run()
     {
-        std::deque<std::function<void()>> batch;
-        {
+        if (this->batch.empty()) {
             const std::lock_guard guard(this->mutex);
-            batch.swap(this->tasks);
+            this->batch.swap(this->tasks);
         }
-        for (const std::function<void()> &task : batch) {
+        const BootTime end = BootClock::now() + EventLoop::MaxPriorityDelay;
+        while (!this->batch.empty()) {
+            const std::function<void()> task = std::move(this->batch.front());
+            this->batch.pop_front();
             task();
+            if (BootClock::now() >= end) {
+                return;
+            }
         }
     }
 
     bool empty()
     {
         const std::lock_guard guard(this->mutex);
-        return this->tasks.empty();
+        return this->batch.empty() && this->tasks.empty();
     }
 
     std::atomic<std::thread::id> loopThread;
@@ -147,6 +152,8 @@
 private:
     std::mutex mutex;
     std::deque<std::function<void()>> tasks;
+    /** Tasks that are run before those in @c tasks; used on the loop's thread only. */
+    std::deque<std::function<void()>> batch;
 };
 
 /** Tasks posted by tasks run in the same iteration of the loop; the bound prevents starvation of sockets and timers. */
@@ -273,8 +280,12 @@
     this->parts->reactor.reset_reactor_event_loop();
     this->parts->tasks.loopThread = std::this_thread::get_id();
     while (this->parts->reactor.reactor_event_loop_done() == 0) {
+        const BootTime tasksEnd = BootClock::now() + MaxPriorityDelay;
         for (int round = 0; round < MaxTaskRoundsPerIteration && !this->parts->tasks.empty(); ++round) {
             this->parts->tasks.run();
+            if (BootClock::now() >= tasksEnd) {
+                break;
+            }
         }
         if (this->parts->tasks.empty()) {
             this->parts->reactor.handle_events();
--- a/src/loop/TimerQueue.cpp
+++ b/src/loop/TimerQueue.cpp
@@ -56,7 +56,8 @@
     if (!this->timersByDueTime.empty()) {
         this->maxDelay = std::max(this->maxDelay, now - this->timersByDueTime.begin()->first);
     }
-    while (!this->timersByDueTime.empty() && this->timersByDueTime.begin()->first <= now) {
+    const BootTime end = now + EventLoop::MaxPriorityDelay;
+    while (this->isDue(now) && BootClock::now() < end) {
         const TimerId id = this->timersByDueTime.begin()->second;
         this->timersByDueTime.erase(this->timersByDueTime.begin());
         const auto found = this->timers.find(id);
--- a/src/loop/TimerQueue.h
+++ b/src/loop/TimerQueue.h
@@ -37,7 +37,10 @@
     /** @return whether a timer is due at a moment */
     bool isDue(BootTime moment) const;
 
-    /** Runs the timers that are due, in the order of their due times, but none added meanwhile. */
+    /**
+     * Runs the timers that are due, in the order of their due times, but none added meanwhile. Stops early after
+     * EventLoop::MaxPriorityDelay; the descriptor is readable again if timers are left.
+     */
     void run();
 
     /** @return the longest delay of a timer beyond its due time since the last call */
--- a/tests/BusyLoopTest.cpp
+++ b/tests/BusyLoopTest.cpp
@@ -9,6 +9,7 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <fstream>
 #include <thread>
 
@@ -18,6 +19,12 @@
 
 namespace {
 
+void work(std::chrono::microseconds duration)
+{
+    const auto end = steady_clock::now() + duration;
+    while (steady_clock::now() < end) { }
+}
+
 /** Descriptors that are always ready for reading; each event takes a fixed time to handle. */
 class BusyDescriptors
 {
@@ -29,8 +36,7 @@
             const int descriptor = eventfd(1, EFD_NONBLOCK | EFD_CLOEXEC);
             this->descriptors.push_back(descriptor);
             loop.watch(descriptor, {.readable = true}, [workPerEvent](loop::Readiness) {
-                const auto end = steady_clock::now() + workPerEvent;
-                while (steady_clock::now() < end) { }
+                work(workPerEvent);
             });
         }
     }
@@ -51,6 +57,48 @@
     std::vector<int> descriptors;
 };
 
+/** @return the longest time that a descriptor of high priority waited, once @p makeWork had made work for the loop */
+std::chrono::nanoseconds longestWait(const std::function<void(loop::EventLoop &)> &makeWork)
+{
+    auto loop = loop::EventLoop::create().value();
+    const int descriptor = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+    std::atomic<bool> stopping{false};
+    std::atomic<bool> unread{false};
+    std::atomic<steady_clock::duration> written{};
+    std::chrono::nanoseconds longest{0};
+    loop->watch(
+        descriptor,
+        {.readable = true},
+        [&](loop::Readiness) {
+            eventfd_t value = 0;
+            eventfd_read(descriptor, &value);
+            longest = std::max(longest, steady_clock::now().time_since_epoch() - written.load());
+            unread = false;
+        },
+        loop::WatchPriority::High);
+    std::thread writer([&] {
+        while (!stopping) {
+            if (!unread.exchange(true)) {
+                written = steady_clock::now().time_since_epoch();
+                eventfd_write(descriptor, 1);
+            }
+            std::this_thread::sleep_for(20ms);
+        }
+    });
+    loop->post([&] {
+        makeWork(*loop);
+    });
+    loop->after(1500ms, [&] {
+        loop->stop();
+    });
+    loop->run();
+    stopping = true;
+    writer.join();
+    loop->unwatch(descriptor);
+    close(descriptor);
+    return longest;
+}
+
 /** One event of each takes 1.2 s in all. */
 constexpr std::size_t BusyCount = 600;
 constexpr auto WorkPerEvent = 2ms;
@@ -88,6 +136,32 @@
     CHECK(steady_clock::now() - startedAt < 300ms);
 }
 
+// Guards against a session that is not read while the time limits of many requests pass at once.
+TEST_CASE("a descriptor of high priority is served in time while 600 timers are due")
+{
+    CHECK(longestWait([](loop::EventLoop &loop) {
+              for (std::size_t index = 0; index < BusyCount; ++index) {
+                  loop.after(100ms, [] {
+                      work(WorkPerEvent);
+                  });
+              }
+          })
+          < 200ms);
+}
+
+// Guards against a session that is not read while many answers are handed over at once.
+TEST_CASE("a descriptor of high priority is served in time while 600 tasks are posted")
+{
+    CHECK(longestWait([](loop::EventLoop &loop) {
+              for (std::size_t index = 0; index < BusyCount; ++index) {
+                  loop.post([] {
+                      work(WorkPerEvent);
+                  });
+              }
+          })
+          < 200ms);
+}
+
 // Guards against an agent that loses its session, or acts on old routes, because it reads the session after everything
 // else.
 TEST_CASE("an agent with 600 busy connections opens a session at once and keeps it")
