A heartbeat of a service that no route names is refused

Cause: the agent took the report for that of a new process at the same address, which proves the end of the one before, without asking whether the routes name its service. It is refused with 400 now and changes nothing; before the routes are known, the agent's own setting names the only service.

The new test fails on the code before: the report is answered 200 and the keys move. Left: a report of another writer that names a service of the routes is still believed.

--- a/src/process/AgentProcess.h
+++ b/src/process/AgentProcess.h
@@ -54,6 +54,8 @@
     /** Answers the delayed heartbeats of upstreams that can be granted keys now. */
     void answerHeldHeartbeats();
     void answerHeldHeartbeat(const UpstreamName &name);
+    /** @return whether the routes name a service; before they are known, whether this agent's settings do */
+    bool isKnownService(const std::string &service) const;
     /** @return whether the sender has another address than configured, or a newer process has replaced it */
     bool isOutdated(const Heartbeat &heartbeat) const;
     LocalUpstream *findByInstance(const std::string &instance);
--- a/src/process/AgentProcessUpstreams.cpp
+++ b/src/process/AgentProcessUpstreams.cpp
@@ -62,6 +62,13 @@
         exchange->answer(this->state.protocol->answerHeartbeat({}));
         return;
     }
+    if (!this->isKnownService(heartbeat.announcement.service)) {
+        Log.warn(heartbeat.announcement.name + ": heartbeat refused: unknown service "
+                 + heartbeat.announcement.service);
+        exchange->answer(
+            net::problem(400, "unknown service", "no route or setting names this service", net::RequestRan::No));
+        return;
+    }
     if (this->isOutdated(heartbeat)) {
         Log.warn(heartbeat.announcement.name + ": heartbeat ignored: unexpected address, or a replaced process");
         exchange->answer(this->state.protocol->answerHeartbeat({}));
@@ -138,6 +145,16 @@
         upstream == this->upstreams.end() ? HeartbeatAnswer() : upstream->second->answerHeartbeat(held.heartbeat)));
 }
 
+bool AgentProcess::isKnownService(const std::string &service) const
+{
+    const table::RouteTable &routes = this->state.table.routes();
+    const std::string &configured = this->state.settings.service;
+    if (routes.revision() == 0) {
+        return configured.empty() || service == configured;
+    }
+    return routes.service(service) != nullptr;
+}
+
 bool AgentProcess::isOutdated(const Heartbeat &heartbeat) const
 {
     const std::string &expected = this->state.settings.upstreamAddress;
--- a/tests/PlatformProcessTest.cpp
+++ b/tests/PlatformProcessTest.cpp
@@ -64,6 +64,29 @@
     REQUIRE(Deployment::waitForExit(machines.agents[0], 3s) == 0);
 }
 
+// Guards against keys of a live upstream that are granted to another one after a report that names no worker to use.
+TEST_CASE("platform process: a report of an unknown service is refused and takes no keys from the upstream there",
+          "[process]")
+{
+    PlatformMachines machines;
+    REQUIRE(Deployment::eventually(10s, [&] {
+        return machines.order(1, "PUT", "/api/config", platformManifest("00000003", "00000000")).status == 200;
+    }));
+    REQUIRE(Deployment::eventually(10s, [&] {
+        return keysHeld(*machines.workers[0]) > 20000 && keysHeld(*machines.workers[1]) > 20000;
+    }));
+    const json report = {{"address", machines.ip(11) + ":8628"},
+                         {"info", {{"service", "nosuch7"}, {"version", "v1"}, {"zone", "z11"}, {"slots", 12}}},
+                         {"status", {{"state", "ready"}, {"seq", 1}, {"warmup_left_ms", 0}}},
+                         {"born", 4000000000000}};
+    const Reply reply = Deployment::askAt(machines.ip(11) + ":8620",
+                                          {.method = "PUT", .path = "/api/instances/i-foreign", .body = report.dump()});
+    CHECK(reply.status == 400);
+    CHECK_FALSE(Deployment::eventually(3s, [&] {
+        return keysHeld(*machines.workers[0]) == 0 || keysHeld(*machines.workers[1]) > 60000;
+    }));
+}
+
 // Guards against keys unserved for a whole heartbeat interval after the restart of an upstream that rarely sends one.
 TEST_CASE("platform process: a restarted upstream gets its keys with the answer to its first heartbeat", "[process]")
 {
