A stop ends unfinished requests, so that answers that are ready behind them are delivered

Cause: answers of a connection are written in the order of its requests, and the end of a stop closed connections whose first request was unfinished. Requests that are still in progress at the end of a stop now end as at their time limit: with 504, or with 503 if they surely did not run. What is ready behind them is written, 100 ms at most, before the connections are closed.

The new test failed before: nothing was received.

--- a/src/process/AgentProcess.cpp
+++ b/src/process/AgentProcess.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace bergamotweir::process {
 
@@ -17,6 +18,8 @@
 constexpr milliseconds StopInterval{20};
 /** Time for forwarded requests in flight to arrive after all routing has dropped this agent. */
 constexpr milliseconds ForwardDrainTime{300};
+/** Time to write the last answers: those to requests that are ended by a stop, and those that are ready behind them. */
+constexpr milliseconds MaxFinalWriteTime{100};
 constexpr std::size_t MaxAnnouncementBytes = 16384;
 
 constexpr loop::Log Log("agent");
@@ -483,7 +486,13 @@
     for (const auto &[name, upstream] : this->upstreams) {
         inProgress += upstream->inProgress();
     }
-    if (inProgress == 0 || stoppingFor > this->state.settings.maxStopTime) {
+    const auto overdue = stoppingFor - this->state.settings.maxStopTime;
+    if (inProgress > 0 && overdue > milliseconds(0) && !std::exchange(this->hasExpiredRequests, true)) {
+        Log.info("stopping: " + std::to_string(inProgress) + " requests in progress are ended");
+        this->runner->expireAll();
+        return;
+    }
+    if (inProgress == 0 || overdue > MaxFinalWriteTime) {
         Log.info("stopped, " + std::to_string(inProgress) + " requests in progress");
         // Closing the servers here, before everything else, ends each connection between two requests. Otherwise
         // requests that arrive during the rest of the shutdown, a fraction of a second, would be accepted but never
--- a/src/process/AgentProcess.h
+++ b/src/process/AgentProcess.h
@@ -103,6 +103,8 @@
     std::unique_ptr<RequestRunner> runner;
     BootTime stopStartedAt;
     BootTime outOfRoutingAt;
+    /** The requests that were still in progress at the end of a stop have been ended. */
+    bool hasExpiredRequests = false;
 };
 
 } // namespace bergamotweir::process
--- a/src/process/RequestRunner.cpp
+++ b/src/process/RequestRunner.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <vector>
 
 namespace bergamotweir::process {
 
@@ -146,6 +147,17 @@
     return parseRequest(request, this->state.table, origin, now);
 }
 
+void RequestRunner::expireAll()
+{
+    std::vector<RequestNumber> numbers;
+    for (const auto &[number, request] : this->running) {
+        numbers.push_back(number);
+    }
+    for (const RequestNumber number : numbers) {
+        this->handle(number, {.kind = EventKind::DeadlinePassed});
+    }
+}
+
 void RequestRunner::handle(RequestNumber number, const agent::RequestEvent &event)
 {
     const auto found = this->running.find(number);
--- a/src/process/RequestRunner.h
+++ b/src/process/RequestRunner.h
@@ -71,6 +71,9 @@
     /** @return the number of requests that have not been answered yet */
     std::size_t inProgress() const;
 
+    /** Ends all requests in progress as if their time limits had passed. */
+    void expireAll();
+
 private:
     struct RunningRequest;
     struct LiveAttempt;
--- a/tests/PlatformProcessTest.cpp
+++ b/tests/PlatformProcessTest.cpp
@@ -1,4 +1,5 @@
 #include "PlatformMachines.h"
+#include "RawConnection.h"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -87,6 +88,48 @@
     }));
 }
 
+// Guards against a ready answer that is cut off by a stop because an earlier request of its connection is unfinished.
+TEST_CASE("platform process: a stop delivers an answer that is ready behind an unfinished request", "[process]")
+{
+    PlatformMachines machines;
+    std::string manifest = platformManifest("00000003", "00000000");
+    manifest.replace(manifest.find("non_idempotent"), std::string("non_idempotent").size(), "idempotent");
+    manifest.replace(manifest.find("1200"), std::string("1200").size(), "9000");
+    REQUIRE(Deployment::eventually(10s, [&] {
+        return machines.order(1, "PUT", "/api/config", manifest).status == 200;
+    }));
+    REQUIRE(machines.served(11, 0));
+    const auto requestWithId = [](const std::string &id) {
+        return "GET /book/x HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: " + id
+               + "\r\nX-Deadline-Ms: 9000\r\nX-Shard-Key: 0\r\n\r\n";
+    };
+    const auto setWorkTime = [&](std::chrono::milliseconds time) {
+        for (const auto &worker : machines.workers) {
+            worker->workTime = time;
+        }
+    };
+    const auto arrivals = [&] {
+        return machines.workers[0]->arrivals().size() + machines.workers[1]->arrivals().size();
+    };
+    const std::size_t before = arrivals();
+    RawConnection connection(machines.ip(11), 8629);
+    setWorkTime(7s);
+    connection.send(requestWithId("slow"));
+    REQUIRE(Deployment::eventually(2s, [&] {
+        return arrivals() == before + 1;
+    }));
+    setWorkTime(0ms);
+    connection.send(requestWithId("fast"));
+    REQUIRE(Deployment::eventually(2s, [&] {
+        return arrivals() == before + 2;
+    }));
+    Deployment::signal(machines.agents[0], SIGTERM);
+    const std::string received = connection.receiveUntilClosed(5s);
+    CHECK(received.starts_with("HTTP/1.1 504"));
+    CHECK(received.find("HTTP/1.1 200") != std::string::npos);
+    CHECK(Deployment::waitForExit(machines.agents[0], 1s) == 0);
+}
+
 // Guards against keys unserved for a whole heartbeat interval after the restart of an upstream that rarely sends one.
 TEST_CASE("platform process: a restarted upstream gets its keys with the answer to its first heartbeat", "[process]")
 {
