--- a/tests/HttpClientTest.cpp
+++ b/tests/HttpClientTest.cpp
@@ -116,11 +116,7 @@
     }
 }
 
-/*
- * Failure: the peer crashes after any number of bytes of its answer. A truncated answer is taken for a complete one, or
- * a POST is executed twice, because libcurl retries a request by itself when a reused connection closes without an
- * answer.
- */
+// Guards against a truncated answer taken for a whole one, and a POST that libcurl sends again by itself.
 TEST_CASE("an answer truncated at any byte is never taken for complete, and its request is sent once")
 {
     const std::string whole = GENERATE(Plain, Chunked);
@@ -165,10 +161,7 @@
     }
 }
 
-/*
- * Failure: as before, but the retry uses a second idle connection to the peer and needs no new one. A POST is executed
- * twice.
- */
+// Guards against a POST that runs twice because another idle connection to the peer is used for a retry.
 TEST_CASE("a request is not retried on another open connection")
 {
     Bench bench;
@@ -205,10 +198,7 @@
     CHECK(peer.accepted == 2);
 }
 
-/*
- * Failure: a call times out or is cancelled, and the peer answers late. If the connection were reused, the late answer
- * would be taken for the answer to the next call.
- */
+// Guards against a late answer taken for the answer to the next call of its connection.
 TEST_CASE("a connection with an outstanding answer is never reused")
 {
     const bool cancelled = GENERATE(false, true);
@@ -256,10 +246,7 @@
     CHECK(bench.client->inProgress() == 0);
 }
 
-/*
- * Failure: a peer sends a surplus answer on a connection, at once or while the connection is idle. The next call, and
- * each one after it on that connection, gets the answer to another call.
- */
+// Guards against answers to other calls after a peer has sent one answer too many.
 TEST_CASE("a surplus answer is never taken for the answer to the next call")
 {
     const auto delay = GENERATE(0ms, 1ms, 20ms);
@@ -296,10 +283,7 @@
     CHECK(peer.accepted == 2);
 }
 
-/*
- * Failure: a peer sends its answer a byte at a time, and a pause is taken for its end, so the answer is truncated. Only
- * the call's own deadline may end it early.
- */
+// Guards against a pause within an answer taken for its end.
 TEST_CASE("an answer sent a byte at a time is complete, or times out")
 {
     const bool inTime = GENERATE(true, false);
@@ -380,11 +364,7 @@
     CHECK(peer.requests == 1);
 }
 
-/*
- * Failure: an upstream answers one request twice, the second time late. The next request on the kept connection reads
- * that answer, and its caller gets the answer to another request. The echoed request id reveals the mismatch, and the
- * connection is closed.
- */
+// Guards against the second answer to one request taken for the answer to the next.
 TEST_CASE("an answer that echoes another request's id is rejected, and its connection is not reused")
 {
     Bench bench;
--- a/tests/HttpServerTest.cpp
+++ b/tests/HttpServerTest.cpp
@@ -53,10 +53,7 @@
     CHECK(bench.server->inProgress() == 0);
 }
 
-/*
- * Failure: a caller waits up to a second for an answer that is ready, because a resumed connection causes no event and
- * is only found by the periodic sweep. Forty such waits exceed the time limit of this test.
- */
+// Guards against a ready answer that waits up to a second for the periodic sweep.
 TEMPLATE_TEST_CASE("an answer given later is sent at once", "", HttpServer, PipelineServer)
 {
     ServerBench<TestType> bench;
@@ -107,10 +104,7 @@
     CHECK(bodies == std::vector<std::string>{"body"});
 }
 
-/*
- * Failure: callers open more connections than allowed, and the server stops watching its listening socket at the limit
- * for good. The waiting callers must be served when others close.
- */
+// Guards against a server that stops accepting for good once its limit of connections was reached.
 TEMPLATE_TEST_CASE("connections beyond the limit wait and are served when others close", "", HttpServer, PipelineServer)
 {
     ServerBench<TestType> bench;
@@ -202,10 +196,7 @@
     CHECK(handlerCalls == 0);
 }
 
-/*
- * Failure: a port scanner sends garbage, and the whole agent crashes. The server must close only that connection and
- * answer the next request.
- */
+// Guards against a process that ends because a port scanner sends garbage.
 TEMPLATE_TEST_CASE("garbage never crashes the server", "", HttpServer, PipelineServer)
 {
     constexpr std::uint64_t Seed = 20261202;
@@ -233,10 +224,7 @@
     CHECK(bench.send(bench.call("GET")).answer.body == "alive");
 }
 
-/*
- * Failure: a caller disconnects during a slow request, and the server does not notice. The request keeps its share of
- * the upstream's concurrency, and other callers wait behind it.
- */
+// Guards against requests that keep their share of an upstream after their callers have left.
 TEMPLATE_TEST_CASE("a caller that disconnects before the answer is reported once", "", HttpServer, PipelineServer)
 {
     ServerBench<TestType> bench;
@@ -308,10 +296,7 @@
     CHECK(results[1].outcome == CallOutcome::NotSent);
 }
 
-/*
- * Failure: an agent stops and closes its idle connections while a caller sends a request on one of them. The request
- * runs, and its answer is lost because the connection is closed.
- */
+// Guards against a request that runs and is never answered because its idle connection is closed by a stop.
 TEMPLATE_TEST_CASE("a request that crosses the closing of its idle connection is not passed on",
                    "",
                    HttpServer,
--- a/tests/LocalUpstreamTest.cpp
+++ b/tests/LocalUpstreamTest.cpp
@@ -117,12 +117,7 @@
 
 } // namespace
 
-/*
- * Two upstreams change the same key: a starting agent gets its upstream's heartbeat before control has stated how the
- * service receives grants. If the heartbeat counted as a report of held keys, the upstream would seem to hold none.
- * Keys that the previous agent process granted by calls could be granted to another upstream, and grants made since
- * would be forgotten seconds later.
- */
+// Guards against keys granted to two upstreams because a starting agent takes a heartbeat for a report of no keys.
 TEST_CASE("a heartbeat's held keys are ignored until the agent knows how its upstream receives grants")
 {
     UpstreamFixture fixture;
@@ -138,10 +133,7 @@
     REQUIRE(fixture.state.ownership.servicesReported.contains("seats"));
 }
 
-/*
- * A request is cut off: an upstream reports that it drains, its agent acknowledges that, and a request still gets there
- * more than two seconds later, when the upstream may end at any moment.
- */
+// Guards against requests at an upstream that may end at any moment.
 TEST_CASE("a draining upstream gets no request two seconds after the acknowledgement")
 {
     UpstreamFixture fixture;
@@ -157,10 +149,7 @@
     REQUIRE_FALSE(fixture.takesRequest());
 }
 
-/*
- * A request is lost: an operator marks a failure domain out and control confirms that this is in force, and a request
- * still gets to an upstream there more than five seconds later, when the domain may be switched off.
- */
+// Guards against requests in a failure domain that may be switched off.
 TEST_CASE("an upstream in a failure domain marked out gets no request five seconds later")
 {
     UpstreamFixture fixture;
--- a/tests/PipelineServerTest.cpp
+++ b/tests/PipelineServerTest.cpp
@@ -49,10 +49,7 @@
 
 } // namespace
 
-/*
- * Failure: a caller pipelines three reads on one connection, and each takes half of the target time. Processed one
- * after the other, the second and the third are late although every upstream is idle.
- */
+// Guards against pipelined reads that are late because they are processed one after the other.
 TEST_CASE("pipelined safe requests are processed concurrently and answered in their order")
 {
     ServerBench<PipelineServer> bench;
@@ -76,10 +73,7 @@
     CHECK(bench.server->inProgress() == 0);
 }
 
-/*
- * Failure: a caller pipelines an order and a read of its state. Processed concurrently, the read may return the state
- * from before the order.
- */
+// Guards against a read that returns the state from before an order pipelined ahead of it.
 TEST_CASE("an unsafe request waits for those before it and delays those behind it")
 {
     ServerBench<PipelineServer> bench;
@@ -99,10 +93,7 @@
     CHECK(started == std::vector<std::string>{"/before", "/order", "/after"});
 }
 
-/*
- * Failure: an agent stops while three pipelined requests are in flight. The caller retries the requests behind an
- * answer that closes the connection, so any of them that was passed to the handler runs twice.
- */
+// Guards against requests that run twice because they were processed behind an answer that closes the connection.
 TEST_CASE("a stop answers requests in progress, then closes the connection and drops those waiting behind")
 {
     ServerBench<PipelineServer> bench;
@@ -126,10 +117,7 @@
     CHECK(bench.server->inProgress() == 0);
 }
 
-/*
- * Failure: a caller with three requests in flight disconnects. Each of them must be notified, or two continue at their
- * upstreams although their answers cannot be delivered.
- */
+// Guards against work that goes on for a caller that has disconnected.
 TEST_CASE("a caller that disconnects abandons each of its pipelined requests")
 {
     ServerBench<PipelineServer> bench;
@@ -155,10 +143,7 @@
     CHECK(bench.server->inProgress() == 0);
 }
 
-/*
- * Failure: request smuggling. A request with two framings hides another one. If it is parsed differently here and at
- * the upstream, the hidden request runs there although no caller sent it.
- */
+// Guards against request smuggling by a message with two framings.
 TEST_CASE("messages with ambiguous framing are refused and their connection is closed")
 {
     const std::string fields = GENERATE("Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
