--- a/include/rpc/ControlSession.h
+++ b/include/rpc/ControlSession.h
@@ -144,6 +144,7 @@
     std::string avoidedAddress;
     BootTime avoidedUntil{};
     BootTime lastReceivedAt{};
+    /** When a message was last handled; unlike lastReceivedAt, not reset by the next request for a session. */
     BootTime handledMessageAt;
     /** When the current replica was asked for a session. */
     BootTime searchStartedAt{};
