Test of a thawed agent: the key may move between the answer and the question for its owner

Trace: the loop of 50 requests and questions took 5.5 s, longer than the 5 s after which keys move back to the returned upstream; u4 ran the request at 04:26:46.178 under epoch 2 and was asked to release slices from 45.665 to 46.324 in good order. So the case is allowed. The check now asks for the owner before and after each request and accepts these two alone; an agent that serves by its old lease is neither.

--- a/tests/ProcessFaultTest.cpp
+++ b/tests/ProcessFaultTest.cpp
@@ -143,17 +143,22 @@
     Deployment::signal(frozen.agent, SIGSTOP);
     const auto seen = unservedTime(other, Clock::now());
     requireWithin("owner's agent frozen", seen, MaxUnservedTime);
-    const std::string next = deployment.owner("enrolments", Key);
-    REQUIRE(next != owner);
+    std::string ownerBefore = deployment.owner("enrolments", Key);
+    REQUIRE(ownerBefore != owner);
     Deployment::signal(frozen.agent, SIGCONT);
     for (unsigned number = 0; number < 50; ++number) {
         const std::string id = "Test-Id: after-thaw-" + std::to_string(number);
         const Reply reply = Deployment::ask(
             frozen, {.method = "POST", .path = "/s/enrolments/pay", .headers = {KeyHeader, id}, .body = "seat"});
         REQUIRE(deployment.executions("after-thaw-" + std::to_string(number)) <= 1);
+        // The key may move back between the answer and the question for its owner.
+        const std::string ownerAfter = deployment.owner("enrolments", Key);
         if (reply.status == 200) {
-            REQUIRE(reply.body.find("\"" + deployment.owner("enrolments", Key) + "\"") != std::string::npos);
+            INFO("owner before " << ownerBefore << ", after " << ownerAfter << ", answer " << reply.body);
+            REQUIRE((reply.body.find("\"" + ownerBefore + "\"") != std::string::npos
+                     || reply.body.find("\"" + ownerAfter + "\"") != std::string::npos));
         }
+        ownerBefore = ownerAfter;
     }
 }
 
