A socket error of an earlier call is not reported for a later one

Cause: libcurl keeps the last socket error of a handle across curl_easy_reset(), and HttpClient reuses handles. A call that fails before it has a socket sets no error of its own, so it is reported with that of an earlier call: ECONNREFUSED, which alone ends a hold early.

A handle whose call had a socket error is closed and not reused. Ruled out: comparing with CURLOPT_OPENSOCKETFUNCTION's result, which covers this one way to fail and no other that leaves the error unset.

The test fails on: HttpClientTest.cpp:136: CHECK_FALSE( result.isRefused ) with expansion !true The descriptor limit that it lowers is that of its own process.

--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -26,6 +26,13 @@
     });
 }
 
+/** @return whether a connection of the handle's call failed; libcurl keeps its error across curl_easy_reset() */
+bool hasSocketError(CURL *easy)
+{
+    long error = 0;
+    return curl_easy_getinfo(easy, CURLINFO_OS_ERRNO, &error) != CURLE_OK || error != 0;
+}
+
 /** The calls to one peer: how many use a connection, and which ones wait for one. */
 struct PeerCalls {
     unsigned activeCalls = 0;
@@ -322,7 +329,7 @@
     curl_multi_remove_handle(this->multi, call.easy);
     curl_slist_free_all(call.headers);
     call.headers = nullptr;
-    if (this->idleHandles.size() < MaxIdleHandles) {
+    if (this->idleHandles.size() < MaxIdleHandles && !hasSocketError(call.easy)) {
         curl_easy_reset(call.easy);
         this->idleHandles.push_back(call.easy);
     } else {
--- a/tests/HttpClientTest.cpp
+++ b/tests/HttpClientTest.cpp
@@ -1,3 +1,4 @@
+#include "DescriptorShortage.h"
 #include "ResettingListener.h"
 #include "ScriptedPeer.h"
 
@@ -116,6 +117,25 @@
     }
 }
 
+// Guards against a peer taken for ended because this process has no descriptor for a connection to it.
+TEST_CASE("a call for which no socket can be opened does not count as refused, also after one that was")
+{
+    Bench bench;
+    std::string refusedAddress;
+    {
+        const ScriptedPeer closedPeer(*bench.loop, [](PeerConnection &) {});
+        refusedAddress = closedPeer.address();
+    }
+    const ScriptedPeer livePeer(*bench.loop, [](PeerConnection &connection) {
+        connection.send(Plain);
+    });
+    REQUIRE(sendSequentially(bench, {callTo(refusedAddress, "GET")}).front().isRefused);
+    const test::DescriptorShortage shortage;
+    const CallResult result = sendSequentially(bench, {callTo(livePeer.address(), "GET")}).front();
+    CHECK(result.outcome == CallOutcome::NotSent);
+    CHECK_FALSE(result.isRefused);
+}
+
 // Guards against a truncated answer taken for a whole one, and a POST that libcurl sends again by itself.
 TEST_CASE("an answer truncated at any byte is never taken for complete, and its request is sent once")
 {
