A heartbeat that lacks a stated field is refused

Cause: `holds`, `freed`, `born` and `warmup_left_ms` were read as optional, and lists that are null as absent. An absent list counted as an empty one, an absent start as 0, which makes the sender another process.

A heartbeat without lists changes nothing of what is recorded as held, whoever applies it.

The tests fail on: PlatformTest.cpp:300: /born left out, /status/warmup_left_ms left out (among others) LocalUpstreamTest.cpp:207: CHECK_FALSE( held["seats"].empty() ) The fixture of LocalUpstreamTest states that its heartbeats list keys.

--- a/include/process/Heartbeat.h
+++ b/include/process/Heartbeat.h
@@ -42,6 +42,8 @@
     std::uint64_t sequence = 0;
     /** Remaining time of its warm-up. */
     std::chrono::milliseconds coldFor{0};
+    /** Whether it lists held and released keys, empty lists included. */
+    bool listsKeys = false;
     std::vector<HeldKeys> held;
     std::vector<ReleasedKeys> releasedKeys;
 };
--- a/include/table/RouteTable.h
+++ b/include/table/RouteTable.h
@@ -56,6 +56,12 @@
     double warmupPerSecond = 0;
     /** Whether upstreams are granted keys by orders, and not with the answers to their heartbeats. */
     bool grantsByCall = false;
+
+    /** @return whether an upstream's heartbeat lists the keys that it holds, and the answer grants keys */
+    bool listsKeysInHeartbeats() const
+    {
+        return this->numberedKeys && !this->grantsByCall;
+    }
 };
 
 /**
--- a/src/process/AgentProcess.h
+++ b/src/process/AgentProcess.h
@@ -56,6 +56,8 @@
     void answerHeldHeartbeat(const UpstreamName &name);
     /** @return whether the routes name a service; before they are known, whether this agent's settings do */
     bool isKnownService(const std::string &service) const;
+    /** @return what is wrong with a heartbeat that can't be an upstream's; empty if nothing is */
+    std::string refusalOf(const Heartbeat &heartbeat) const;
     /** @return whether the sender has another address than configured, or a newer process has replaced it */
     bool isOutdated(const Heartbeat &heartbeat) const;
     LocalUpstream *findByInstance(const std::string &instance);
--- a/src/process/AgentProcessUpstreams.cpp
+++ b/src/process/AgentProcessUpstreams.cpp
@@ -62,11 +62,9 @@
         exchange->answer(this->state.protocol->answerHeartbeat({}));
         return;
     }
-    if (!this->isKnownService(heartbeat.announcement.service)) {
-        Log.warn(heartbeat.announcement.name + ": heartbeat refused: unknown service "
-                 + heartbeat.announcement.service);
-        exchange->answer(
-            net::problem(400, "unknown service", "no route or setting names this service", net::RequestRan::No));
+    if (const std::string refusal = this->refusalOf(heartbeat); !refusal.empty()) {
+        Log.warn(heartbeat.announcement.name + ": heartbeat refused: " + refusal);
+        exchange->answer(net::problem(400, "bad heartbeat", refusal, net::RequestRan::No));
         return;
     }
     if (this->isOutdated(heartbeat)) {
@@ -155,6 +153,19 @@
     return routes.service(service) != nullptr;
 }
 
+std::string AgentProcess::refusalOf(const Heartbeat &heartbeat) const
+{
+    const std::string &service = heartbeat.announcement.service;
+    if (!this->isKnownService(service)) {
+        return "no route or setting names the service " + service;
+    }
+    const table::RoutedService *const routed = this->state.table.routes().service(service);
+    if (routed != nullptr && routed->listsKeysInHeartbeats() && !heartbeat.listsKeys) {
+        return "held or released keys are missing";
+    }
+    return {};
+}
+
 bool AgentProcess::isOutdated(const Heartbeat &heartbeat) const
 {
     const std::string &expected = this->state.settings.upstreamAddress;
--- a/src/process/LocalUpstreamHolds.cpp
+++ b/src/process/LocalUpstreamHolds.cpp
@@ -67,7 +67,7 @@
     const bool startsLeaving = heartbeat.isDraining && this->recordLeaving("heartbeat", now);
     const bool differs = heartbeat.announcement != this->latestAnnouncement;
     this->latestAnnouncement = heartbeat.announcement;
-    if (!heartbeat.isDeregistration && this->grantsByHeartbeat()) {
+    if (heartbeat.listsKeys && this->grantsByHeartbeat()) {
         this->recordReportedKeys(heartbeat);
     }
     if (this->currentStatus == UpstreamStatus::Frozen) {
@@ -147,7 +147,7 @@
 bool LocalUpstream::awaitsFirstKeys(const Heartbeat &heartbeat, const HeartbeatAnswer &answer) const
 {
     const table::RoutedService *const routed = this->state.table.routes().service(this->latestAnnouncement.service);
-    const bool mayHoldKeys = routed != nullptr && routed->numberedKeys && !routed->grantsByCall;
+    const bool mayHoldKeys = routed != nullptr && routed->listsKeysInHeartbeats();
     return mayHoldKeys && !heartbeat.isDeregistration && this->takesWork() && heartbeat.held.empty()
            && answer.grants.empty();
 }
--- a/tests/LocalUpstreamTest.cpp
+++ b/tests/LocalUpstreamTest.cpp
@@ -2,6 +2,7 @@
 
 #include "ResettingListener.h"
 
+#include "platform/Heartbeats.h"
 #include "platform/Requests.h"
 #include "process/AgentProtocol.h"
 #include "process/AgentState.h"
@@ -50,6 +51,7 @@
         heartbeat.announcement.incarnation = "i-1.1";
         heartbeat.announcement.address = "127.0.0.1:1";
         heartbeat.sequence = sequence;
+        heartbeat.listsKeys = true;
         return heartbeat;
     }
 
@@ -185,3 +187,43 @@
     CHECK(fixture.upstream->status() == UpstreamStatus::Crashed);
     CHECK(fixture.state.ownership.held["seats"].empty());
 }
+
+// Guards against keys of a live upstream granted to another one because a report states nothing of them.
+TEST_CASE("a heartbeat that lists no keys ends no hold")
+{
+    UpstreamFixture fixture;
+    fixture.putTable(wire::GRANT_WAY_HEARTBEAT);
+    const auto read = [](std::uint64_t sequence, const std::string &lists) {
+        net::HttpRequest request;
+        request.method = "PUT";
+        request.target = "/api/instances/i-1";
+        request.body = R"({"address":"127.0.0.1:1","born":1,"info":{"service":"seats","version":"v1","zone":"z",)"
+                       R"("slots":6},"status":{"state":"ready","seq":)"
+                       + std::to_string(sequence) + R"(,"warmup_left_ms":0})" + lists + "}";
+        return platform::readHeartbeat(request).value();
+    };
+    fixture.upstream->applyHeartbeat(read(1, R"(,"holds":[[0,4095,7]],"freed":[])"));
+    REQUIRE_FALSE(fixture.state.ownership.held["seats"].empty());
+    fixture.upstream->applyHeartbeat(read(2, ""));
+    CHECK_FALSE(fixture.state.ownership.held["seats"].empty());
+    fixture.upstream->applyHeartbeat(read(3, R"(,"holds":[],"freed":[])"));
+    CHECK(fixture.state.ownership.held["seats"].empty());
+}
+
+// Guards against keys of a live upstream granted to another one because callers have left and it resets connections.
+TEST_CASE("requests that callers gave up and a reset connection end no hold")
+{
+    test::ResettingListener listener;
+    UpstreamFixture fixture(listener.address());
+    fixture.putTable(wire::GRANT_WAY_HEARTBEAT);
+    Heartbeat heartbeat = UpstreamFixture::heartbeat(1);
+    heartbeat.announcement.address = listener.address();
+    heartbeat.held = {{{0, 4095}, 7}};
+    fixture.upstream->applyHeartbeat(heartbeat);
+    for (int round = 0; round < 10; ++round) {
+        fixture.sendFor(40ms);
+        fixture.upstream->cancel(fixture.lastTicket);
+    }
+    CHECK(listener.resets() > 5);
+    CHECK_FALSE(fixture.state.ownership.held["seats"].empty());
+}
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -260,6 +260,52 @@
     }
 }
 
+// Guards against a report of another writer that is taken for that of an upstream.
+TEST_CASE("platform: a heartbeat that lacks a stated field, or has one of another type, is refused")
+{
+    const json whole = json::parse(HeartbeatBody);
+    REQUIRE(platform::readHeartbeat(heartbeat(whole.dump())));
+    const json otherValues = {nullptr, true, -1, 1.5, "x", json::array(), json::object(), json::array({"x"})};
+    const auto isRefused = [&](const std::string &path, const json &value) {
+        json changed = whole;
+        changed[json::json_pointer(path)] = value;
+        INFO(path << ": " << value);
+        CHECK_FALSE(platform::readHeartbeat(heartbeat(changed.dump())));
+    };
+    for (const char *path : {"/address",
+                             "/born",
+                             "/info",
+                             "/info/service",
+                             "/info/version",
+                             "/info/zone",
+                             "/info/slots",
+                             "/status",
+                             "/status/state",
+                             "/status/seq",
+                             "/status/warmup_left_ms",
+                             "/holds",
+                             "/freed"}) {
+        const json::json_pointer pointer(path);
+        for (const json &value : otherValues) {
+            const bool isSameType = value.type() == whole[pointer].type();
+            if (!isSameType) {
+                isRefused(path, value);
+            }
+        }
+        json lacking = whole;
+        lacking[pointer.parent_pointer()].erase(pointer.back());
+        INFO(path << " left out");
+        const bool isList = std::string(path) == "/holds" || std::string(path) == "/freed";
+        // Upstreams whose keys are granted by calls list none.
+        CHECK(platform::readHeartbeat(heartbeat(lacking.dump())).has_value() == isList);
+    }
+    isRefused("/status/state", "resting");
+    for (const json &row : {json{0, 1}, json{0, 1, -7}, json{0, 1, "7"}, json{5, 4, 7}, json{0, 65536, 7}, json(5)}) {
+        isRefused("/holds", json::array({row}));
+    }
+    isRefused("/freed", json::array({{0, 1, 7}}));
+}
+
 TEST_CASE("platform: an answer without grants is empty, one with grants has rows and duration")
 {
     REQUIRE(platform::answerHeartbeat({}).body == "{}");
