A delayed heartbeat of an earlier process, or a contradictory one, takes no keys

What callers would see (OWNER), two ways to it: - The agent beside a live upstream restarts, and the delayed report of an earlier process at that address arrives first. The live upstream is taken for replaced; its keys go to others while it holds them. - A report with id and start of a live upstream names another service of the routes. It counts as that of a new process at the address, with the same end.

Cause: the agent compared the sender's start only with those of processes that had reported to it since its own start, and looked up the sender by service and name, so that any difference made it a new process, and every new process the proof that the one before had ended.

agent::classifySender() now says how a sender relates to a known process: the same, a later life, a successor, an earlier process, or no process at all. The agent compares it with what has reported or was recovered since its start, and with what control has registered at the address. Earlier ones are ignored, contradictions refused.

Left: a wall clock that is set back makes a new upstream look earlier, as before; by what control has registered for as long as the predecessor's grants last.

--- a/src/process/AgentProcess.h
+++ b/src/process/AgentProcess.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "agent/ProcessIdentity.h"
 #include "net/HttpServer.h"
 #include "net/PipelineServer.h"
 #include "process/AgentMetrics.h"
@@ -58,8 +59,10 @@
     bool isKnownService(const std::string &service) const;
     /** @return what is wrong with a heartbeat that can't be an upstream's; empty if nothing is */
     std::string refusalOf(const Heartbeat &heartbeat) const;
-    /** @return whether the sender has another address than configured, or a newer process has replaced it */
-    bool isOutdated(const Heartbeat &heartbeat) const;
+    /** @return how the sender of a heartbeat relates to the processes that this agent and control know */
+    agent::HeartbeatSender senderOf(const Announcement &announcement) const;
+    /** @return whether control has registered a process at the sender's address that started later */
+    bool isEarlierThanRegistered(const Announcement &announcement) const;
     LocalUpstream *findByInstance(const std::string &instance);
     /** Ends upstreams whose address now belongs to another one, and removes crashed ones without work in progress. */
     void retireReplaced(const Announcement &announcement);
@@ -98,8 +101,8 @@
         loop::TimerId timer = 0;
     };
     std::map<UpstreamName, HeldHeartbeat> heldHeartbeats;
-    /** Start of the newest process at each address, as Unix time of its own wall clock. */
-    std::map<std::string, std::chrono::milliseconds> newestStartTimes;
+    /** The process at each address that started last. */
+    std::map<std::string, agent::ProcessIdentity> newestProcesses;
     std::unique_ptr<ControlLink> control;
     std::unique_ptr<UpstreamRecovery> recovery;
     std::unique_ptr<RequestRunner> runner;
--- a/src/process/AgentProcessUpstreams.cpp
+++ b/src/process/AgentProcessUpstreams.cpp
@@ -17,6 +17,14 @@
 
 constexpr loop::Log Log("agent");
 
+agent::ProcessIdentity identityOf(const Announcement &announcement)
+{
+    return {.service = announcement.service,
+            .instance = announcement.instance,
+            .address = announcement.address,
+            .startedAt = announcement.startedAt};
+}
+
 } // namespace
 
 void AgentProcess::handleAnnouncement(const std::shared_ptr<net::Exchange> &exchange)
@@ -67,12 +75,14 @@
         exchange->answer(net::problem(400, "bad heartbeat", refusal, net::RequestRan::No));
         return;
     }
-    if (this->isOutdated(heartbeat)) {
-        Log.warn(heartbeat.announcement.name + ": heartbeat ignored: unexpected address, or a replaced process");
+    const std::string &expected = this->state.settings.upstreamAddress;
+    const bool isFromElsewhere = !expected.empty() && heartbeat.announcement.address != expected;
+    if (isFromElsewhere || this->senderOf(heartbeat.announcement) == agent::HeartbeatSender::Earlier) {
+        Log.warn(heartbeat.announcement.name + ": heartbeat ignored: unexpected address, or an earlier process");
         exchange->answer(this->state.protocol->answerHeartbeat({}));
         return;
     }
-    this->newestStartTimes[heartbeat.announcement.address] = heartbeat.announcement.startedAt;
+    this->newestProcesses[heartbeat.announcement.address] = identityOf(heartbeat.announcement);
     const auto found = this->upstreams.find({heartbeat.announcement.service, heartbeat.announcement.name});
     if (found == this->upstreams.end()) {
         this->retireReplaced(heartbeat.announcement);
@@ -91,12 +101,13 @@
 void AgentProcess::addRecovered(const RecoveredUpstream &recovered)
 {
     const Announcement &announcement = recovered.announcement;
-    const bool isKnown = this->newestStartTimes.contains(announcement.address)
+    const bool isKnown = this->newestProcesses.contains(announcement.address)
                          || this->upstreams.contains({announcement.service, announcement.name});
     if (isKnown || this->state.stopping) {
         // Its heartbeat came first, or that of a process which has replaced it.
         return;
     }
+    this->newestProcesses[announcement.address] = identityOf(announcement);
     this->addUpstream(announcement).recover(recovered.coldFor);
     this->sendGrants();
     this->runner->stateChanged();
@@ -163,17 +174,40 @@
     if (routed != nullptr && routed->listsKeysInHeartbeats() && !heartbeat.listsKeys) {
         return "held or released keys are missing";
     }
+    if (this->senderOf(heartbeat.announcement) == agent::HeartbeatSender::Contradictory) {
+        return "service, address or id differ from what the process has stated";
+    }
     return {};
 }
 
-bool AgentProcess::isOutdated(const Heartbeat &heartbeat) const
+agent::HeartbeatSender AgentProcess::senderOf(const Announcement &announcement) const
 {
-    const std::string &expected = this->state.settings.upstreamAddress;
-    if (!expected.empty() && heartbeat.announcement.address != expected) {
-        return true;
+    const agent::ProcessIdentity sender = identityOf(announcement);
+    if (this->isEarlierThanRegistered(announcement)) {
+        return agent::HeartbeatSender::Earlier;
+    }
+    if (const auto newest = this->newestProcesses.find(sender.address); newest != this->newestProcesses.end()) {
+        return agent::classifySender(newest->second, sender);
     }
-    const auto newest = this->newestStartTimes.find(heartbeat.announcement.address);
-    return newest != this->newestStartTimes.end() && heartbeat.announcement.startedAt < newest->second;
+    for (const auto &[address, known] : this->newestProcesses) {
+        if (agent::classifySender(known, sender) == agent::HeartbeatSender::Contradictory) {
+            return agent::HeartbeatSender::Contradictory;
+        }
+    }
+    return agent::HeartbeatSender::Unrelated;
+}
+
+// Guards against a delayed heartbeat that a restarted agent receives before it knows the process that has replaced its
+// sender: keys that its predecessor had granted to that process would count as not held.
+bool AgentProcess::isEarlierThanRegistered(const Announcement &announcement) const
+{
+    const std::set<std::uint32_t> &own = this->state.ownership.ownUpstreams;
+    return std::any_of(own.begin(), own.end(), [&](std::uint32_t id) {
+        const wire::UpstreamInfo &registered = *agent::findUpstream(this->state.map, id);
+        const bool mayHoldKeys = registered.serving() || !this->state.ownership.predecessorGrantsExpired;
+        return mayHoldKeys && registered.address() == announcement.address
+               && std::chrono::milliseconds(registered.started_unix_ms()) > announcement.startedAt;
+    });
 }
 
 LocalUpstream *AgentProcess::findByInstance(const std::string &instance)
--- a/tests/PlatformWorker.cpp
+++ b/tests/PlatformWorker.cpp
@@ -74,6 +74,11 @@
     return this->rows;
 }
 
+std::chrono::milliseconds PlatformWorker::startedAt() const
+{
+    return std::chrono::milliseconds(this->startedAtMs);
+}
+
 std::vector<PlatformWorker::Arrival> PlatformWorker::arrivals()
 {
     const std::lock_guard guard(this->mutex);
--- a/tests/PlatformWorker.h
+++ b/tests/PlatformWorker.h
@@ -46,6 +46,9 @@
     /** @return rows of first key, last key and epoch that are held now */
     std::vector<std::array<std::uint64_t, 3>> held();
 
+    /** @return the start that the worker states in its heartbeats, as Unix time */
+    std::chrono::milliseconds startedAt() const;
+
     /** A request that arrived. */
     struct Arrival {
         std::chrono::steady_clock::time_point time;
