A hold ends early in one place, for a typed reason; a successor must answer at the address

Cause: a report was believed without asking whether its sender runs. Three places dropped what an upstream holds (processEnded, markReplaced, and the timer of expired grants through the same function), none of which stated its evidence.

agent::HoldEnd names what proves the end of a process, and two functions without I/O decide it from a health check and from a heartbeat. LocalUpstream::endHold() is the only way to end a hold before its time, and logs the reason. Without an answer nobody's hold ends; the report is answered without keys and the next one asks again. Also asked: what control has registered there and this agent doesn't know, as after a restart of the agent.

Ruled out: asking each new process, which would cost a probe a start and protect nobody's keys; requiring that all connections to the known process are closed, since connections may go silent for good.

Cost: one health check on loopback between the first report of a successor and its answer; an end that shows as a refused connection is noticed as before.

The process test fails on: the report is answered 200, keysMove() is true.

--- a/include/process/AgentProtocol.h
+++ b/include/process/AgentProtocol.h
@@ -92,6 +92,9 @@
                                 const std::string &path,
                                 std::chrono::milliseconds timeout) = nullptr;
 
+    /** @return the instance that has answered a health check; empty if the answer doesn't state one */
+    std::string (*readInstance)(const net::HttpAnswer &health) = nullptr;
+
     /**
      * @return the upstream that control has registered, if @p health is its answer to a health check; nullptr where an
      *         upstream can't be recognized by it
--- a/src/process/AgentProcess.cpp
+++ b/src/process/AgentProcess.cpp
@@ -244,6 +244,7 @@
     this->recovery = std::make_unique<UpstreamRecovery>(this->loop, this->state, [this](const auto &recovered) {
         this->addRecovered(recovered);
     });
+    this->instanceCheck = std::make_unique<InstanceCheck>(this->loop, this->state);
     Log.info(this->state.settings.agentName + ": callers on port " + std::to_string(this->callers->port())
              + ", peers on " + std::to_string(this->peers->port()) + ", announcements on "
              + std::to_string(this->announcements->port()) + ", operators on "
--- a/src/process/AgentProcess.h
+++ b/src/process/AgentProcess.h
@@ -8,6 +8,7 @@
 #include "process/AgentState.h"
 #include "process/BodyIntake.h"
 #include "process/ControlLink.h"
+#include "process/InstanceCheck.h"
 #include "process/LocalUpstream.h"
 #include "process/LoopMonitor.h"
 #include "process/RequestRunner.h"
@@ -48,6 +49,17 @@
     void answerOperator(const std::shared_ptr<net::Exchange> &exchange);
     /** Handles a heartbeat in the deployment's protocol. */
     void handleHeartbeat(const std::shared_ptr<net::Exchange> &exchange);
+    /**
+     * Applies a heartbeat of an upstream and answers it.
+     * @param answeringInstance instance that answers at the sender's address; empty if it was not asked or not stated
+     */
+    void acceptHeartbeat(const std::shared_ptr<net::Exchange> &exchange,
+                         const Heartbeat &heartbeat,
+                         const std::string &answeringInstance);
+    /** @return whether the sender has to answer at its address, as another process that may run has it */
+    bool mustAnswerAtAddress(const Announcement &announcement) const;
+    /** Accepts a heartbeat once its sender answers at its address, and refuses it if another process does. */
+    void checkInstance(const std::shared_ptr<net::Exchange> &exchange, const Heartbeat &heartbeat);
     /** Serves an upstream that was already running when this process started. */
     void addRecovered(const RecoveredUpstream &recovered);
     /** Delays the answer to an upstream's heartbeat until it can be granted keys. */
@@ -64,8 +76,10 @@
     /** @return whether control has registered a process at the sender's address that started later */
     bool isEarlierThanRegistered(const Announcement &announcement) const;
     LocalUpstream *findByInstance(const std::string &instance);
+    /** @return whether a process at the address, other than the sender, may hold keys that were granted to it */
+    bool mayOthersHoldKeys(const Announcement &announcement) const;
     /** Ends upstreams whose address now belongs to another one, and removes crashed ones without work in progress. */
-    void retireReplaced(const Announcement &announcement);
+    void retireReplaced(const Announcement &announcement, const std::string &answeringInstance);
     bool isReady() const;
     LocalUpstream &addUpstream(const Announcement &announcement);
     void stateChanged();
@@ -105,6 +119,7 @@
     std::map<std::string, agent::ProcessIdentity> newestProcesses;
     std::unique_ptr<ControlLink> control;
     std::unique_ptr<UpstreamRecovery> recovery;
+    std::unique_ptr<InstanceCheck> instanceCheck;
     std::unique_ptr<RequestRunner> runner;
     BootTime stopStartedAt;
     BootTime outOfRoutingAt;
--- a/src/process/AgentProcessUpstreams.cpp
+++ b/src/process/AgentProcessUpstreams.cpp
@@ -1,3 +1,4 @@
+#include "agent/HoldEnd.h"
 #include "loop/Log.h"
 #include "net/Problem.h"
 #include "process/AgentProcess.h"
@@ -82,10 +83,22 @@
         exchange->answer(this->state.protocol->answerHeartbeat({}));
         return;
     }
+    if (this->mustAnswerAtAddress(heartbeat.announcement)) {
+        this->checkInstance(exchange, heartbeat);
+        return;
+    }
+    this->acceptHeartbeat(exchange, heartbeat, {});
+}
+
+void AgentProcess::acceptHeartbeat(const std::shared_ptr<net::Exchange> &exchange,
+                                   const Heartbeat &heartbeat,
+                                   const std::string &answeringInstance)
+{
     this->newestProcesses[heartbeat.announcement.address] = identityOf(heartbeat.announcement);
+    LocalUpstream *upstream = nullptr;
     const auto found = this->upstreams.find({heartbeat.announcement.service, heartbeat.announcement.name});
     if (found == this->upstreams.end()) {
-        this->retireReplaced(heartbeat.announcement);
+        this->retireReplaced(heartbeat.announcement, answeringInstance);
         upstream = &this->addUpstream(heartbeat.announcement);
     } else {
         upstream = found->second.get();
@@ -98,6 +111,52 @@
     exchange->answer(this->state.protocol->answerHeartbeat(answer));
 }
 
+bool AgentProcess::mustAnswerAtAddress(const Announcement &announcement) const
+{
+    const agent::ProcessIdentity sender = identityOf(announcement);
+    const bool succeedsLocal = std::any_of(this->upstreams.begin(), this->upstreams.end(), [&](const auto &entry) {
+        return entry.second->status() != UpstreamStatus::Crashed
+               && agent::classifySender(identityOf(entry.second->announcement()), sender)
+                      == agent::HeartbeatSender::Successor;
+    });
+    const std::set<std::uint32_t> &own = this->state.ownership.ownUpstreams;
+    return succeedsLocal || std::any_of(own.begin(), own.end(), [&](std::uint32_t id) {
+               const wire::UpstreamInfo &registered = *agent::findUpstream(this->state.map, id);
+               return registered.serving() && registered.address() == announcement.address
+                      && std::chrono::milliseconds(registered.started_unix_ms()) < announcement.startedAt
+                      && !this->upstreams.contains({registered.service(), registered.name()});
+           });
+}
+
+void AgentProcess::checkInstance(const std::shared_ptr<net::Exchange> &exchange, const Heartbeat &heartbeat)
+{
+    this->instanceCheck->ask(heartbeat.announcement, [this, exchange, heartbeat](const InstanceAnswer &answer) {
+        const Announcement &announcement = heartbeat.announcement;
+        const bool answers = answer.instance == announcement.instance;
+        Log.event(loop::LogLevel::Info, "sender of a heartbeat asked", loop::RoutineBound)
+            .with("upstream", announcement.name)
+            .with("address", announcement.address)
+            .with("answering", answer.instance);
+        if (!answer.instance.empty() && !answers) {
+            exchange->answer(net::problem(
+                400, "bad heartbeat", "another instance answers at its address", net::RequestRan::No));
+        } else if (this->senderOf(announcement) == agent::HeartbeatSender::Earlier
+                   || (!answers && this->mayOthersHoldKeys(announcement))) {
+            exchange->answer(this->state.protocol->answerHeartbeat({}));
+        } else {
+            this->acceptHeartbeat(exchange, heartbeat, answer.instance);
+        }
+    });
+}
+
+bool AgentProcess::mayOthersHoldKeys(const Announcement &announcement) const
+{
+    return !this->state.ownership.predecessorGrantsExpired
+           || std::any_of(this->upstreams.begin(), this->upstreams.end(), [&](const auto &entry) {
+                  return entry.second->announcement().address == announcement.address && entry.second->mayHoldKeys();
+              });
+}
+
 void AgentProcess::addRecovered(const RecoveredUpstream &recovered)
 {
     const Announcement &announcement = recovered.announcement;
@@ -222,12 +281,19 @@
     return newest;
 }
 
-void AgentProcess::retireReplaced(const Announcement &announcement)
+void AgentProcess::retireReplaced(const Announcement &announcement, const std::string &answeringInstance)
 {
     for (const auto &[name, upstream] : this->upstreams) {
-        if (upstream->announcement().address == announcement.address && upstream->status() != UpstreamStatus::Crashed) {
+        if (upstream->announcement().address != announcement.address || upstream->status() == UpstreamStatus::Crashed) {
+            continue;
+        }
+        const agent::HeartbeatSender sender =
+            agent::classifySender(identityOf(upstream->announcement()), identityOf(announcement));
+        const std::optional<agent::HoldEnd> holdEnd =
+            agent::holdEndShownByHeartbeat(sender, announcement.instance, answeringInstance);
+        if (holdEnd || !upstream->mayHoldKeys()) {
             Log.info(name.second + ": replaced by " + announcement.name);
-            upstream->markReplaced();
+            upstream->markReplaced(holdEnd);
         }
     }
     std::erase_if(this->upstreams, [](const auto &entry) {
--- a/src/process/LocalUpstream.cpp
+++ b/src/process/LocalUpstream.cpp
@@ -129,7 +129,7 @@
     const bool restarted = announcement.incarnation != this->latestAnnouncement.incarnation;
     if (restarted) {
         Log.info(announcement.name + ": new incarnation, starting cold");
-        this->processEnded();
+        this->processEnded(agent::HoldEnd::NewIncarnation);
         agent::restart(this->gate, now);
         this->canRestoreLimit = false;
         this->forgetNotice();
--- a/src/process/LocalUpstream.h
+++ b/src/process/LocalUpstream.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agent/Gate.h"
+#include "agent/HoldEnd.h"
 #include "agent/RouteShares.h"
 #include "agent/SlowUpstream.h"
 #include "loop/EventLoop.h"
@@ -115,8 +116,14 @@
      */
     bool awaitsFirstKeys(const Heartbeat &heartbeat, const HeartbeatAnswer &answer) const;
 
-    /** Ends the upstream: another process has its address, which proves that this one has ended. */
-    void markReplaced();
+    /**
+     * Takes the upstream out of service, as another process has its address.
+     * @param holdEnd what proves the end of its process; nullopt if nothing does, which requires that it holds no keys
+     */
+    void markReplaced(std::optional<agent::HoldEnd> holdEnd);
+
+    /** @return whether the upstream may hold keys */
+    bool mayHoldKeys() const;
 
     /** Applies the limits of a changed table. */
     void applyTable();
@@ -206,7 +213,9 @@
     void requestCancel(agent::TicketId ticket);
     void endWork(agent::TicketId ticket, agent::WorkOutcome outcome, bool answeredInFull);
     void probeAgain();
-    void processEnded();
+    void processEnded(agent::HoldEnd holdEnd);
+    /** Ends the hold of the upstream's keys before its time; the only way to do so. */
+    void endHold(agent::HoldEnd reason);
     void endAbandoned();
     bool isUnresponsive(BootTime now) const;
     bool isOutOfService(BootTime now) const;
@@ -223,6 +232,7 @@
     /** @return the grants for the answer to a heartbeat; records that the revokes of revoked slices are sent with it */
     std::vector<KeyGrant> grantKeys();
     void recordHeld(const std::vector<KeyGrant> &grants, std::chrono::milliseconds holdFor);
+    /** Removes what is recorded as held: the grants have expired, or endHold() was called. */
     void forgetHeldKeys();
     bool grantsByHeartbeat() const;
     bool grantsByCall() const;
--- a/src/process/LocalUpstreamHealth.cpp
+++ b/src/process/LocalUpstreamHealth.cpp
@@ -1,9 +1,12 @@
 #include "loop/Log.h"
+#include "loop/LogEvent.h"
 #include "process/AgentProtocol.h"
 #include "process/AgentState.h"
+#include "process/HealthCall.h"
 #include "process/LocalUpstream.h"
 #include "process/LocalWork.h"
 
+#include <cassert>
 #include <utility>
 
 namespace bergamotweir::process {
@@ -21,6 +24,17 @@
 
 constexpr loop::Log Log("upstream");
 
+agent::ProbeEnd probeEndOf(const net::CallResult &result)
+{
+    if (result.outcome == net::CallOutcome::Answered) {
+        return agent::ProbeEnd::Answered;
+    }
+    if (result.isRefused) {
+        return agent::ProbeEnd::Refused;
+    }
+    return result.outcome == net::CallOutcome::NotSent ? agent::ProbeEnd::NotSent : agent::ProbeEnd::Unanswered;
+}
+
 milliseconds unixTime()
 {
     return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch());
@@ -43,9 +57,8 @@
         return;
     }
     this->isProbing = true;
-    const table::RoutedService *const routed = this->state.table.routes().service(this->latestAnnouncement.service);
-    net::HttpCall call = this->state.protocol->healthCall(
-        upstreamAddress(this->latestAnnouncement), routed == nullptr ? "/health" : routed->healthPath, FrozenTimeout);
+    net::HttpCall call = healthCallTo(
+        this->state, this->latestAnnouncement.service, upstreamAddress(this->latestAnnouncement), FrozenTimeout);
     call.needsNewConnection = needsNewConnection;
     this->client.send(std::move(call), [this, isSecondProbe](const net::CallResult &result) {
         this->isProbing = false;
@@ -66,8 +79,10 @@
         }
         return;
     }
-    if (result.isRefused && result.elapsed < FrozenTimeout) {
-        this->processEnded();
+    const agent::ProbeEnd end = probeEndOf(result);
+    const std::optional<agent::HoldEnd> holdEnd = agent::holdEndShownByProbe(end, result.elapsed >= FrozenTimeout);
+    if (holdEnd) {
+        this->processEnded(*holdEnd);
     } else if (result.outcome == net::CallOutcome::NotSent && !isSecondProbe) {
         this->probeAgain();
     } else if (result.outcome == net::CallOutcome::ConnectionLost && !this->state.protocol->usesHeartbeats) {
@@ -98,7 +113,7 @@
  * connections while it finishes its work. If its slices were reassigned at once, two upstreams would run the same key.
  * The end of a process closes every connection, so the upstream stays Frozen while work has an open one.
  */
-void LocalUpstream::processEnded()
+void LocalUpstream::processEnded(agent::HoldEnd holdEnd)
 {
     std::set<std::uint64_t> suspectFingerprints;
     std::vector<agent::TicketId> ended;
@@ -110,8 +125,7 @@
     }
     const bool allEnded = ended.size() == this->work.size();
     if (allEnded) {
-        this->callGrants.processEnded();
-        this->forgetHeldKeys();
+        this->endHold(holdEnd);
     }
     this->setStatus(allEnded ? UpstreamStatus::Crashed : UpstreamStatus::Frozen);
     const wire::ReportCrash report =
@@ -149,16 +163,31 @@
            && now - std::max(this->lastAnnouncedAt, this->lastAnswerAt) > this->state.settings.heartbeatTimeout;
 }
 
-void LocalUpstream::markReplaced()
+void LocalUpstream::endHold(agent::HoldEnd reason)
 {
+    if (this->mayHoldKeys()) {
+        Log.event(loop::LogLevel::Info, "hold ended early")
+            .with("upstream", this->latestAnnouncement.name)
+            .with("reason", agent::toText(reason));
+    }
+    this->callGrants.processEnded();
+    this->forgetHeldKeys();
+}
+
+void LocalUpstream::markReplaced(std::optional<agent::HoldEnd> holdEnd)
+{
+    assert(holdEnd || !this->mayHoldKeys());
     std::vector<agent::TicketId> open;
     for (const auto &[ticket, entry] : this->work) {
         if (!entry.isAbandoned) {
             open.push_back(ticket);
         }
     }
-    this->callGrants.processEnded();
-    this->forgetHeldKeys();
+    if (holdEnd) {
+        this->endHold(*holdEnd);
+    } else {
+        this->callGrants.processEnded();
+    }
     this->setStatus(UpstreamStatus::Crashed);
     for (const agent::TicketId ticket : open) {
         const auto found = this->work.find(ticket);
--- a/src/process/LocalUpstreamHolds.cpp
+++ b/src/process/LocalUpstreamHolds.cpp
@@ -256,6 +256,12 @@
     }
 }
 
+bool LocalUpstream::mayHoldKeys() const
+{
+    const auto held = this->state.ownership.held.find(this->latestAnnouncement.service);
+    return held != this->state.ownership.held.end() && !held->second.empty();
+}
+
 void LocalUpstream::forgetHeldKeys()
 {
     this->loop.cancel(this->heldKeysTimer);
--- a/src/process/UpstreamRecovery.cpp
+++ b/src/process/UpstreamRecovery.cpp
@@ -2,6 +2,7 @@
 
 #include "loop/Log.h"
 #include "process/AgentState.h"
+#include "process/HealthCall.h"
 
 namespace bergamotweir::process {
 
@@ -41,9 +42,7 @@
 
 void UpstreamRecovery::ask(const wire::UpstreamInfo &registered)
 {
-    const table::RoutedService *const routed = this->state.table.routes().service(registered.service());
-    net::HttpCall call = this->state.protocol->healthCall(
-        registered.address(), routed == nullptr ? "/health" : routed->healthPath, HealthTimeout);
+    net::HttpCall call = healthCallTo(this->state, registered.service(), registered.address(), HealthTimeout);
     this->client.send(std::move(call), [this, registered](const net::CallResult &result) {
         std::optional<RecoveredUpstream> recovered;
         if (result.outcome == net::CallOutcome::Answered) {
--- a/tests/HoldEndProcessTest.cpp
+++ b/tests/HoldEndProcessTest.cpp
@@ -121,3 +121,12 @@
     CHECK(machines.sendToAgent("PUT", "w11-restarted", report.dump()).status == 400);
     CHECK_FALSE(machines.keysMove());
 }
+
+// Guards against keys of a live upstream granted to another one after a report of a process that isn't there.
+TEST_CASE("platform process: a report of an instance that doesn't answer at its address takes no keys", "[process]")
+{
+    DividedMachines machines;
+    machines.restartUpstream("w11-restarted", RareHeartbeats);
+    CHECK(machines.sendToAgent("PUT", "i-foreign", machines.report(4000000000s).dump()).status == 400);
+    CHECK_FALSE(machines.keysMove());
+}
