Keys granted by heartbeats stay held when the way to grant them changes

What callers would see (OWNER): an operator changes a service from grants by heartbeat to grants by call. Until its grants have expired an upstream holds keys that count as free, and that control may give to another one.

Cause: CallGrants::publish() replaces what is recorded as held for the service by what its own orders have granted, which is nothing at that moment.

Ruled out: keeping both records, one for each way, and joining them: the record would have two owners for a change that operators make once.

The other way round needs no change: a heartbeat without lists of keys says nothing about them.

--- a/src/process/LocalUpstreamHolds.cpp
+++ b/src/process/LocalUpstreamHolds.cpp
@@ -217,6 +217,7 @@
     this->heldKeysTimer = this->loop.after(this->grantsExpireAt - BootClock::now(), [this] {
         this->heldKeysTimer = 0;
         this->forgetHeldKeys();
+        this->updateCallGrants();
     });
 }
 
@@ -235,7 +236,9 @@
 
 void LocalUpstream::updateCallGrants()
 {
-    if (this->currentStatus != UpstreamStatus::Crashed && this->grantsByCall()) {
+    // Keys granted by heartbeats, before the table changed the way, are recorded as held until they have expired.
+    const bool areOtherGrantsExpired = BootClock::now() >= this->grantsExpireAt;
+    if (this->currentStatus != UpstreamStatus::Crashed && this->grantsByCall() && areOtherGrantsExpired) {
         this->callGrants.update(this->latestAnnouncement, this->id(), this->currentStatus == UpstreamStatus::Serving);
     }
 }
--- a/tests/LocalUpstreamTest.cpp
+++ b/tests/LocalUpstreamTest.cpp
@@ -210,6 +210,19 @@
     CHECK(fixture.state.ownership.held["seats"].empty());
 }
 
+// Guards against keys granted by heartbeats that another upstream gets while they are held, because the way changes.
+TEST_CASE("keys granted by heartbeats stay held when the table changes the way in which keys are granted")
+{
+    UpstreamFixture fixture;
+    fixture.putTable(wire::GRANT_WAY_HEARTBEAT);
+    Heartbeat heartbeat = UpstreamFixture::heartbeat(1);
+    heartbeat.held = {{{0, 4095}, 7}};
+    fixture.upstream->applyHeartbeat(heartbeat);
+    fixture.putTable(wire::GRANT_WAY_CALL);
+    fixture.upstream->updateCallGrants();
+    CHECK_FALSE(fixture.state.ownership.held["seats"].empty());
+}
+
 // Guards against keys of a live upstream granted to another one because callers have left and it resets connections.
 TEST_CASE("requests that callers gave up and a reset connection end no hold")
 {
