A health check's result counts only for the incarnation that it was sent to

What callers would see: an upstream of the product's own protocol starts again, and the agent refuses its requests until it starts once more.

Cause: the result of a health check that was refused by the former process was applied to the incarnation announced meanwhile. "Crashed" is ended by a new incarnation only, so a live upstream stayed out of service and its keys were released.

The result is now dropped if the incarnation has changed since the check began.

--- a/src/process/LocalUpstreamHealth.cpp
+++ b/src/process/LocalUpstreamHealth.cpp
@@ -60,8 +60,13 @@
     net::HttpCall call = healthCallTo(
         this->state, this->latestAnnouncement.service, upstreamAddress(this->latestAnnouncement), FrozenTimeout);
     call.needsNewConnection = needsNewConnection;
-    this->client.send(std::move(call), [this, isSecondProbe](const net::CallResult &result) {
+    const std::string &incarnation = this->latestAnnouncement.incarnation;
+    this->client.send(std::move(call), [this, isSecondProbe, incarnation](const net::CallResult &result) {
         this->isProbing = false;
+        if (incarnation != this->latestAnnouncement.incarnation) {
+            // The result tells nothing about the process that has started since.
+            return;
+        }
         this->healthAnswered(result, isSecondProbe);
         if (!this->isSecondProbePending) {
             this->endAbandoned();
--- a/tests/LocalUpstreamTest.cpp
+++ b/tests/LocalUpstreamTest.cpp
@@ -6,6 +6,7 @@
 #include "platform/Requests.h"
 #include "process/AgentProtocol.h"
 #include "process/AgentState.h"
+#include "process/OwnProtocol.h"
 
 #include <catch2/catch.hpp>
 
@@ -24,10 +25,11 @@
     std::unique_ptr<LocalUpstream> upstream;
     agent::TicketId lastTicket = 0;
 
-    explicit UpstreamFixture(const std::string &address = "127.0.0.1:1")
+    explicit UpstreamFixture(const std::string &address = "127.0.0.1:1",
+                             const AgentProtocol &protocol = platform::agentProtocol())
     {
-        this->state.protocol = &platform::agentProtocol();
-        this->state.ownership.upstreamsHoldGrants = true;
+        this->state.protocol = &protocol;
+        this->state.ownership.upstreamsHoldGrants = protocol.usesHeartbeats;
         this->state.lease.validUntil = BootClock::now() + 10s;
         LocalUpstreamEvents events;
         events.changed = [] {};
@@ -135,6 +137,23 @@
     REQUIRE(fixture.state.ownership.servicesReported.contains("seats"));
 }
 
+// Guards against a new incarnation that is never served because a health check of the one before was refused.
+TEST_CASE("a refused health check that began before a new incarnation was announced doesn't end it")
+{
+    UpstreamFixture fixture("127.0.0.1:1", ownProtocol());
+    Announcement announcement = UpstreamFixture::heartbeat(0).announcement;
+    announcement.incarnation = "i-1.2";
+    // Runs between the start of the first health check and its result.
+    fixture.loop->after(100ms, [&] {
+        fixture.upstream->applyAnnouncement(announcement);
+    });
+    fixture.loop->after(150ms, [&] {
+        fixture.loop->stop();
+    });
+    fixture.loop->run();
+    CHECK(fixture.upstream->status() == UpstreamStatus::Serving);
+}
+
 // Guards against requests at an upstream that may end at any moment.
 TEST_CASE("a draining upstream gets no request two seconds after the acknowledgement")
 {
