A late deregistration of an earlier process leaves the new one in service

The new process is drained and never served again, as all of its further reports count as late.

Cause: a deregistration names the instance alone, and was applied to the process that has the id now.

For 10 s after an instance has started again, the process is asked: it answers its health check with 200 "while [it] considers itself healthy and is not leaving". If it does, the deregistration was not its own. Without such an answer it is applied, so that an upstream that leaves gets no request.

The test fails on: keysHeld(upstream) is below 20000 within 6 s. Another test shows that a deregistration of a process that hasn't started again counts. Left: an agent that has restarted doesn't know that an instance was used before.

--- a/src/process/AgentProcess.h
+++ b/src/process/AgentProcess.h
@@ -49,6 +49,9 @@
     void answerOperator(const std::shared_ptr<net::Exchange> &exchange);
     /** Handles a heartbeat in the deployment's protocol. */
     void handleHeartbeat(const std::shared_ptr<net::Exchange> &exchange);
+    /** Handles the deregistration of an instance; it may come late, from an earlier process of that instance. */
+    void handleDeregistration(const std::shared_ptr<net::Exchange> &exchange, const std::string &instance);
+    void deregister(const std::string &instance);
     /**
      * Applies a heartbeat of an upstream and answers it.
      * @param answeringInstance instance that answers at the sender's address; empty if it was not asked or not stated
@@ -117,6 +120,8 @@
     std::map<UpstreamName, HeldHeartbeat> heldHeartbeats;
     /** The process at each address that started last. */
     std::map<std::string, agent::ProcessIdentity> newestProcesses;
+    /** When a later process of an instance reported first, by instance. */
+    std::map<std::string, BootTime> restartedInstances;
     std::unique_ptr<ControlLink> control;
     std::unique_ptr<UpstreamRecovery> recovery;
     std::unique_ptr<InstanceCheck> instanceCheck;
--- a/src/process/AgentProcessUpstreams.cpp
+++ b/src/process/AgentProcessUpstreams.cpp
@@ -16,6 +16,9 @@
 /** Maximum delay of the answer to a heartbeat; upstreams wait for a second. */
 constexpr std::chrono::milliseconds MaxHeartbeatDelay{600};
 
+/** Maximum delay of a deregistration: the next process of the instance may report before it arrives. */
+constexpr std::chrono::seconds MaxDeregistrationDelay{10};
+
 constexpr loop::Log Log("agent");
 
 agent::ProcessIdentity identityOf(const Announcement &announcement)
@@ -60,15 +63,9 @@
         exchange->answer(net::problem(400, "bad heartbeat", toText(read.error()), net::RequestRan::No));
         return;
     }
-    Heartbeat heartbeat = read.value();
-    LocalUpstream *upstream = this->findByInstance(heartbeat.announcement.instance);
+    const Heartbeat &heartbeat = read.value();
     if (heartbeat.isDeregistration) {
-        if (upstream != nullptr) {
-            heartbeat.announcement = upstream->announcement();
-            heartbeat.sequence = std::numeric_limits<std::uint64_t>::max();
-            upstream->applyHeartbeat(heartbeat);
-        }
-        exchange->answer(this->state.protocol->answerHeartbeat({}));
+        this->handleDeregistration(exchange, heartbeat.announcement.instance);
         return;
     }
     if (const std::string refusal = this->refusalOf(heartbeat); !refusal.empty()) {
@@ -90,10 +87,46 @@
     this->acceptHeartbeat(exchange, heartbeat, {});
 }
 
+void AgentProcess::handleDeregistration(const std::shared_ptr<net::Exchange> &exchange, const std::string &instance)
+{
+    LocalUpstream *const upstream = this->findByInstance(instance);
+    const auto restarted = this->restartedInstances.find(instance);
+    const bool mayBeLate = restarted != this->restartedInstances.end()
+                           && BootClock::now() - restarted->second < MaxDeregistrationDelay;
+    if (upstream == nullptr || !mayBeLate) {
+        this->deregister(instance);
+        exchange->answer(this->state.protocol->answerHeartbeat({}));
+        return;
+    }
+    this->instanceCheck->ask(upstream->announcement(), [this, exchange, instance](const InstanceAnswer &answer) {
+        if (answer.isHealthy && answer.instance == instance) {
+            Log.warn(instance + ": deregistration of an earlier process ignored");
+        } else {
+            this->deregister(instance);
+        }
+        exchange->answer(this->state.protocol->answerHeartbeat({}));
+    });
+}
+
+void AgentProcess::deregister(const std::string &instance)
+{
+    if (LocalUpstream *const upstream = this->findByInstance(instance); upstream != nullptr) {
+        Heartbeat heartbeat;
+        heartbeat.announcement = upstream->announcement();
+        heartbeat.isDraining = true;
+        heartbeat.isDeregistration = true;
+        heartbeat.sequence = std::numeric_limits<std::uint64_t>::max();
+        upstream->applyHeartbeat(heartbeat);
+    }
+}
+
 void AgentProcess::acceptHeartbeat(const std::shared_ptr<net::Exchange> &exchange,
                                    const Heartbeat &heartbeat,
                                    const std::string &answeringInstance)
 {
+    if (this->senderOf(heartbeat.announcement) == agent::HeartbeatSender::LaterLife) {
+        this->restartedInstances[heartbeat.announcement.instance] = BootClock::now();
+    }
     this->newestProcesses[heartbeat.announcement.address] = identityOf(heartbeat.announcement);
     LocalUpstream *upstream = nullptr;
     const auto found = this->upstreams.find({heartbeat.announcement.service, heartbeat.announcement.name});
--- a/tests/HoldEndProcessTest.cpp
+++ b/tests/HoldEndProcessTest.cpp
@@ -130,3 +130,25 @@
     CHECK(machines.sendToAgent("PUT", "i-foreign", machines.report(4000000000s).dump()).status == 400);
     CHECK_FALSE(machines.keysMove());
 }
+
+// Guards against an upstream that is never served again because an earlier process of its id has deregistered late.
+TEST_CASE("platform process: a late deregistration of an earlier process leaves the new one of its id in service",
+          "[process]")
+{
+    DividedMachines machines;
+    machines.restartUpstream("w11");
+    REQUIRE(machines.sendToAgent("DELETE", "w11").status == 200);
+    CHECK_FALSE(Deployment::eventually(6s, [&] {
+        return keysHeld(machines.upstream()) < 20000;
+    }));
+}
+
+// Guards against requests at an upstream that has deregistered and is about to exit.
+TEST_CASE("platform process: an upstream that has deregistered gives its keys to the other one", "[process]")
+{
+    DividedMachines machines;
+    REQUIRE(machines.sendToAgent("DELETE", "w11").status == 200);
+    CHECK(Deployment::eventually(5s, [&] {
+        return keysHeld(*machines.workers[1]) == 65536;
+    }));
+}
