A call that is given up resets its connection

Cause: a call that times out or is cancelled closed its connection in order. The kernel keeps what has not arrived and sends it when the path is back; the time limit that goes with it is relative, and counts from the arrival.

Such a connection is now closed with a reset, which drops what is still in this socket. Connections without a call, and those whose call was answered, are closed as before. Compared with a confirmation by the sender before a message of doubtful age is begun: a round trip for each request on such a connection, and a new message; the reset costs nothing and needs no clock.

--- a/src/net/ClientCall.cpp
+++ b/src/net/ClientCall.cpp
@@ -75,10 +75,13 @@
     if (call.openedSocket != -1) {
         call.sockets->add(call.call.address, localPort, call.openedSocket);
     }
-    call.staleConnection = !hasNothingToRead(call.sockets->find(call.call.address, localPort));
+    const int socket = call.sockets->find(call.call.address, localPort);
+    call.staleConnection = !hasNothingToRead(socket);
     if (call.staleConnection) {
         return CURL_PREREQFUNC_ABORT;
     }
+    call.usedSocket = socket;
+    call.sockets->beginCall(socket, call.id, call.startedAt + call.call.timeout);
     call.sent = true;
     return CURL_PREREQFUNC_OK;
 }
@@ -94,9 +97,18 @@
     return call.openedSocket;
 }
 
-int closeSocket(void *sockets, curl_socket_t socket)
+/*
+ * Failure: the path to a peer is cut for a while. Requests that are still in the socket's buffer arrive when the path is
+ * back, and run long after their callers were told that they failed. Closing with a reset drops them.
+ */
+int closeSocket(void *user, curl_socket_t socket)
 {
-    static_cast<ConnectionSockets *>(sockets)->remove(socket);
+    auto &sockets = *static_cast<ConnectionSockets *>(user);
+    if (sockets.isGivenUp(socket)) {
+        const linger reset{.l_onoff = 1, .l_linger = 0};
+        setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+    }
+    sockets.remove(socket);
     return close(socket);
 }
 
--- a/src/net/ClientCall.h
+++ b/src/net/ClientCall.h
@@ -28,6 +28,9 @@
     /** The socket opened for this call, or -1. */
     int openedSocket = -1;
 
+    /** The socket on which the request was sent, or -1; closed when the call has ended without an answer. */
+    int usedSocket = -1;
+
     /** libcurl was about to write the request's first byte, so the request may have reached the peer. */
     bool sent = false;
     /** The connection to be reused was closed or had unsolicited bytes to read; nothing was sent on it. */
--- a/src/net/ConnectionSockets.cpp
+++ b/src/net/ConnectionSockets.cpp
@@ -31,9 +31,37 @@
     return found == this->socketsByKey.end() ? -1 : found->second;
 }
 
+void ConnectionSockets::beginCall(int socket, CallId call, BootTime deadline)
+{
+    this->openCalls[socket] = {call, deadline};
+}
+
+void ConnectionSockets::endCall(int socket, CallId call)
+{
+    const auto found = this->openCalls.find(socket);
+    if (found != this->openCalls.end() && found->second.call == call) {
+        this->openCalls.erase(found);
+    }
+}
+
+void ConnectionSockets::giveUpCall(int socket, CallId call)
+{
+    const auto found = this->openCalls.find(socket);
+    if (found != this->openCalls.end() && found->second.call == call) {
+        found->second.deadline = BootTime();
+    }
+}
+
+bool ConnectionSockets::isGivenUp(int socket) const
+{
+    const auto found = this->openCalls.find(socket);
+    return found != this->openCalls.end() && BootClock::now() >= found->second.deadline;
+}
+
 void ConnectionSockets::remove(int socket)
 {
     this->onClose(socket);
+    this->openCalls.erase(socket);
     const auto found = this->keysBySocket.find(socket);
     if (found == this->keysBySocket.end()) {
         return;
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -240,6 +240,7 @@
     const std::unique_ptr<ClientCall> owned = std::move(found->second);
     this->calls.erase(found);
     CallResult result = takeResult(*owned, code);
+    this->sockets.endCall(owned->usedSocket, owned->id);
     this->release(*owned);
     this->startNext(owned->call.address);
     owned->done(std::move(result));
@@ -397,6 +398,7 @@
     }
     std::unique_ptr<ClientCall> owned = std::move(found->second);
     state.calls.erase(found);
+    state.sockets.giveUpCall(owned->usedSocket, owned->id);
     state.release(*owned);
     state.startNext(owned->call.address);
     state.cancelled.push_back(std::move(owned));
--- a/tests/HttpClientTest.cpp
+++ b/tests/HttpClientTest.cpp
@@ -6,6 +6,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <vector>
+
 using namespace bergamotweir;
 using namespace bergamotweir::net;
 using namespace std::chrono_literals;
@@ -136,6 +138,46 @@
     CHECK_FALSE(result.isRefused);
 }
 
+// Guards against a request that runs long after its caller has given it up, because it hung in a connection.
+TEST_CASE("a call that times out or is cancelled resets its connection, so that bytes on their way are dropped")
+{
+    const bool isCancelled = GENERATE(false, true);
+    Bench bench;
+    const int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in bound{};
+    bound.sin_family = AF_INET;
+    bound.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof bound;
+    REQUIRE(bind(listener, reinterpret_cast<sockaddr *>(&bound), size) == 0);
+    REQUIRE(listen(listener, 4) == 0);
+    REQUIRE(getsockname(listener, reinterpret_cast<sockaddr *>(&bound), &size) == 0);
+    HttpCall call = callTo("127.0.0.1:" + std::to_string(ntohs(bound.sin_port)), "POST");
+    call.timeout = isCancelled ? 5s : 200ms;
+    // More than the peer's buffer takes, so that the rest waits in this socket as it does behind a cut.
+    call.body = std::string(16UL << 20U, 'x');
+    CallOutcome outcome = CallOutcome::Answered;
+    const CallId id = bench.client->send(call, [&](const CallResult &result) {
+        outcome = result.outcome;
+        bench.loop->stop();
+    });
+    bench.loop->after(100ms, [&] {
+        if (isCancelled) {
+            bench.client->cancel(id);
+        }
+    });
+    bench.run();
+    CHECK(outcome == (isCancelled ? CallOutcome::Cancelled : CallOutcome::TimedOut));
+    const int accepted = accept(listener, nullptr, nullptr);
+    std::vector<char> bytes(1UL << 20U);
+    ssize_t received = 0;
+    do {
+        received = recv(accepted, bytes.data(), bytes.size(), 0);
+    } while (received > 0);
+    CHECK(received == -1);
+    close(accepted);
+    close(listener);
+}
+
 // Guards against a truncated answer taken for a whole one, and a POST that libcurl sends again by itself.
 TEST_CASE("an answer truncated at any byte is never taken for complete, and its request is sent once")
 {
