A lost replica is removed before the one that takes its place becomes a voter

Cause: the successor became a sixth voter, and the lost replica was removed 8 s later, anew with each leader, though catch_up_s is 4. Until then four of six have to answer. Learners caught up one at a time, so that one that didn't answer delayed the others for 8 s.

Change (nextChange()): a voter that has been silent for a quarter of catch_up_s is removed as soon as a replica is there to take its place, the longest silent first; a learner is promoted only while a voter is missing; learners join and catch up side by side. The number of voters falls below the wanted one by one at most: with four voters each entry is still on three disks. A live voter that is removed while it is frozen joins again. What a leader knows of absent members still ends with it, which costs a quarter of catch_up_s now and not 8 s.

Joint changes were not tried: one change at a time suffices.

The tests of MembershipPlanTest state silences and time-outs where they had a set of unresponsive members; each checks what it did.

--- a/include/process/ControlSettings.h
+++ b/include/process/ControlSettings.h
@@ -24,8 +24,10 @@
     std::size_t wantedVoters = 5;
     /** With fewer voters a leader acknowledges no change until it has waited this long for others to join. */
     std::chrono::milliseconds joinGrace{std::chrono::seconds(10)};
-    /** A member unresponsive for this long is replaced by one that has joined; a freeze or restart is shorter. */
-    std::chrono::milliseconds removeAfter{std::chrono::seconds(8)};
+    /** Silence after which a voter is removed if another replica joins in its place. */
+    std::chrono::milliseconds voterTimeout{std::chrono::seconds(1)};
+    /** Silence after which a learner is removed; it may be silent while it restores a snapshot on a slow disk. */
+    std::chrono::milliseconds learnerTimeout{std::chrono::seconds(8)};
 };
 
 /** Settings of a control replica, checked. Ports: 0 asks the kernel for a free one. */
--- a/include/process/ReplicaNode.h
+++ b/include/process/ReplicaNode.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -117,8 +118,11 @@
      */
     void requestJoin(const std::vector<std::string> &addresses);
 
-    /** @return ids of members that have not answered this leader for longer than @p timeout */
-    std::set<std::string> unresponsiveMembers(std::chrono::nanoseconds timeout) const;
+    /** @return time since each of the other members has answered this leader, by id */
+    std::map<std::string, std::chrono::nanoseconds> silences() const;
+
+    /** @return ids of the learners that hold enough of the log to become voters; empty unless this replica leads */
+    std::set<std::string> caughtUpLearners() const;
 
     /** Transfers leadership to a caught-up voter. @param done called when it has ended or a bounded time has passed */
     void transferLeadership(std::function<void()> done);
--- a/include/raft/RaftCore.h
+++ b/include/raft/RaftCore.h
@@ -107,8 +107,10 @@
     /** @return the id of the leader; empty if unknown */
     const std::string &leaderId() const;
     const wire::Membership &membership() const;
-    /** @return ids of the other members that have not answered this leader for longer than @p timeout */
-    std::set<std::string> unresponsiveMembers(std::chrono::nanoseconds timeout) const;
+    /** @return time since each of the other members has answered this leader, by id */
+    std::map<std::string, std::chrono::nanoseconds> silences() const;
+    /** @return ids of the learners that hold enough of the log to become voters */
+    std::set<std::string> caughtUpLearners() const;
     const Log &log() const;
     std::uint64_t commitIndex() const;
     const SnapshotPtr &lastSnapshot() const;
@@ -181,6 +183,7 @@
     bool hasQuorum(const std::function<bool(const wire::Replica &)> &counts) const;
     bool isSelf(const wire::Replica &replica) const;
     void rebuildProgress();
+    bool hasCaughtUp(const Progress &progress) const;
     void refuseChange(RequestId request, std::string message);
     bool wouldKeepQuorum(const wire::Membership &next) const;
     std::optional<wire::Membership> membershipAfter(const wire::ChangeMember &change, std::string &refusal) const;
--- a/src/net/ClientCall.cpp
+++ b/src/net/ClientCall.cpp
@@ -98,8 +98,8 @@
 }
 
 /*
- * Failure: the path to a peer is cut for a while. Requests that are still in the socket's buffer arrive when the path is
- * back, and run long after their callers were told that they failed. Closing with a reset drops them.
+ * Failure: the path to a peer is cut for a while. Requests that are still in the socket's buffer arrive when the path
+ * is back, and run long after their callers were told that they failed. Closing with a reset drops them.
  */
 int closeSocket(void *user, curl_socket_t socket)
 {
--- a/src/process/AgentProcessUpstreams.cpp
+++ b/src/process/AgentProcessUpstreams.cpp
@@ -91,8 +91,8 @@
 {
     LocalUpstream *const upstream = this->findByInstance(instance);
     const auto restarted = this->restartedInstances.find(instance);
-    const bool mayBeLate = restarted != this->restartedInstances.end()
-                           && BootClock::now() - restarted->second < MaxDeregistrationDelay;
+    const bool mayBeLate =
+        restarted != this->restartedInstances.end() && BootClock::now() - restarted->second < MaxDeregistrationDelay;
     if (upstream == nullptr || !mayBeLate) {
         this->deregister(instance);
         exchange->answer(this->state.protocol->answerHeartbeat({}));
@@ -171,8 +171,8 @@
             .with("address", announcement.address)
             .with("answering", answer.instance);
         if (!answer.instance.empty() && !answers) {
-            exchange->answer(net::problem(
-                400, "bad heartbeat", "another instance answers at its address", net::RequestRan::No));
+            exchange->answer(
+                net::problem(400, "bad heartbeat", "another instance answers at its address", net::RequestRan::No));
         } else if (this->senderOf(announcement) == agent::HeartbeatSender::Earlier
                    || (!answers && this->mayOthersHoldKeys(announcement))) {
             exchange->answer(this->state.protocol->answerHeartbeat({}));
--- a/src/process/MembershipManager.cpp
+++ b/src/process/MembershipManager.cpp
@@ -103,7 +103,10 @@
 {
     raft::MembershipFacts facts;
     facts.members = this->node.membership();
-    facts.unresponsive = this->node.unresponsiveMembers(this->settings.removeAfter);
+    facts.silences = this->node.silences();
+    facts.caughtUp = this->node.caughtUpLearners();
+    facts.voterTimeout = this->settings.voterTimeout;
+    facts.learnerTimeout = this->settings.learnerTimeout;
     facts.wantedVoters = this->settings.wantedVoters;
     std::erase_if(this->joiners, [&](const auto &entry) {
         return isMember(facts.members, entry.first) || now - entry.second.askedAt > JoinRequestLifetime;
--- a/src/process/ReplicaNode.cpp
+++ b/src/process/ReplicaNode.cpp
@@ -427,9 +427,14 @@
     }
 }
 
-std::set<std::string> ReplicaNode::unresponsiveMembers(std::chrono::nanoseconds timeout) const
+std::map<std::string, std::chrono::nanoseconds> ReplicaNode::silences() const
 {
-    return this->parts->core->unresponsiveMembers(timeout);
+    return this->parts->core->silences();
+}
+
+std::set<std::string> ReplicaNode::caughtUpLearners() const
+{
+    return this->parts->core->caughtUpLearners();
 }
 
 void ReplicaNode::transferLeadership(std::function<void()> done)
--- a/src/raft/Membership.cpp
+++ b/src/raft/Membership.cpp
@@ -79,15 +79,29 @@
     return counted * 2 > voters;
 }
 
-std::set<std::string> RaftCore::unresponsiveMembers(std::chrono::nanoseconds timeout) const
+std::map<std::string, std::chrono::nanoseconds> RaftCore::silences() const
 {
-    std::set<std::string> unresponsive;
+    std::map<std::string, std::chrono::nanoseconds> silences;
     for (const auto &[id, progress] : this->progresses) {
-        if (this->now - progress.lastAnswerAt > timeout) {
-            unresponsive.insert(id);
+        silences[id] = this->now - progress.lastAnswerAt;
+    }
+    return silences;
+}
+
+std::set<std::string> RaftCore::caughtUpLearners() const
+{
+    std::set<std::string> learners;
+    for (const auto &[id, progress] : this->progresses) {
+        if (!progress.replica.voter() && this->hasCaughtUp(progress)) {
+            learners.insert(id);
         }
     }
-    return unresponsive;
+    return learners;
+}
+
+bool RaftCore::hasCaughtUp(const Progress &progress) const
+{
+    return progress.matchIndex > 0 && progress.matchIndex + this->settings.promotionLag >= this->committedIndex;
 }
 
 void RaftCore::rebuildProgress()
@@ -151,11 +165,12 @@
             refusal = id + " is a voter already";
             return std::nullopt;
         }
-        const std::uint64_t match = this->progresses.at(id).matchIndex;
+        const Progress &progress = this->progresses.at(id);
         // A promoted learner that lags would count in the quorum without holding the entries: the loss of one more
         // replica could then lose committed entries.
-        if (match + this->settings.promotionLag < this->committedIndex || match == 0) {
-            refusal = id + " has not caught up: " + std::to_string(this->committedIndex - match) + " entries behind";
+        if (!this->hasCaughtUp(progress)) {
+            refusal = id + " has not caught up: " + std::to_string(this->committedIndex - progress.matchIndex)
+                      + " entries behind";
             return std::nullopt;
         }
         replica->set_voter(true);
--- a/src/raft/MembershipPlan.cpp
+++ b/src/raft/MembershipPlan.cpp
@@ -35,10 +35,37 @@
     return latest->id() == member.id() ? nullptr : latest;
 }
 
+/** @return how long the leader has not heard of a member; 0 for the leader itself */
+std::chrono::nanoseconds silenceOf(const MembershipFacts &facts, const wire::Replica &member)
+{
+    const auto found = facts.silences.find(member.id());
+    return found == facts.silences.end() ? std::chrono::nanoseconds(0) : found->second;
+}
+
+bool hasVoterAt(const MembershipFacts &facts, const std::string &address)
+{
+    const auto &members = facts.members.replicas();
+    return std::any_of(members.begin(), members.end(), [&](const wire::Replica &member) {
+        return member.voter() && member.address() == address;
+    });
+}
+
+/** @return whether a replica at an address without a voter joins or has joined, to take the place of a lost one */
+bool hasSuccessor(const MembershipFacts &facts)
+{
+    const auto isSuccessor = [&](const wire::Replica &replica) {
+        return !replica.voter() && !hasVoterAt(facts, replica.address())
+               && silenceOf(facts, replica) <= facts.voterTimeout;
+    };
+    return std::any_of(facts.joiners.begin(), facts.joiners.end(), isSuccessor)
+           || std::any_of(facts.members.replicas().begin(), facts.members.replicas().end(), isSuccessor);
+}
+
 std::optional<wire::ChangeMember> removeLearner(const MembershipFacts &facts)
 {
     for (const wire::Replica &member : facts.members.replicas()) {
-        if (!member.voter() && (facts.unresponsive.contains(member.id()) || replacementFor(facts, member) != nullptr)) {
+        const bool isSilent = silenceOf(facts, member) > facts.learnerTimeout;
+        if (!member.voter() && (isSilent || replacementFor(facts, member) != nullptr)) {
             return makeChange(member, wire::ChangeMember::CHANGE_REMOVE);
         }
     }
@@ -47,8 +74,11 @@
 
 std::optional<wire::ChangeMember> promoteLearner(const MembershipFacts &facts)
 {
+    if (countVoters(facts.members) >= facts.wantedVoters) {
+        return std::nullopt;
+    }
     for (const wire::Replica &member : facts.members.replicas()) {
-        if (!member.voter()) {
+        if (!member.voter() && facts.caughtUp.contains(member.id())) {
             return makeChange(member, wire::ChangeMember::CHANGE_PROMOTE);
         }
     }
@@ -57,18 +87,25 @@
 
 std::optional<wire::ChangeMember> removeVoter(const MembershipFacts &facts)
 {
-    const bool hasSpareVoter = countVoters(facts.members) > facts.wantedVoters;
+    const std::size_t voters = countVoters(facts.members);
+    const bool canTakePlace = voters > facts.wantedVoters || hasSuccessor(facts);
+    const wire::Replica *lost = nullptr;
     for (const wire::Replica &member : facts.members.replicas()) {
         if (!member.voter()) {
             continue;
         }
         const wire::Replica *const replacement = replacementFor(facts, member);
-        const bool isReplaced = replacement != nullptr && replacement->voter();
-        if (isReplaced || (hasSpareVoter && facts.unresponsive.contains(member.id()))) {
+        if (replacement != nullptr && replacement->voter()) {
             return makeChange(member, wire::ChangeMember::CHANGE_REMOVE);
         }
+        const bool isLost = silenceOf(facts, member) > facts.voterTimeout && (replacement != nullptr || canTakePlace);
+        if (isLost && (lost == nullptr || silenceOf(facts, member) > silenceOf(facts, *lost))) {
+            lost = &member;
+        }
     }
-    return std::nullopt;
+    return lost != nullptr && voters >= facts.wantedVoters
+               ? std::optional(makeChange(*lost, wire::ChangeMember::CHANGE_REMOVE))
+               : std::nullopt;
 }
 
 } // namespace
@@ -78,12 +115,12 @@
     if (auto removal = removeLearner(facts)) {
         return removal;
     }
-    if (auto promotion = promoteLearner(facts)) {
-        return promotion;
-    }
     if (auto removal = removeVoter(facts)) {
         return removal;
     }
+    if (auto promotion = promoteLearner(facts)) {
+        return promotion;
+    }
     if (!facts.joiners.empty()) {
         return makeChange(facts.joiners.front(), wire::ChangeMember::CHANGE_ADD);
     }
--- a/tests/HoldEndProcessTest.cpp
+++ b/tests/HoldEndProcessTest.cpp
@@ -51,9 +51,8 @@
         routes.back().back() = name;
         REQUIRE(this->order(1, "PUT", "/api/config", manifest.dump()).status == 200);
         REQUIRE(Deployment::eventually(5s, [&] {
-            const Ask ask{
-                .path = "/" + name + "/x",
-                .headers = {"Host: shop.example", "X-Request-Id: r", "X-Deadline-Ms: 300", "X-Shard-Key: 1"}};
+            const Ask ask{.path = "/" + name + "/x",
+                          .headers = {"Host: shop.example", "X-Request-Id: r", "X-Deadline-Ms: 300", "X-Shard-Key: 1"}};
             const int status = Deployment::askAt(this->ip(11) + ":8629", ask).status;
             return status == 503 || status == 504;
         }));
@@ -67,8 +66,8 @@
     }
 
     /**
-     * @return a complete report of a process at the first agent's upstream address; it holds no keys and is draining, so
-     *         that keys taken for its sake go to the other agent's upstream
+     * @return a complete report of a process at the first agent's upstream address; it holds no keys and is draining,
+     * so that keys taken for its sake go to the other agent's upstream
      */
     json report(std::chrono::milliseconds startedAt) const
     {
--- a/tests/MembershipPlanTest.cpp
+++ b/tests/MembershipPlanTest.cpp
@@ -7,6 +7,10 @@
 namespace {
 
 constexpr std::size_t WantedVoters = 5;
+constexpr std::chrono::seconds VoterTimeout{1};
+constexpr std::chrono::seconds LearnerTimeout{8};
+/** Silence of a replica that is lost. */
+constexpr std::chrono::seconds LongSilence{20};
 
 wire::Replica replica(const std::string &id, const std::string &address, bool voter)
 {
@@ -21,6 +25,8 @@
 {
     raft::MembershipFacts facts;
     facts.wantedVoters = WantedVoters;
+    facts.voterTimeout = VoterTimeout;
+    facts.learnerTimeout = LearnerTimeout;
     for (std::size_t number = 0; number < voters; ++number) {
         const std::string name = std::to_string(number);
         *facts.members.add_replicas() = replica("r" + name, "vm" + name, true);
@@ -28,6 +34,13 @@
     return facts;
 }
 
+void setLost(raft::MembershipFacts &facts, const std::vector<std::string> &ids)
+{
+    for (const std::string &id : ids) {
+        facts.silences[id] = LongSilence;
+    }
+}
+
 /** Applies a change to the membership; a learner counts as caught up at once. */
 void applyChange(raft::MembershipFacts &facts, const wire::ChangeMember &change)
 {
@@ -61,10 +74,16 @@
     for (int step = 0; step < 30; ++step) {
         std::size_t responsive = 0;
         for (const wire::Replica &member : facts.members.replicas()) {
-            responsive += member.voter() && !facts.unresponsive.contains(member.id()) ? 1 : 0;
+            responsive += member.voter() && !facts.silences.contains(member.id()) ? 1 : 0;
         }
         minResponsive = std::min(minResponsive, responsive);
         REQUIRE(2 * responsive > raft::countVoters(facts.members));
+        facts.caughtUp.clear();
+        for (const wire::Replica &member : facts.members.replicas()) {
+            if (!facts.silences.contains(member.id())) {
+                facts.caughtUp.insert(member.id());
+            }
+        }
         const auto change = raft::nextChange(facts);
         if (!change) {
             return minResponsive;
@@ -92,19 +111,19 @@
 TEST_CASE("group: two replicas with empty disks replace the old ones at the same addresses")
 {
     raft::MembershipFacts facts = groupOf(5);
-    facts.unresponsive = {"r1", "r3"};
+    setLost(facts, {"r1", "r3"});
     facts.joiners = {replica("n1", "vm1", false), replica("n3", "vm3", false)};
     REQUIRE(applyAllChanges(facts) == 3);
     REQUIRE(raft::countVoters(facts.members) == 5);
     for (const wire::Replica &member : facts.members.replicas()) {
-        REQUIRE_FALSE(facts.unresponsive.contains(member.id()));
+        REQUIRE_FALSE(facts.silences.contains(member.id()));
     }
 }
 
 TEST_CASE("group: a replica at a new address takes the place of an unresponsive one")
 {
     raft::MembershipFacts facts = groupOf(5);
-    facts.unresponsive = {"r2"};
+    setLost(facts, {"r2"});
     facts.joiners = {replica("n", "vm9", false)};
     applyAllChanges(facts);
     REQUIRE(raft::countVoters(facts.members) == 5);
@@ -116,7 +135,7 @@
 TEST_CASE("group: an unresponsive replica stays a member while nobody takes its place")
 {
     raft::MembershipFacts facts = groupOf(5);
-    facts.unresponsive = {"r0", "r1"};
+    setLost(facts, {"r0", "r1"});
     REQUIRE_FALSE(raft::nextChange(facts));
 }
 
@@ -125,10 +144,30 @@
     raft::MembershipFacts facts = groupOf(5);
     *facts.members.add_replicas() = replica("n1", "vm1", false);
     facts.joiners = {replica("n2", "vm1", false)};
-    facts.unresponsive = {"r1", "n1"};
+    setLost(facts, {"r1", "n1"});
     const auto first = raft::nextChange(facts);
     REQUIRE(first->change() == wire::ChangeMember::CHANGE_REMOVE);
     REQUIRE(first->replica().id() == "n1");
     applyAllChanges(facts);
     REQUIRE(raft::countVoters(facts.members) == 5);
 }
+
+// Guards against a learner that doesn't answer and delays the others until its time-out.
+TEST_CASE("group: a learner that has not caught up delays no other replica")
+{
+    raft::MembershipFacts facts = groupOf(5);
+    setLost(facts, {"r3", "r4"});
+    *facts.members.add_replicas() = replica("n3", "vm3", false);
+    facts.silences["n3"] = std::chrono::milliseconds(500);
+    facts.joiners = {replica("n4", "vm4", false)};
+    const auto removal = raft::nextChange(facts);
+    REQUIRE(removal->change() == wire::ChangeMember::CHANGE_REMOVE);
+    applyChange(facts, *removal);
+    const auto addition = raft::nextChange(facts);
+    REQUIRE(addition->change() == wire::ChangeMember::CHANGE_ADD);
+    REQUIRE(addition->replica().id() == "n4");
+    applyChange(facts, *addition);
+    REQUIRE_FALSE(raft::nextChange(facts));
+    facts.caughtUp = {"n4"};
+    REQUIRE(raft::nextChange(facts)->replica().id() == "n4");
+}
--- a/tests/ProcessIdentityTest.cpp
+++ b/tests/ProcessIdentityTest.cpp
@@ -14,8 +14,8 @@
                            const std::string &address,
                            std::chrono::milliseconds startedAt)
 {
-    return classifySender(
-        Known, {.service = service, .instance = instance, .address = address, .startedAt = startedAt});
+    return classifySender(Known,
+                          {.service = service, .instance = instance, .address = address, .startedAt = startedAt});
 }
 
 } // namespace
