Test of a rejoining control VM waits until the new replica votes

Cause, read in the test and in the order of: it took the removal of the lost replica for the end of the rejoin, as that came last before. Now the removal comes first, and the test killed a second of three VMs while the first was still catching up, which a group that bears one loss doesn't promise.

It waits for both changes now; its times and what it requires at the end are as they were.

--- a/tests/PlatformProcessTest.cpp
+++ b/tests/PlatformProcessTest.cpp
@@ -238,7 +238,8 @@
         std::ifstream other(machines.folder + "/control3.log");
         const std::string text{std::istreambuf_iterator<char>(log), {}};
         const std::string more{std::istreambuf_iterator<char>(other), {}};
-        return (text + more).find("CHANGE_REMOVE") != std::string::npos;
+        return (text + more).find("CHANGE_REMOVE") != std::string::npos
+               && (text + more).find("CHANGE_PROMOTE") != std::string::npos;
     }));
     Deployment::kill(machines.controls[2]);
     REQUIRE(Deployment::eventually(10s, [&] {
