--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -29,8 +29,8 @@
 class Record:
     """record.txt of a case: a line for each thing that was sent, answered or run."""
 
-    def __init__(self, folder):
-        self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+    def __init__(self, path):
+        self.file = open(path, "w", encoding="utf-8")
         self.begun = time.monotonic()
 
     def now(self):
@@ -458,12 +458,12 @@
     return sorted(found, reverse=True)
 
 
-def run_case(folder, play, everything="all"):
+def run_case(record_path, play, everything="all"):
     """Plays a case; play(record, trouble) returns a text of what broke the rule, or None. Exits as the issue says.
 
     TROUBLE=0 plays without disruptions, TROUBLE=1 (or unset) with everything, TROUBLE=NAME,... with those alone.
     """
-    record = Record(folder)
+    record = Record(record_path)
     trouble = os.environ.get("TROUBLE", "1")
     trouble = {"0": "", "1": everything}.get(trouble, trouble)
     record.add("trouble: %s" % (trouble or "none"))
