--- a/include/agent/Lease.h
+++ b/include/agent/Lease.h
@@ -36,6 +36,8 @@
     std::deque<SentRenewal> sent;
     /** The lease is valid before this point. */
     BootTime validUntil;
+    /** When the newest confirmed renewal was sent. Everything that control had committed by then has been applied. */
+    BootTime confirmedAt;
 };
 
 /** Maximum number of unanswered renewals kept; older ones can no longer be confirmed. */
--- a/src/agent/Lease.cpp
+++ b/src/agent/Lease.cpp
@@ -52,6 +52,7 @@
     }
     const BootTime until = found->sentAt + std::chrono::milliseconds(renewed.lease_ms());
     lease.validUntil = std::max(lease.validUntil, until);
+    lease.confirmedAt = std::max(lease.confirmedAt, found->sentAt);
     lease.sent.erase(lease.sent.begin(), found + 1);
     return true;
 }
--- a/src/rpc/ControlSession.cpp
+++ b/src/rpc/ControlSession.cpp
@@ -300,6 +300,7 @@
         .with("opened", this->opened)
         .with("accepted", this->accepted)
         .with("silent_ms", BootClock::now() - this->lastReceivedAt)
+        .with("no_bytes_ms", BootClock::now() - (this->socket ? this->socket->lastReceivedAt() : this->lastReceivedAt))
         .with("unread_bytes", static_cast<std::uint64_t>(this->socket ? this->socket->unreadBytes() : 0))
         .with("took_ms", BootClock::now() - this->searchStartedAt);
 }
