--- a/tests/ControlSessionTest.cpp
+++ b/tests/ControlSessionTest.cpp
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <memory>
+#include <optional>
 
 using namespace bergamotweir;
 using test::FakeReplica;
@@ -390,3 +391,63 @@
     CHECK(follower.sessions >= 5);
     CHECK(follower.connections == 1);
 }
+
+// Guards against an agent that acts on outdated routes while it waits for a leader that froze after it had accepted.
+TEST_CASE("an agent leaves a replica that accepts the session and falls silent, however many searches have failed")
+{
+    std::array<FakeReplica, 3> followers;
+    for (FakeReplica &follower : followers) {
+        follower.leader = follower.address();
+    }
+    FakeReplica frozen;
+    frozen.silentAfterAcceptance = true;
+    const FakeReplica leader;
+    auto loop = loop::EventLoop::create().value();
+    rpc::ControlSessionEvents events;
+    events.hello = someHello;
+    events.opened = [&](rpc::SessionId) {
+        loop->stop();
+    };
+    events.message = [](rpc::SessionId, const wire::ControlMessage &) {};
+    events.closed = [](rpc::SessionId) {};
+    rpc::ControlSession session(*loop,
+                                {followers[0].address(), followers[1].address(), followers[2].address()},
+                                events,
+                                {.silenceTimeout = 300ms, .seed = 7});
+    loop->after(1s, [&] {
+        session.addAddresses({frozen.address()});
+    });
+    std::optional<std::chrono::steady_clock::time_point> acceptedAt;
+    const loop::TimerId poll = loop->every(5ms, [&] {
+        if (!acceptedAt && frozen.sessions > 0) {
+            acceptedAt = std::chrono::steady_clock::now();
+            session.addAddresses({leader.address()});
+        }
+    });
+    stopAfter(*loop, TestLimit);
+    loop->run();
+    loop->cancel(poll);
+    REQUIRE(acceptedAt);
+    CHECK(session.isOpen());
+    CHECK(std::chrono::steady_clock::now() - *acceptedAt < 1s);
+}
+
+// Guards against an agent behind a slow link that requests the full state again before it has arrived.
+TEST_CASE("an agent waits for a full state whose bytes arrive, for longer than the silence time-out")
+{
+    FakeReplica leader;
+    leader.stateSendTime = 1500ms;
+    auto loop = loop::EventLoop::create().value();
+    rpc::ControlSessionEvents events;
+    events.hello = someHello;
+    events.opened = [&](rpc::SessionId) {
+        loop->stop();
+    };
+    events.message = [](rpc::SessionId, const wire::ControlMessage &) {};
+    events.closed = [](rpc::SessionId) {};
+    const rpc::ControlSession session(*loop, {leader.address()}, events, {.silenceTimeout = 250ms, .seed = 7});
+    stopAfter(*loop, TestLimit);
+    loop->run();
+    CHECK(session.isOpen());
+    CHECK(leader.sessions == 1);
+}
--- a/tests/FakeReplica.cpp
+++ b/tests/FakeReplica.cpp
@@ -76,13 +76,22 @@
     if (this->silent) {
         return;
     }
-    if (this->stateDelay.count() == 0 || !message.has_hello()) {
+    const bool hasDelay = this->stateDelay.count() != 0 || this->stateSendTime.count() != 0;
+    const bool isAccepted = message.has_hello() && (hasDelay || this->silentAfterAcceptance);
+    if (!isAccepted) {
         this->answer(*socket, message);
         return;
     }
     wire::ControlMessage accepted;
     accepted.mutable_accepted();
     socket->send(rpc::makeFrame(accepted));
+    if (this->silentAfterAcceptance) {
+        return;
+    }
+    if (this->stateSendTime.count() != 0) {
+        this->sendSlowly(socket);
+        return;
+    }
     this->loop->after(this->stateDelay, [this, socket, message] {
         this->answer(*socket, message);
     });
@@ -102,6 +111,21 @@
     }
 }
 
+void FakeReplica::sendSlowly(const std::shared_ptr<rpc::FrameSocket> &socket)
+{
+    constexpr int Pieces = 30;
+    constexpr std::size_t PieceBytes = 100;
+    wire::ControlMessage state;
+    state.mutable_update()->mutable_table()->set_csv(std::string(Pieces * PieceBytes, 'x'));
+    const std::string bytes = *rpc::makeFrame(state);
+    for (std::size_t begin = 0; begin < bytes.size(); begin += PieceBytes) {
+        const auto piece = std::make_shared<const std::string>(bytes.substr(begin, PieceBytes));
+        this->loop->after(this->stateSendTime * begin / bytes.size(), [socket, piece] {
+            socket->send(piece);
+        });
+    }
+}
+
 void FakeReplica::answerClaim(rpc::FrameSocket &socket, const wire::ClaimCall &call)
 {
     ++this->claims;
--- a/tests/FakeReplica.h
+++ b/tests/FakeReplica.h
@@ -30,6 +30,10 @@
     std::string leader;
     /** Delay between the acceptance of the session and the full state. */
     std::chrono::milliseconds stateDelay{0};
+    /** Accepts sessions and sends nothing after that, as a leader that is frozen before it sends the full state. */
+    std::atomic<bool> silentAfterAcceptance{false};
+    /** Time over which the bytes of the full state are sent, as over a slow link. */
+    std::chrono::milliseconds stateSendTime{0};
     std::atomic<bool> silent{false};
     std::atomic<bool> closesAfterAnswer{false};
     std::atomic<int> sessions{0};
@@ -40,6 +44,7 @@
     void accepted(std::shared_ptr<rpc::FrameSocket> socket);
     void received(const std::shared_ptr<rpc::FrameSocket> &socket, const wire::AgentMessage &message);
     void answer(rpc::FrameSocket &socket, const wire::AgentMessage &message) const;
+    void sendSlowly(const std::shared_ptr<rpc::FrameSocket> &socket);
     void answerClaim(rpc::FrameSocket &socket, const wire::ClaimCall &call);
 
     std::unique_ptr<loop::EventLoop> loop;
