A leader repeats its acceptance of waiting sessions; an agent leaves a silent one after a fixed time

What callers saw: agents acted on outdated routes, and answered 404 on added ones, for up to 8 s after a leader had accepted their session and then froze.

Cause: 'accepted' was sent once, and from then on the time for which a replica may send nothing doubled with each failed search, up to 8 s. It had to, as a busy leader sends nothing until the agent's turn for the full state comes. So an agent could not tell a busy leader from one that is frozen or gone without a reset. A start of the whole group, or a change of leader, makes the failed searches.

Change: whenever a quorum has confirmed it, the leader accepts all sessions that still wait again, every 300 ms at most. An agent leaves a replica that has sent nothing for the silence time-out, whatever failed before; not later than 8 s after its request.

Replaced: 'an agent waits for a full state that takes longer than the silence time-out' expected three requests for a state that took 0.9 s, as the agent gave up twice; it now has a state that takes ten times the time-out, and expects one request. Its replica repeats the acceptance as the leader does. Ruled out: an agent that reads late (no unread bytes in 'replica left', no late loop).

--- a/include/control/Coordinator.h
+++ b/include/control/Coordinator.h
@@ -143,6 +143,9 @@
     std::uint64_t propose(wire::Command command, Proposal proposal);
     void endMove(const SliceName &slice, ProposalOutcome outcome);
     void startRound();
+    /** Accepts the sessions that wait for the full state again, so that their agents know that this leader is working.
+     */
+    void repeatAcceptances(BootTime now);
     void sendFullState(const std::vector<SessionId> &sessions);
     const std::shared_ptr<const wire::ControlMessage> &currentFullState();
     void renew(AgentRecord &agent, const Heartbeat &heartbeat, BootTime now);
@@ -227,6 +230,8 @@
     std::vector<wire::ServiceWork> serviceWork;
     BootTime workSummarizedAt;
     BootTime lastTickAt;
+    /** When the waiting sessions were last accepted again. */
+    BootTime acceptancesRepeatedAt;
     std::vector<Action> actions;
 };
 
--- a/include/rpc/ControlSession.h
+++ b/include/rpc/ControlSession.h
@@ -36,7 +36,10 @@
 
 /** Time-outs and backoff of a ControlSession. */
 struct ControlSessionTimeouts {
-    /** Time without any message after which a session is closed: the replica may be frozen or partitioned. */
+    /**
+     * Time without any message after which a session is closed: the replica may be frozen or partitioned. A leader that
+     * has accepted the session repeats the acceptance at shorter intervals until it sends the full state.
+     */
     std::chrono::milliseconds silenceTimeout{200};
     /**
      * Time without any answer after which the next replica is asked, as it may be the leader. Grows with each
@@ -49,9 +52,8 @@
      * second while there is no leader.
      */
     BackoffSettings retryBackoff{std::chrono::milliseconds(25), std::chrono::milliseconds(200)};
-    /** Upper bound for the silence time-out after consecutive failures, while an accepted session waits for the full
-     * state. */
-    std::chrono::milliseconds maxSilence{8000};
+    /** Maximum time between the request for a session and the full state. */
+    std::chrono::milliseconds stateTimeout{8000};
     /** How long an unresponsive replica is avoided, even if another replica names it as the leader. */
     std::chrono::milliseconds avoidFor{500};
     /** Seed for the jitter that spreads the requests of many agents. */
@@ -111,7 +113,8 @@
     void logDisconnect(const char *why) const;
     void disconnect(bool keepsConnection);
     void checkSilence();
-    std::chrono::milliseconds maxSilence() const;
+    BootTime lastByteAt() const;
+    bool isSilent(BootTime now) const;
     void checkOpenTimeout(SessionId session);
     bool isAvoided(const std::string &address) const;
 
--- a/src/control/Coordinator.cpp
+++ b/src/control/Coordinator.cpp
@@ -20,6 +20,16 @@
 
 constexpr std::chrono::seconds WorkSummaryInterval{1};
 
+/** Several times within the shortest time after which an agent takes a replica for a silent one. */
+constexpr std::chrono::milliseconds AcceptanceInterval{300};
+
+std::shared_ptr<const wire::ControlMessage> makeAcceptance()
+{
+    wire::ControlMessage message;
+    message.mutable_accepted();
+    return std::make_shared<const wire::ControlMessage>(std::move(message));
+}
+
 } // namespace
 
 Coordinator::Coordinator(const CoordinatorSettings &settings, const State &state)
@@ -112,9 +122,7 @@
     // Accepted is sent at once, for a few bytes, so that agents don't take a busy leader for a failed one. After a loss
     // of power all agents connect at once, and the last full state is sent only after seconds. Each agent that
     // disconnects and connects again would delay it further.
-    wire::ControlMessage accepted;
-    accepted.mutable_accepted();
-    this->actions.emplace_back(SendAction{session, std::make_shared<const wire::ControlMessage>(std::move(accepted))});
+    this->actions.emplace_back(SendAction{session, makeAcceptance()});
     this->nextRound.opened.push_back(session);
     this->startRound();
 }
@@ -236,6 +244,7 @@
         return;
     }
     this->sendFullState(round.opened);
+    this->repeatAcceptances(now);
     for (const auto &[session, heartbeat] : round.heartbeats) {
         if (AgentRecord *const agent = this->agentRegistry.findBySession(session);
             agent != nullptr && agent->hasFullState) {
@@ -407,6 +416,20 @@
     this->actions.emplace_back(ConfirmAction{});
 }
 
+void Coordinator::repeatAcceptances(BootTime now)
+{
+    if (now - this->acceptancesRepeatedAt < AcceptanceInterval) {
+        return;
+    }
+    this->acceptancesRepeatedAt = now;
+    const std::shared_ptr<const wire::ControlMessage> acceptance = makeAcceptance();
+    for (const auto &[name, agent] : this->agentRegistry.agents) {
+        if (agent.session != 0 && !agent.hasFullState) {
+            this->actions.emplace_back(SendAction{agent.session, acceptance});
+        }
+    }
+}
+
 /** @return the full state, built anew only after the state has changed: all agents connect after a change of leader */
 const std::shared_ptr<const wire::ControlMessage> &Coordinator::currentFullState()
 {
--- a/src/rpc/ControlSession.cpp
+++ b/src/rpc/ControlSession.cpp
@@ -300,7 +300,7 @@
         .with("opened", this->opened)
         .with("accepted", this->accepted)
         .with("silent_ms", BootClock::now() - this->lastReceivedAt)
-        .with("no_bytes_ms", BootClock::now() - (this->socket ? this->socket->lastReceivedAt() : this->lastReceivedAt))
+        .with("no_bytes_ms", BootClock::now() - this->lastByteAt())
         .with("unread_bytes", static_cast<std::uint64_t>(this->socket ? this->socket->unreadBytes() : 0))
         .with("took_ms", BootClock::now() - this->searchStartedAt);
 }
@@ -317,15 +317,20 @@
     });
 }
 
-/** @return how long the replica may send nothing; while the full state is awaited, longer after each failure */
-std::chrono::milliseconds ControlSession::maxSilence() const
+/** @return when the last byte arrived, as a large message takes long over a slow link; the request's time if none has
+ */
+BootTime ControlSession::lastByteAt() const
+{
+    return this->socket ? std::max(this->lastReceivedAt, this->socket->lastReceivedAt()) : this->lastReceivedAt;
+}
+
+bool ControlSession::isSilent(BootTime now) const
 {
-    if (this->opened || !this->accepted) {
-        return this->timeouts.silenceTimeout;
+    std::chrono::nanoseconds limit = this->timeouts.silenceTimeout;
+    if (!this->opened) {
+        limit = std::max(limit, this->connections->maxAnswerTime(this->currentAddress));
     }
-    return exponentialDelay(
-        {this->timeouts.silenceTimeout, std::max(this->timeouts.silenceTimeout, this->timeouts.maxSilence)},
-        this->failures);
+    return now - this->lastReceivedAt >= limit;
 }
 
 // Guards against a leader that is frozen or partitioned: its TCP connection stays up without any message, so the
@@ -333,13 +338,15 @@
 // longer than two renewals means that this replica cannot confirm that it is the leader.
 void ControlSession::checkSilence()
 {
-    if (!this->socket || BootClock::now() - this->lastReceivedAt < this->maxSilence()) {
+    const BootTime now = BootClock::now();
+    const bool stateIsLate = !this->opened && now - this->searchStartedAt >= this->timeouts.stateTimeout;
+    if (!this->socket || (!this->isSilent(now) && !stateIsLate)) {
         return;
     }
-    this->logDisconnect("silent");
+    this->logDisconnect(stateIsLate ? "no full state" : "silent");
     this->connections->closeReadyBefore(std::max(this->searchStartedAt, this->lastReceivedAt));
     this->avoidedAddress = this->currentAddress;
-    this->avoidedUntil = BootClock::now() + this->timeouts.avoidFor;
+    this->avoidedUntil = now + this->timeouts.avoidFor;
     this->handleEnd(false);
 }
 
--- a/tests/ControlSessionTest.cpp
+++ b/tests/ControlSessionTest.cpp
@@ -238,28 +238,44 @@
     REQUIRE(std::chrono::steady_clock::now() - begun < 1500ms);
 }
 
-// Guards against agents that disconnect before the full state has arrived over a slow link, and request it again.
+// Guards against agents that disconnect from a busy leader before it has sent the full state, and request it again.
 TEST_CASE("an agent waits for a full state that takes longer than the silence time-out")
 {
     FakeReplica leader;
-    leader.stateDelay = 900ms;
+    leader.stateDelay = 2500ms;
     auto loop = loop::EventLoop::create().value();
-    bool opened = false;
     rpc::ControlSessionEvents events;
     events.hello = someHello;
     events.opened = [&](rpc::SessionId) {
-        opened = true;
         loop->stop();
     };
     events.message = [](rpc::SessionId, const wire::ControlMessage &) {};
     events.closed = [](rpc::SessionId) {};
     const rpc::ControlSession session(
-        *loop, {leader.address()}, events, {.silenceTimeout = 250ms, .openTimeout = {100ms, 100ms}, .maxSilence = 2s});
+        *loop, {leader.address()}, events, {.silenceTimeout = 250ms, .openTimeout = {100ms, 100ms}});
     stopAfter(*loop, 10s);
     loop->run();
-    CHECK(opened);
-    // The silence time-out is 250, 500, then 1000 ms.
-    CHECK(leader.sessions == 3);
+    CHECK(session.isOpen());
+    CHECK(leader.sessions == 1);
+}
+
+// Guards against an agent that waits for ever for a leader that is busy or hangs within a round.
+TEST_CASE("an agent leaves a replica that repeats its acceptance but never sends the full state")
+{
+    FakeReplica stuck;
+    stuck.stateDelay = 5s;
+    auto loop = loop::EventLoop::create().value();
+    rpc::ControlSessionEvents events;
+    events.hello = someHello;
+    events.opened = [](rpc::SessionId) {};
+    events.message = [](rpc::SessionId, const wire::ControlMessage &) {};
+    events.closed = [](rpc::SessionId) {};
+    const rpc::ControlSession session(
+        *loop, {stuck.address()}, events, {.silenceTimeout = 250ms, .stateTimeout = 800ms});
+    stopAfter(*loop, 2s);
+    loop->run();
+    CHECK_FALSE(session.isOpen());
+    CHECK(stuck.sessions >= 2);
 }
 
 // Guards against an agent that uses an outdated table because the connection to the leader stalled without a reset.
--- a/tests/CoordinatorGuardTest.cpp
+++ b/tests/CoordinatorGuardTest.cpp
@@ -340,6 +340,51 @@
     REQUIRE(again->revoke().slices_size() == revoked.slices_size());
 }
 
+// Guards against agents that take a leader for a silent one while it sends full states to others.
+TEST_CASE("control: a session that waits for the full state is accepted again whenever the leader is confirmed")
+{
+    LeaderFixture fixture;
+    constexpr control::SessionId First = 10;
+    constexpr control::SessionId Last = 60;
+    for (control::SessionId session = First; session <= Last; ++session) {
+        wire::Hello hello;
+        hello.set_agent("agent-" + std::to_string(session));
+        fixture.coordinator.opened(session, hello, fixture.now);
+    }
+    fixture.collect();
+    const std::vector<wire::ControlMessage> &last = fixture.sent[Last];
+    const auto isWaiting = [&last] {
+        return std::none_of(last.begin(), last.end(), [](const wire::ControlMessage &message) {
+            return message.has_update();
+        });
+    };
+    REQUIRE(last.size() == 1);
+    int rounds = 0;
+    for (; isWaiting(); ++rounds) {
+        const std::size_t before = last.size();
+        fixture.now += 400ms;
+        fixture.confirm();
+        REQUIRE(last.size() == before + 1);
+    }
+    REQUIRE(rounds > 2);
+}
+
+// Guards against agents that wait for a leader that was replaced and doesn't know it.
+TEST_CASE("control: a leader that no quorum confirms accepts a session once only")
+{
+    LeaderFixture fixture;
+    wire::Hello hello;
+    hello.set_agent("c");
+    fixture.coordinator.opened(3, hello, fixture.now);
+    for (int step = 0; step < 100; ++step) {
+        fixture.now += 20ms;
+        fixture.coordinator.tick(fixture.now);
+        fixture.collect();
+    }
+    REQUIRE(fixture.sent[3].size() == 1);
+    REQUIRE(fixture.sent[3].front().has_accepted());
+}
+
 // A replica that was partitioned for long and still acts as leader would send its old state to an agent that has newer
 // state.
 TEST_CASE("control: a leader behind what the agent has seen closes the session")
--- a/tests/FakeReplica.cpp
+++ b/tests/FakeReplica.cpp
@@ -84,7 +84,8 @@
     }
     wire::ControlMessage accepted;
     accepted.mutable_accepted();
-    socket->send(rpc::makeFrame(accepted));
+    const rpc::Frame acceptance = rpc::makeFrame(accepted);
+    socket->send(acceptance);
     if (this->silentAfterAcceptance) {
         return;
     }
@@ -92,6 +93,12 @@
         this->sendSlowly(socket);
         return;
     }
+    constexpr std::chrono::milliseconds AcceptanceInterval{100};
+    for (auto delay = AcceptanceInterval; delay < this->stateDelay; delay += AcceptanceInterval) {
+        this->loop->after(delay, [socket, acceptance] {
+            socket->send(acceptance);
+        });
+    }
     this->loop->after(this->stateDelay, [this, socket, message] {
         this->answer(*socket, message);
     });
--- a/tests/FakeReplica.h
+++ b/tests/FakeReplica.h
@@ -28,7 +28,7 @@
 
     /** Leader that sessions and calls are redirected to; empty if this replica leads. */
     std::string leader;
-    /** Delay between the acceptance of the session and the full state. */
+    /** Delay between the acceptance of the session, which is repeated meanwhile, and the full state. */
     std::chrono::milliseconds stateDelay{0};
     /** Accepts sessions and sends nothing after that, as a leader that is frozen before it sends the full state. */
     std::atomic<bool> silentAfterAcceptance{false};
