Bytes of an unfinished message count as a sign of life of the replica

What callers saw: an agent behind a slow link acted on outdated routes while it requested the full state again and again: a state that took longer than the silence time-out was given up half-way and begun anew.

Cause: the time of silence was counted from the last whole message. Change: from the last byte. Evidence: 'an agent waits for a full state whose bytes arrive' made 4 requests for a state that takes 1.5 s, and now makes 1.

--- a/include/rpc/ControlSession.h
+++ b/include/rpc/ControlSession.h
@@ -37,7 +37,7 @@
 /** Time-outs and backoff of a ControlSession. */
 struct ControlSessionTimeouts {
     /**
-     * Time without any message after which a session is closed: the replica may be frozen or partitioned. A leader that
+     * Time without any byte after which a session is closed: the replica may be frozen or partitioned. A leader that
      * has accepted the session repeats the acceptance at shorter intervals until it sends the full state.
      */
     std::chrono::milliseconds silenceTimeout{200};
--- a/src/rpc/ControlSession.cpp
+++ b/src/rpc/ControlSession.cpp
@@ -330,7 +330,7 @@
     if (!this->opened) {
         limit = std::max(limit, this->connections->maxAnswerTime(this->currentAddress));
     }
-    return now - this->lastReceivedAt >= limit;
+    return now - this->lastByteAt() >= limit;
 }
 
 // Guards against a leader that is frozen or partitioned: its TCP connection stays up without any message, so the
