An election waits for the syncs of the votes that it needs

Cause: the election timeout ran from the decision to vote, but a candidate's request and a voter's answer leave only once the vote has been synced. With syncs of the order of the timeout, timers expire before the leader elected is heard of, the other replicas grant the next pre-vote, and the next term deposes it. The class of fault: a timeout that doesn't include the time that the operation needs under load, and that starts the operation anew.

Change: a replica starts its election timer when its vote has been synced; a candidate adds the time that its own sync took, as the voters' disks need about as much; a replica that has voted refuses the pre-votes of others until its vote has been synced for one election timeout. Votes, terms and what is committed are as before.

Ruled out: lost heartbeats (the fake network loses nothing in this test).

--- a/include/raft/RaftCore.h
+++ b/include/raft/RaftCore.h
@@ -194,6 +194,10 @@
 
     // Election.cpp
     void resetElectionTimer();
+    bool isVoteSynced() const;
+    void onVoteSynced();
+    /** @return whether a candidate other than the sender may still be elected with this replica's vote */
+    bool supportsOtherCandidate(const wire::RaftMessage &message) const;
     bool leaderIsAlive() const;
     bool isUpToDate(const wire::VoteRequest &request) const;
     void startPreVote();
@@ -272,6 +276,10 @@
     Ticket issuedTicket = 0;
     Ticket syncedTicket = 0;
     Ticket voteTicket = 0;
+    BootTime voteSavedAt;
+    BootTime voteSyncedAt;
+    /** Estimate of the time that a disk takes to sync a vote, on this replica and so on others. */
+    std::chrono::nanoseconds voteSyncTime{0};
     std::uint64_t durableIndex = 0;
     std::deque<PendingAppend> pendingAppends;
     std::deque<DelayedMessage> delayedMessages;
--- a/src/raft/Election.cpp
+++ b/src/raft/Election.cpp
@@ -9,6 +9,39 @@
     const std::chrono::milliseconds spread = this->settings.electionTimeoutMax - this->settings.electionTimeoutMin;
     const std::chrono::milliseconds extra(this->random(static_cast<std::uint32_t>(spread.count()) + 1));
     this->electionDeadline = this->now + this->settings.electionTimeoutMin + extra;
+    if (this->currentRole == Role::Candidate) {
+        // The voters answer once their votes have been synced.
+        this->electionDeadline += this->voteSyncTime;
+    }
+}
+
+bool RaftCore::isVoteSynced() const
+{
+    return this->voteTicket <= this->syncedTicket;
+}
+
+/*
+ * Starts the election timer again when the vote leaves this replica. Where a sync takes about as long as the election
+ * timeout, a timer that runs from the decision expires before any candidate can be elected, and the next election
+ * deposes the leader that has just been elected.
+ */
+void RaftCore::onVoteSynced()
+{
+    const std::chrono::nanoseconds longest = 2 * this->settings.electionTimeoutMax;
+    const std::chrono::nanoseconds measured = std::min(this->now - this->voteSavedAt, longest);
+    this->voteSyncTime = std::max(measured, this->voteSyncTime / 2);
+    this->voteSyncedAt = this->now;
+    if (this->currentRole != Role::Leader) {
+        this->resetElectionTimer();
+    }
+}
+
+bool RaftCore::supportsOtherCandidate(const wire::RaftMessage &message) const
+{
+    if (this->vote.empty() || this->vote == message.from() + "/" + message.from_disk()) {
+        return false;
+    }
+    return !this->isVoteSynced() || this->now - this->voteSyncedAt < this->settings.electionTimeoutMin;
 }
 
 bool RaftCore::leaderIsAlive() const
@@ -114,8 +147,8 @@
 
 void RaftCore::onPreVoteRequest(const wire::RaftMessage &message)
 {
-    const bool granted =
-        message.term() > this->currentTerm && !this->leaderIsAlive() && this->isUpToDate(message.vote_request());
+    const bool granted = message.term() > this->currentTerm && !this->leaderIsAlive()
+                         && !this->supportsOtherCandidate(message) && this->isUpToDate(message.vote_request());
     wire::RaftMessage answer = this->answerTo(message);
     answer.mutable_vote_reply()->set_pre_vote(true);
     answer.mutable_vote_reply()->set_granted(granted);
--- a/src/raft/RaftCore.cpp
+++ b/src/raft/RaftCore.cpp
@@ -45,7 +45,7 @@
         return;
     }
     if (this->currentRole != Role::Leader) {
-        if (this->now >= this->electionDeadline) {
+        if (this->now >= this->electionDeadline && this->isVoteSynced()) {
             this->startPreVote();
         }
         return;
@@ -271,6 +271,7 @@
 {
     this->write(SaveVote{this->currentTerm, this->vote});
     this->voteTicket = this->nextTicket();
+    this->voteSavedAt = this->now;
 }
 
 void RaftCore::truncateFrom(std::uint64_t index)
@@ -333,7 +334,11 @@
     if (this->isStopped) {
         return;
     }
+    const bool awaitedVote = !this->isVoteSynced();
     this->syncedTicket = std::max(this->syncedTicket, ticket);
+    if (awaitedVote && this->isVoteSynced()) {
+        this->onVoteSynced();
+    }
     while (!this->pendingAppends.empty() && this->pendingAppends.front().ticket <= this->syncedTicket) {
         this->durableIndex = std::max(this->durableIndex, this->pendingAppends.front().lastIndex);
         this->pendingAppends.pop_front();
--- a/tests/RaftFaultTest.cpp
+++ b/tests/RaftFaultTest.cpp
@@ -191,3 +191,31 @@
         requireRecovery(pump);
     }
 }
+
+// Guards against elections that follow each other faster than votes reach slow disks, so that no leader lasts.
+TEST_CASE("raft: a group that starts on slow disks elects one leader within three seconds")
+{
+    const std::vector<std::string> ids{"a", "b", "c", "d", "e"};
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        INFO("seed " << seed);
+        RaftPump pump(seed, ids);
+        pump.isLoaded = false;
+        const auto hasLeader = [&pump] {
+            return pump.leader() != nullptr;
+        };
+        REQUIRE(pump.runUntil(hasLeader, MaxWait));
+        pump.runFor(500ms);
+        for (const std::string &id : ids) {
+            pump.kill(id);
+            pump.at(id).disk.mode = DiskMode::Slow;
+        }
+        for (const std::string &id : ids) {
+            pump.start(id);
+        }
+        REQUIRE(pump.runUntil(hasLeader, 3s));
+        const std::uint64_t term = pump.leader()->core->term();
+        pump.runFor(3s);
+        REQUIRE(hasLeader());
+        REQUIRE(pump.leader()->core->term() == term);
+    }
+}
