A replica applies its log in slices and answers the others in between

It sent no heartbeat meanwhile. Once that took longer than an election timeout, the others elected the next leader, which had its whole log to apply as well, and so on. The class of fault: unbounded work in one callback of a loop that also has to prove that the process is alive.

Messages and writes to the disk don't wait for it. A confirmation is still given after the entries that it covers have been applied. A proposal at the index of one that an earlier leadership made ends that one as unknown.

--- a/src/process/ReplicaNode.cpp
+++ b/src/process/ReplicaNode.cpp
@@ -7,6 +7,7 @@
 #include "raft/RaftCore.h"
 #include "rpc/RaftTransport.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <utility>
@@ -18,6 +19,12 @@
 /** How often the consensus core's clock advances; a fifth of a heartbeat. */
 constexpr std::chrono::milliseconds TickInterval{10};
 
+/**
+ * Time in a row for which entries are applied. A replica that starts applies its whole log; a leader that did so in one
+ * go would send no heartbeats meanwhile, and be replaced by the next one, which has its whole log to apply as well.
+ */
+constexpr std::chrono::milliseconds MaxApplyTime{10};
+
 /** Larger commands are refused: a command with its envelope must fit into one message. */
 constexpr std::size_t MaxCommandBytes = rpc::RaftTransport::MaxMessageBytes / 2;
 
@@ -51,7 +58,9 @@
     void joinRequested(const wire::RaftMessage &message);
     void scheduleCoreActions();
     void performCoreActions();
+    void performStateActions();
     void abandonProposals();
+    void abandonProposal(std::uint64_t index);
     void diskFailed(const Findings &findings);
 
     void perform(raft::WriteDisk &action);
@@ -74,6 +83,10 @@
     std::optional<raft::RaftCore> core;
     loop::TimerId tick = 0;
     bool coreActionsScheduled = false;
+    /** Actions that depend on the order in which entries are applied. Messages and writes to the disk don't wait for
+     * them. */
+    std::deque<raft::Action> stateActions;
+    bool stateActionsScheduled = false;
     bool leading = false;
     wire::Version applied;
     raft::RequestId lastRequest = 0;
@@ -185,12 +198,38 @@
 void ReplicaNode::Parts::performCoreActions()
 {
     for (raft::Action &action : this->core->takeActions()) {
+        if (auto *const write = std::get_if<raft::WriteDisk>(&action)) {
+            this->perform(*write);
+        } else if (auto *const send = std::get_if<raft::SendMessage>(&action)) {
+            this->perform(*send);
+        } else {
+            this->stateActions.push_back(std::move(action));
+        }
+    }
+    if (!this->stateActionsScheduled) {
+        this->performStateActions();
+    }
+}
+
+/** Performs the actions in order; those that are left after MaxApplyTime in a later loop turn. */
+void ReplicaNode::Parts::performStateActions()
+{
+    const BootTime startedAt = BootClock::now();
+    while (!this->stateActions.empty() && BootClock::now() - startedAt < MaxApplyTime) {
+        raft::Action action = std::move(this->stateActions.front());
+        this->stateActions.pop_front();
         std::visit(
             [this](auto &one) {
                 this->perform(one);
             },
             action);
     }
+    this->stateActionsScheduled = !this->stateActions.empty();
+    if (this->stateActionsScheduled) {
+        this->postIfAlive([this] {
+            this->performStateActions();
+        });
+    }
 }
 
 void ReplicaNode::Parts::diskFailed(const Findings &findings)
@@ -276,6 +315,20 @@
     }
 }
 
+/** Ends the proposal that an earlier leadership of this replica made at an index, if its loss is still to be performed.
+ */
+void ReplicaNode::Parts::abandonProposal(std::uint64_t index)
+{
+    auto found = this->proposals.extract(index);
+    if (found.empty()) {
+        return;
+    }
+    ProposeResult result;
+    result.kind = ProposeOutcome::Unknown;
+    result.version = versionOf(found.mapped().term, index);
+    found.mapped().done(std::move(result));
+}
+
 void ReplicaNode::Parts::perform(raft::Confirmed &action)
 {
     auto confirm = this->confirms.extract(action.request);
@@ -340,6 +393,7 @@
         refused.kind = ProposeOutcome::Refused;
         refused.findings = oneFinding("command", "is larger than " + std::to_string(MaxCommandBytes) + " bytes");
     } else if (const std::optional<wire::Version> version = this->parts->core->propose(std::move(command))) {
+        this->parts->abandonProposal(version->index());
         this->parts->proposals[version->index()] = {version->term(), std::move(done)};
         this->parts->scheduleCoreActions();
         return;
--- a/tests/ReplicaGroup.h
+++ b/tests/ReplicaGroup.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace bergamotweir::tests {
@@ -82,7 +83,8 @@
         std::vector<std::string> &commands = this->states[id];
         commands.clear();
         process::ReplicaHooks hooks;
-        hooks.apply = [&commands](const wire::Version &, std::string_view command) {
+        hooks.apply = [this, &commands](const wire::Version &, std::string_view command) {
+            std::this_thread::sleep_for(this->applyTime);
             commands.emplace_back(command);
             return "applied " + std::string(command);
         };
@@ -107,6 +109,7 @@
         hooks.leadershipChanged = [this, id](bool leads, std::uint64_t) {
             if (leads) {
                 this->leader = id;
+                ++this->leaderChanges;
             } else if (this->leader == id) {
                 this->leader.clear();
             }
@@ -176,6 +179,10 @@
     std::map<std::string, std::vector<std::string>> states;
     std::map<std::string, std::unique_ptr<process::ReplicaNode>> nodes;
     std::string leader;
+    /** How often a replica has begun to lead. */
+    int leaderChanges = 0;
+    /** Time that a state machine takes to apply a command. */
+    std::chrono::milliseconds applyTime{0};
     /** File calls of each replica; tests replace them before its start. */
     std::map<std::string, disk::FileOperations> files;
     /** Replicas that have stopped, and why. */
--- a/tests/ReplicaNodeTest.cpp
+++ b/tests/ReplicaNodeTest.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace bergamotweir;
 using tests::ReplicaGroup;
 
@@ -53,6 +55,42 @@
     REQUIRE(group.states[lagging] == group.states[group.leader]);
 }
 
+// Guards against leaders that send no heartbeats while they apply their log after a start, and replace each other.
+TEST_CASE("a group whose log takes long to apply has one leader after a start", "[replica]")
+{
+    constexpr int Commands = 200;
+    const std::vector<std::string> ids{"a", "b", "c"};
+    ReplicaGroup group(ids);
+    for (const std::string &id : ids) {
+        group.start(id);
+    }
+    group.runUntilLeader();
+    for (int number = 0; number < Commands; ++number) {
+        group.nodes.at(group.leader)->propose("change", [](const process::ProposeResult &) {});
+    }
+    const auto hasApplied = [&group](const std::string &id) {
+        return group.states[id].size() == Commands;
+    };
+    group.runUntil([&] {
+        return std::all_of(ids.begin(), ids.end(), hasApplied);
+    });
+    group.applyTime = std::chrono::milliseconds(4);
+    for (int start = 1; start <= 4; ++start) {
+        INFO("start " << start);
+        for (const std::string &id : ids) {
+            group.stop(id);
+        }
+        group.leaderChanges = 0;
+        for (const std::string &id : ids) {
+            group.start(id);
+        }
+        group.runUntil([&] {
+            return !group.leader.empty() && std::all_of(ids.begin(), ids.end(), hasApplied);
+        });
+        REQUIRE(group.leaderChanges == 1);
+    }
+}
+
 // A VM is lost with its disk and replaced, then a second VM is lost.
 TEST_CASE("a replica is replaced over real sockets and files", "[replica]")
 {
