--- a/include/raft/Log.h
+++ b/include/raft/Log.h
@@ -29,6 +29,9 @@
     /** @return the first index above the base in the run of entries that have the term of the entry at @p index */
     std::uint64_t firstIndexOfTerm(std::uint64_t index) const;
 
+    /** @return the smallest index such that the entries after it, up to @p last, have at most @p maxBytes of payload */
+    std::uint64_t indexBefore(std::uint64_t last, std::size_t maxBytes) const;
+
     /** @param entry its index must be lastIndex() + 1 */
     void append(wire::LogEntry entry);
 
--- a/include/raft/RaftCore.h
+++ b/include/raft/RaftCore.h
@@ -94,6 +94,9 @@
      */
     void snapshotTaken(std::uint64_t index, std::string data);
 
+    /** Reports how long the state machine took to apply an entry. */
+    void recordApplyTime(std::chrono::nanoseconds took);
+
     /** @return the actions due now. Called once after each batch of events, so that their proposals share messages. */
     std::vector<Action> takeActions();
 
@@ -141,6 +144,11 @@
         BootTime deadline;
         BootTime sentAt;
     };
+    /** What has been applied since the last snapshot was requested. */
+    struct AppliedWork {
+        std::size_t bytes = 0;
+        std::chrono::nanoseconds applyTime{0};
+    };
     struct IncomingSnapshot {
         std::string from;
         std::uint64_t term;
@@ -268,6 +276,7 @@
     std::optional<PendingLeadershipTransfer> leadershipTransfer;
     std::optional<IncomingSnapshot> incomingSnapshot;
     std::uint64_t requestedSnapshotIndex = 0;
+    AppliedWork sinceSnapshot;
     /** Random number of entries added to snapshotEntries, so that replicas take snapshots at different times. */
     std::uint64_t snapshotJitter = 0;
     Ticket snapshotTicket = 0;
--- a/include/raft/RaftSettings.h
+++ b/include/raft/RaftSettings.h
@@ -22,10 +22,19 @@
     std::uint64_t inFlightEntries = 4096;
     /** Maximum number of uncommitted entries; further proposals are refused. */
     std::uint64_t uncommittedEntries = 16384;
-    /** Minimum number of entries applied between two snapshots. */
+    /**
+     * A snapshot is due once that many entries have been applied since the last one, or entries of that many bytes, or
+     * entries that took that long: a replica holds the entries in memory, and applies them again when it starts.
+     */
     std::uint64_t snapshotEntries = 8192;
-    /** Entries up to the snapshot that stay in memory, so that a slightly lagging follower needs no snapshot. */
+    std::size_t snapshotBytes = std::size_t{8} * 1024 * 1024;
+    std::chrono::milliseconds snapshotApplyTime{250};
+    /**
+     * Maximum number and sum of sizes of the entries up to the snapshot that stay in memory, so that a slightly lagging
+     * follower needs no snapshot.
+     */
     std::uint64_t trailingEntries = 1024;
+    std::size_t trailingBytes = std::size_t{4} * 1024 * 1024;
     /** Maximum number of entries that a learner may lag behind the commit index when it is promoted. */
     std::uint64_t promotionLag = 16;
 };
@@ -38,6 +47,8 @@
     RaftSettingsBuilder &heartbeat(std::chrono::milliseconds value);
     RaftSettingsBuilder &messageBytes(std::size_t append, std::size_t chunk);
     RaftSettingsBuilder &snapshots(std::uint64_t everyEntries, std::uint64_t trailingEntries);
+    RaftSettingsBuilder &snapshotBytes(std::size_t every, std::size_t trailing);
+    RaftSettingsBuilder &snapshotApplyTime(std::chrono::milliseconds value);
     RaftSettingsBuilder &uncommittedEntries(std::uint64_t value);
 
     /** @return the settings, or every invalid one */
--- a/src/process/ReplicaNode.cpp
+++ b/src/process/ReplicaNode.cpp
@@ -263,7 +263,9 @@
     ProposeResult result;
     result.kind = ProposeOutcome::Applied;
     result.version = this->applied;
+    const BootTime startedAt = BootClock::now();
     result.result = this->hooks.apply(this->applied, entry.payload());
+    this->core->recordApplyTime(BootClock::now() - startedAt);
     const auto found = this->proposals.find(entry.index());
     if (found == this->proposals.end()) {
         return;
--- a/src/raft/Log.cpp
+++ b/src/raft/Log.cpp
@@ -46,6 +46,18 @@
     return index;
 }
 
+std::uint64_t Log::indexBefore(std::uint64_t last, std::size_t maxBytes) const
+{
+    std::uint64_t index = last;
+    for (std::size_t bytes = 0; index > this->baseIndex; --index) {
+        bytes += this->at(index).payload().size();
+        if (bytes > maxBytes) {
+            break;
+        }
+    }
+    return index;
+}
+
 void Log::append(wire::LogEntry entry)
 {
     assert(entry.index() == this->lastIndex() + 1);
--- a/src/raft/RaftCore.cpp
+++ b/src/raft/RaftCore.cpp
@@ -347,7 +347,9 @@
     if (this->snapshotTicket != 0 && this->snapshotTicket <= this->syncedTicket) {
         this->snapshotTicket = 0;
         const std::uint64_t covered = this->snapshot->lastIndex;
-        this->entries.dropThrough(covered - std::min(covered, this->settings.trailingEntries));
+        const std::uint64_t oldestTrailing = covered - std::min(covered, this->settings.trailingEntries);
+        this->entries.dropThrough(
+            std::max(oldestTrailing, this->entries.indexBefore(covered, this->settings.trailingBytes)));
     }
     if (this->currentRole == Role::Candidate) {
         this->countVotes();
--- a/src/raft/RaftSettings.cpp
+++ b/src/raft/RaftSettings.cpp
@@ -29,6 +29,19 @@
     return *this;
 }
 
+RaftSettingsBuilder &RaftSettingsBuilder::snapshotBytes(std::size_t every, std::size_t trailing)
+{
+    this->settings.snapshotBytes = every;
+    this->settings.trailingBytes = trailing;
+    return *this;
+}
+
+RaftSettingsBuilder &RaftSettingsBuilder::snapshotApplyTime(std::chrono::milliseconds value)
+{
+    this->settings.snapshotApplyTime = value;
+    return *this;
+}
+
 RaftSettingsBuilder &RaftSettingsBuilder::uncommittedEntries(std::uint64_t value)
 {
     this->settings.uncommittedEntries = value;
@@ -47,6 +60,9 @@
     if (this->settings.appendBytes == 0 || this->settings.chunkBytes == 0) {
         findings.push_back({"message bytes", "are zero", {}});
     }
+    if (this->settings.snapshotBytes == 0 || this->settings.snapshotApplyTime.count() <= 0) {
+        findings.push_back({"snapshots", "are due after no bytes or no time", {}});
+    }
     if (this->settings.snapshotEntries == 0 || this->settings.uncommittedEntries == 0) {
         findings.push_back({"entries", "are zero", {}});
     }
--- a/src/raft/Replication.cpp
+++ b/src/raft/Replication.cpp
@@ -199,6 +199,7 @@
     while (this->lastApplied < this->committedIndex) {
         this->lastApplied++;
         const wire::LogEntry &entry = this->entries.at(this->lastApplied);
+        this->sinceSnapshot.bytes += entry.payload().size();
         this->emit(ApplyEntry{entry});
         if (this->currentRole == Role::Leader && entry.index() == this->termStartIndex) {
             this->termStartApplied = true;
--- a/src/raft/SnapshotTransfer.cpp
+++ b/src/raft/SnapshotTransfer.cpp
@@ -127,6 +127,7 @@
     this->memberships[index] = this->snapshot->membership;
     this->committedIndex = index;
     this->lastApplied = index;
+    this->sinceSnapshot = {};
     this->write(SaveSnapshot{this->snapshot, !agrees});
     this->pendingAppends.push_back({this->nextTicket(), std::max(index, agrees ? this->entries.lastIndex() : index)});
     this->requestedSnapshotIndex = 0;
@@ -164,17 +165,30 @@
 void RaftCore::requestSnapshotIfDue()
 {
     const std::uint64_t covered = this->snapshot ? this->snapshot->lastIndex : 0;
-    if (this->requestedSnapshotIndex != 0 || this->snapshotTicket != 0
-        || this->lastApplied - covered < this->settings.snapshotEntries + this->snapshotJitter) {
+    const std::uint64_t applied = this->lastApplied - covered;
+    const double jitter =
+        1 + static_cast<double>(this->snapshotJitter) / static_cast<double>(this->settings.snapshotEntries);
+    const bool isDue =
+        applied >= this->settings.snapshotEntries + this->snapshotJitter
+        || static_cast<double>(this->sinceSnapshot.bytes) >= jitter * static_cast<double>(this->settings.snapshotBytes)
+        || this->sinceSnapshot.applyTime >= jitter * this->settings.snapshotApplyTime;
+    if (this->requestedSnapshotIndex != 0 || this->snapshotTicket != 0 || applied == 0 || !isDue) {
         return;
     }
     // A disk delays appends while it writes a snapshot. Without the jitter all replicas would take theirs at the same
     // entry, and no quorum could acknowledge quickly.
     this->snapshotJitter = this->random(static_cast<std::uint32_t>(this->settings.snapshotEntries));
     this->requestedSnapshotIndex = this->lastApplied;
+    this->sinceSnapshot = {};
     this->emit(TakeSnapshot{this->lastApplied});
 }
 
+void RaftCore::recordApplyTime(std::chrono::nanoseconds took)
+{
+    this->sinceSnapshot.applyTime += took;
+    this->requestSnapshotIfDue();
+}
+
 void RaftCore::snapshotTaken(std::uint64_t index, std::string data)
 {
     if (this->isStopped || index != this->requestedSnapshotIndex) {
--- a/tests/RaftCoreTest.cpp
+++ b/tests/RaftCoreTest.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <optional>
 
 using namespace bergamotweir;
 using namespace std::chrono_literals;
@@ -142,6 +143,64 @@
     raft::Ticket lastTicket = 0;
 };
 
+/** A group of one replica, whose disk completes writes at once. */
+class SingleReplica
+{
+public:
+    explicit SingleReplica(const raft::RaftSettings &settings)
+    {
+        raft::Self self{"a", "a", {}, false};
+        wire::Replica *const replica = self.initial.add_replicas();
+        replica->set_id("a");
+        replica->set_address("a");
+        replica->set_voter(true);
+        raft::PersistentState state;
+        state.diskId = "disk a";
+        this->core.emplace(self, settings, state, 1, Start);
+        this->core->tick(Start + 10s);
+        this->performAll();
+    }
+
+    /** Commits a command that takes the state machine @p applyTime. */
+    void commit(const std::string &command, std::chrono::milliseconds applyTime = 0ms)
+    {
+        REQUIRE(this->core->propose(command));
+        this->applyTime = applyTime;
+        this->performAll();
+    }
+
+    std::size_t bytesInLog() const
+    {
+        std::size_t bytes = 0;
+        for (std::uint64_t index = this->core->log().base() + 1; index <= this->core->log().lastIndex(); ++index) {
+            bytes += this->core->log().at(index).payload().size();
+        }
+        return bytes;
+    }
+
+    std::optional<raft::RaftCore> core;
+    int snapshots = 0;
+
+private:
+    void performAll()
+    {
+        for (auto actions = this->core->takeActions(); !actions.empty(); actions = this->core->takeActions()) {
+            for (const raft::Action &action : actions) {
+                if (const auto *const write = std::get_if<raft::WriteDisk>(&action)) {
+                    this->core->diskSynced(write->ticket);
+                } else if (const auto *const take = std::get_if<raft::TakeSnapshot>(&action)) {
+                    ++this->snapshots;
+                    this->core->snapshotTaken(take->index, "state");
+                } else if (std::holds_alternative<raft::ApplyEntry>(action)) {
+                    this->core->recordApplyTime(this->applyTime);
+                }
+            }
+        }
+    }
+
+    std::chrono::milliseconds applyTime{0};
+};
+
 } // namespace
 
 // Guards against the loss of an acknowledged entry: a leader commits an entry of an older term because a majority holds
@@ -290,3 +349,32 @@
     a.receive(answer);
     REQUIRE(a.core->commitIndex() == 0);
 }
+
+// Guards against a log that grows in memory until no replica can start.
+TEST_CASE("the entries in memory are bounded by their bytes, however few they are", "[raft]")
+{
+    constexpr std::size_t Every = 100000;
+    constexpr std::size_t Trailing = 50000;
+    constexpr std::size_t CommandBytes = 4000;
+    SingleReplica replica(raft::RaftSettingsBuilder().snapshotBytes(Every, Trailing).build().value());
+    for (int number = 0; number < 500; ++number) {
+        replica.commit(std::string(CommandBytes, 'x'));
+        // A snapshot is due after once to twice the bytes.
+        REQUIRE(replica.bytesInLog() <= 2 * Every + Trailing + CommandBytes);
+    }
+    REQUIRE(replica.snapshots >= 10);
+}
+
+// Guards against a start that takes as long as all changes of a large table took to apply.
+TEST_CASE("a snapshot is due once entries have taken long to apply, however small they are", "[raft]")
+{
+    SingleReplica replica(raft::RaftSettingsBuilder().snapshotApplyTime(100ms).build().value());
+    std::uint64_t longest = 0;
+    for (int number = 0; number < 400; ++number) {
+        replica.commit("x", 5ms);
+        const std::uint64_t covered = replica.core->lastSnapshot() ? replica.core->lastSnapshot()->lastIndex : 0;
+        longest = std::max(longest, replica.core->commitIndex() - covered);
+    }
+    // Twice 100 ms of 5 ms each, and the entries that begin the log and the term.
+    REQUIRE(longest <= 2 * 20 + 3);
+}
