A stop sends the rest of an answer that is being read

Cause: a connection without unfinished requests was closed for sending at a stop, though bytes of its last answer were still to be sent; the answer then no longer counted as unsent. Change: such a connection takes no further request and is closed once all bytes have been sent.

--- a/src/net/PipelineConnection.cpp
+++ b/src/net/PipelineConnection.cpp
@@ -299,7 +299,11 @@
         this->isReadingLastRequest = true;
         return;
     }
-    this->closeSendingSide();
+    this->isClosing = true;
+    this->receiveBuffer.clear();
+    if (!this->flush()) {
+        this->disconnect(true);
+    }
 }
 
 void PipelineConnection::closeIfIdle(BootTime now)
--- a/tests/PipelineServerTest.cpp
+++ b/tests/PipelineServerTest.cpp
@@ -93,6 +93,39 @@
     CHECK(started == std::vector<std::string>{"/before", "/order", "/after"});
 }
 
+// Guards against an answer that is cut off while its caller reads it slowly.
+TEST_CASE("a stop sends the rest of an answer that is being read before it closes the connection")
+{
+    constexpr std::size_t BodyBytes = std::size_t{8} * 1024 * 1024;
+    ServerBench<PipelineServer> bench;
+    bench.listen([&](const std::shared_ptr<Exchange> &exchange) {
+        exchange->answer(textAnswer(std::string(BodyBytes, 'x')));
+    });
+    const int socket = bench.connect();
+    const std::string request = get("/large");
+    REQUIRE(::send(socket, request.data(), request.size(), MSG_NOSIGNAL) > 0);
+    std::size_t received = 0;
+    bench.loop->after(50ms, [&] {
+        bench.server->stopAccepting();
+        CHECK(bench.server->inProgress() == 1);
+    });
+    bench.loop->after(100ms, [&] {
+        bench.loop->watch(socket, {.readable = true}, [&](loop::Readiness) {
+            std::array<char, 65536> part{};
+            const ssize_t count = recv(socket, part.data(), part.size(), MSG_DONTWAIT);
+            received += count > 0 ? static_cast<std::size_t>(count) : 0;
+            if (count == 0 || (count < 0 && errno != EAGAIN)) {
+                bench.loop->stop();
+            }
+        });
+    });
+    bench.run();
+    bench.loop->unwatch(socket);
+    close(socket);
+    CHECK(received > BodyBytes);
+    CHECK(bench.server->inProgress() == 0);
+}
+
 // Guards against requests that run twice because they were processed behind an answer that closes the connection.
 TEST_CASE("a stop answers requests in progress, then closes the connection and drops those waiting behind")
 {
