A restarted agent releases only what its upstream reports as released

Cause: the first report after a restart ended the guard for the predecessor's grants, also when it had been sent before the last of them. Change: until those grants have expired, a revoked slice is released once the upstream has reported it as released since the revoke, or once its process is proved to have ended.

The test of this guard expected a release after any report without the slice, which is the fault; it now needs the report of the release, and has sections for a late report and for an ended process. The fixture of the other tests stands for an agent whose predecessor's grants have expired.

--- a/include/agent/Ownership.h
+++ b/include/agent/Ownership.h
@@ -47,11 +47,15 @@
      */
     bool upstreamsHoldGrants = false;
     /**
-     * Services whose upstream has reported what it holds since this agent started. An upstream outlives its agent:
-     * until it reports, or until all grants that the predecessor may have given have expired, it may hold any key.
+     * Services whose upstream has reported what it holds since this agent started. An upstream outlives its agent, and
+     * a report that was delayed doesn't list what the predecessor granted after it. Therefore, until all grants that
+     * the predecessor may have given have expired, the upstream may hold any key that it hasn't reported as released
+     * since this agent revoked it.
      */
     std::set<std::string, std::less<>> servicesReported;
     bool predecessorGrantsExpired = false;
+    /** Services whose upstream's process is known to have ended since this agent started, and with it what it held. */
+    std::set<std::string, std::less<>> servicesEnded;
     /** Per service, the ranges that the upstream may hold now. */
     std::map<std::string, std::vector<HeldRange>, std::less<>> held;
     /** Revoked slices whose revoke was sent to the upstream; no new work is accepted from then on. */
--- a/src/agent/Ownership.cpp
+++ b/src/agent/Ownership.cpp
@@ -21,11 +21,20 @@
     }
 }
 
+/** @return whether the upstream may hold a revoked slice by a grant that this agent's predecessor gave */
+bool mayHoldFromPredecessor(const Ownership &ownership, const SliceKey &key)
+{
+    if (!ownership.upstreamsHoldGrants || ownership.predecessorGrantsExpired
+        || ownership.servicesEnded.contains(key.service)) {
+        return false;
+    }
+    return !ownership.servicesReported.contains(key.service) || !ownership.handovers.contains(key);
+}
+
 /** @return whether the upstream may still hold a key of the slice under its epoch or an older one */
 bool isHeld(const Ownership &ownership, const RouteMap &map, const SliceKey &key)
 {
-    const bool isUnreported = !ownership.predecessorGrantsExpired && !ownership.servicesReported.contains(key.service);
-    if (ownership.upstreamsHoldGrants && isUnreported) {
+    if (mayHoldFromPredecessor(ownership, key)) {
         return true;
     }
     const auto held = ownership.held.find(key.service);
--- a/src/process/LocalUpstreamHealth.cpp
+++ b/src/process/LocalUpstreamHealth.cpp
@@ -176,6 +176,7 @@
             .with("reason", agent::toText(reason));
     }
     this->callGrants.processEnded();
+    this->state.ownership.servicesEnded.insert(this->latestAnnouncement.service);
     this->forgetHeldKeys();
 }
 
--- a/tests/HeldKeysTest.cpp
+++ b/tests/HeldKeysTest.cpp
@@ -30,7 +30,7 @@
         agent::apply(this->map, state);
         this->ownership.ownUpstreams = {7};
         this->ownership.upstreamsHoldGrants = true;
-        this->ownership.servicesReported.insert("seats");
+        this->ownership.predecessorGrantsExpired = true;
         this->lease.validUntil = Now + 1s;
     }
 
@@ -121,21 +121,36 @@
  * agent, which knows of no hold, released a revoked slice immediately, another upstream would get keys that the first
  * one still holds until the old grant expires.
  */
-TEST_CASE("held keys: a new agent releases nothing before its upstream has reported, or old grants have expired")
+TEST_CASE("held keys: a new agent releases nothing before its upstream has released it, or old grants have expired")
 {
     Agent agent;
-    agent.ownership.servicesReported.clear();
+    agent.ownership.predecessorGrantsExpired = false;
     agent.revoke();
     REQUIRE(agent::takeReleased(agent.ownership, agent.map).slices().empty());
-    SECTION("the upstream reports what it holds")
+    SECTION("the upstream reports what it holds, and then that it has released the slice")
     {
         agent.ownership.servicesReported.insert("seats");
         agent.hold(4);
         REQUIRE(agent::takeReleased(agent.ownership, agent.map).slices().empty());
+        agent.ownership.handovers[{"seats", 0, 4}] = "state";
+        REQUIRE(agent::takeReleased(agent.ownership, agent.map).slices().empty());
         agent.ownership.held.clear();
         REQUIRE(agent::takeReleased(agent.ownership, agent.map).slices_size() == 1);
     }
-    SECTION("it never does, and the predecessor's grants have expired")
+    SECTION("a late report, sent before the predecessor's last grant, doesn't list the slice")
+    {
+        agent.ownership.servicesReported.insert("seats");
+        REQUIRE(agent::takeReleased(agent.ownership, agent.map).slices().empty());
+        agent.ownership.predecessorGrantsExpired = true;
+        REQUIRE(agent::takeReleased(agent.ownership, agent.map).slices_size() == 1);
+    }
+    SECTION("the upstream's process has ended")
+    {
+        agent.ownership.servicesReported.insert("seats");
+        agent.ownership.servicesEnded.insert("seats");
+        REQUIRE(agent::takeReleased(agent.ownership, agent.map).slices_size() == 1);
+    }
+    SECTION("it never reports, and the predecessor's grants have expired")
     {
         agent.ownership.predecessorGrantsExpired = true;
         REQUIRE(agent::takeReleased(agent.ownership, agent.map).slices_size() == 1);
