--- a/tests/ControlSessionTest.cpp
+++ b/tests/ControlSessionTest.cpp
@@ -24,6 +24,19 @@
     return hello;
 }
 
+/** @return callbacks that stop the loop once a session is open */
+rpc::ControlSessionEvents stopWhenOpen(loop::EventLoop &loop)
+{
+    rpc::ControlSessionEvents events;
+    events.hello = someHello;
+    events.opened = [&loop](rpc::SessionId) {
+        loop.stop();
+    };
+    events.message = [](rpc::SessionId, const wire::ControlMessage &) {};
+    events.closed = [](rpc::SessionId) {};
+    return events;
+}
+
 /** Stops the loop after a time limit, so that a fault does not make the test hang. */
 void stopAfter(loop::EventLoop &loop, std::chrono::seconds limit)
 {
@@ -244,15 +257,8 @@
     FakeReplica leader;
     leader.stateDelay = 2500ms;
     auto loop = loop::EventLoop::create().value();
-    rpc::ControlSessionEvents events;
-    events.hello = someHello;
-    events.opened = [&](rpc::SessionId) {
-        loop->stop();
-    };
-    events.message = [](rpc::SessionId, const wire::ControlMessage &) {};
-    events.closed = [](rpc::SessionId) {};
     const rpc::ControlSession session(
-        *loop, {leader.address()}, events, {.silenceTimeout = 250ms, .openTimeout = {100ms, 100ms}});
+        *loop, {leader.address()}, stopWhenOpen(*loop), {.silenceTimeout = 250ms, .openTimeout = {100ms, 100ms}});
     stopAfter(*loop, 10s);
     loop->run();
     CHECK(session.isOpen());
@@ -419,16 +425,9 @@
     frozen.silentAfterAcceptance = true;
     const FakeReplica leader;
     auto loop = loop::EventLoop::create().value();
-    rpc::ControlSessionEvents events;
-    events.hello = someHello;
-    events.opened = [&](rpc::SessionId) {
-        loop->stop();
-    };
-    events.message = [](rpc::SessionId, const wire::ControlMessage &) {};
-    events.closed = [](rpc::SessionId) {};
     rpc::ControlSession session(*loop,
                                 {followers[0].address(), followers[1].address(), followers[2].address()},
-                                events,
+                                stopWhenOpen(*loop),
                                 {.silenceTimeout = 300ms, .seed = 7});
     loop->after(1s, [&] {
         session.addAddresses({frozen.address()});
@@ -454,14 +453,8 @@
     FakeReplica leader;
     leader.stateSendTime = 1500ms;
     auto loop = loop::EventLoop::create().value();
-    rpc::ControlSessionEvents events;
-    events.hello = someHello;
-    events.opened = [&](rpc::SessionId) {
-        loop->stop();
-    };
-    events.message = [](rpc::SessionId, const wire::ControlMessage &) {};
-    events.closed = [](rpc::SessionId) {};
-    const rpc::ControlSession session(*loop, {leader.address()}, events, {.silenceTimeout = 250ms, .seed = 7});
+    const rpc::ControlSession session(
+        *loop, {leader.address()}, stopWhenOpen(*loop), {.silenceTimeout = 250ms, .seed = 7});
     stopAfter(*loop, TestLimit);
     loop->run();
     CHECK(session.isOpen());
