--- a/include/agent/Ownership.h
+++ b/include/agent/Ownership.h
@@ -54,7 +54,10 @@
      */
     std::set<std::string, std::less<>> servicesReported;
     bool predecessorGrantsExpired = false;
-    /** Services whose upstream's process is known to have ended since this agent started, and with it what it held. */
+    /**
+     * Services at whose upstream's address no process has listened at some time since this agent started: what the
+     * predecessor had granted there has ended. A later process that is known by its own report may hold such grants.
+     */
     std::set<std::string, std::less<>> servicesEnded;
     /** Per service, the ranges that the upstream may hold now. */
     std::map<std::string, std::vector<HeldRange>, std::less<>> held;
--- a/src/process/LocalUpstreamHealth.cpp
+++ b/src/process/LocalUpstreamHealth.cpp
@@ -176,7 +176,9 @@
             .with("reason", agent::toText(reason));
     }
     this->callGrants.processEnded();
-    this->state.ownership.servicesEnded.insert(this->latestAnnouncement.service);
+    if (reason == agent::HoldEnd::ConnectionRefused) {
+        this->state.ownership.servicesEnded.insert(this->latestAnnouncement.service);
+    }
     this->forgetHeldKeys();
 }
 
