Test of a restarted agent's rate limit: keys that the upstream holds at the restart

Its log: the key had moved to the other upstream 0.5 s before the restart (epoch 1 at 22.41, epoch 2 at 22.91), as control moves load away from an upstream that states a limit of 2 a second; all 549 requests were answered there. The start had taken 4.4 s, longer than the delay before control rebalances, so the test's key was no longer the upstream's.

--- a/tests/UpstreamNoticeProcessTest.cpp
+++ b/tests/UpstreamNoticeProcessTest.cpp
@@ -48,6 +48,23 @@
     unsigned key = 0;
 };
 
+/** @return keys at equal distances among those that the upstream holds */
+std::vector<unsigned> someKeysHeld(PlatformWorker &upstream, std::size_t count)
+{
+    std::vector<unsigned> held;
+    for (const auto &row : upstream.held()) {
+        for (std::uint64_t key = row[0]; key <= row[1]; ++key) {
+            held.push_back(static_cast<unsigned>(key));
+        }
+    }
+    REQUIRE(held.size() >= count);
+    std::vector<unsigned> chosen;
+    for (std::size_t index = 0; index < count; ++index) {
+        chosen.push_back(held[index * held.size() / count]);
+    }
+    return chosen;
+}
+
 /** Sends requests for one key to agents, from one thread for each entry, until it is destroyed. */
 class Callers
 {
@@ -153,10 +170,15 @@
     REQUIRE(machines.served(11, machines.key));
     std::this_thread::sleep_for(500ms);
     machines.upstream().workTime = 900ms;
+    const std::vector<unsigned> keys = someKeysHeld(machines.upstream(), 10);
     Deployment::kill(machines.agents[0]);
     Deployment::start(machines.agents[0]);
     const auto restartedAt = Clock::now();
-    const Callers callers(machines, std::vector<int>(10, 12), machines.key);
+    // Several keys, as control moves slices away from an upstream with so low a limit.
+    std::vector<std::unique_ptr<Callers>> callers;
+    for (const unsigned key : keys) {
+        callers.push_back(std::make_unique<Callers>(machines, std::vector{12}, key));
+    }
     REQUIRE(Deployment::eventually(10s, [&] {
         return countBetween(machines.upstream().arrivals(), restartedAt, Clock::now()) > 0;
     }));
