--- a/tests/UpstreamNoticeProcessTest.cpp
+++ b/tests/UpstreamNoticeProcessTest.cpp
@@ -176,6 +176,7 @@
     const auto restartedAt = Clock::now();
     // Several keys, as control moves slices away from an upstream with so low a limit.
     std::vector<std::unique_ptr<Callers>> callers;
+    callers.reserve(keys.size());
     for (const unsigned key : keys) {
         callers.push_back(std::make_unique<Callers>(machines, std::vector{12}, key));
     }
